--- /dev/null
+++ b/internal/wire/datagram.go
@@ -0,0 +1,160 @@
+// Package wire encodes and authenticates the datagrams between balancers and agents.
+package wire
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/pkg/flow"
+)
+
+// Reasons for which a datagram is dropped; the text is the value of the reason label of the metric.
+const (
+	ErrMalformed     = errors.ConstError("malformed")
+	ErrOversized     = errors.ConstError("oversized")
+	ErrUnauthentic   = errors.ConstError("unauthentic")
+	ErrUnknownSender = errors.ConstError("unknown_sender")
+)
+
+// Sizes in bytes.
+const (
+	// MaxPayload is the largest payload of a datagram.
+	MaxPayload = 1472
+	tagSize    = 16
+	addrSize   = 16 + 2
+	// fixedHeader is the header without the tried list: magic, version and kind, service, sender, counter,
+	// caller, balancer, zone revision, owner, flags, number of tried agents.
+	fixedHeader = 2 + 1 + 1 + 8 + 8 + 8 + addrSize + addrSize + 8 + 4 + 1 + 1
+	// MaxDatagram is the largest encoded datagram.
+	MaxDatagram = fixedHeader + 4*flow.MaxTried + MaxPayload + tagSize
+)
+
+const (
+	magic   = 0xb7a5
+	version = 1
+)
+
+// Kind is the direction of a datagram.
+type Kind uint8
+
+// Kinds of datagrams.
+const (
+	KindForward Kind = iota + 1
+	KindReturn
+)
+
+const (
+	flagOpening     = 1 << 0
+	flagEstablished = 1 << 1
+	knownFlags      = flagOpening | flagEstablished
+)
+
+// Datagram is one packet of a flow on its way between a balancer and agents.
+type Datagram struct {
+	Kind    Kind
+	Service flow.ServiceID
+	// Caller is the caller's address as the balancer sees it.
+	Caller netip.AddrPort
+	// Balancer is the data address of the balancer through which answers may go.
+	Balancer netip.AddrPort
+	// ZoneRevision is the highest store revision of any zone state that the sender knows.
+	ZoneRevision uint64
+	// Owner is the agent that sent a return datagram.
+	Owner flow.ShortID
+	// Opening is true when the payload opens a flow.
+	Opening bool
+	// Established is true in a return datagram of a flow whose handshake is complete.
+	Established bool
+	// Tried lists the agents that have seen a forward datagram and do not own its flow.
+	Tried flow.Tried
+	// Payload is the caller's or the agent's packet; it aliases the buffer that was decoded.
+	Payload []byte
+}
+
+func appendAddr(b []byte, a netip.AddrPort) []byte {
+	ip := a.Addr().As16()
+	b = append(b, ip[:]...)
+	return binary.BigEndian.AppendUint16(b, a.Port())
+}
+
+func parseAddr(b []byte) netip.AddrPort {
+	ip := netip.AddrFrom16([16]byte(b[:16])).Unmap()
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[16:18]))
+}
+
+func (d *Datagram) flags() byte {
+	var f byte
+	if d.Opening {
+		f |= flagOpening
+	}
+	if d.Established {
+		f |= flagEstablished
+	}
+	return f
+}
+
+// appendBody encodes the datagram without its tag.
+func (d *Datagram) appendBody(b []byte, sender, counter uint64) []byte {
+	b = binary.BigEndian.AppendUint16(b, magic)
+	b = append(b, version, byte(d.Kind))
+	b = binary.BigEndian.AppendUint64(b, uint64(d.Service))
+	b = binary.BigEndian.AppendUint64(b, sender)
+	b = binary.BigEndian.AppendUint64(b, counter)
+	b = appendAddr(b, d.Caller)
+	b = appendAddr(b, d.Balancer)
+	b = binary.BigEndian.AppendUint64(b, d.ZoneRevision)
+	b = binary.BigEndian.AppendUint32(b, uint32(d.Owner))
+	b = append(b, d.flags(), byte(d.Tried.Len()))
+	for _, id := range d.Tried.IDs() {
+		b = binary.BigEndian.AppendUint32(b, uint32(id))
+	}
+	return append(b, d.Payload...)
+}
+
+// parseBody decodes a datagram whose tag has been removed and checked.
+func parseBody(d *Datagram, b []byte) error {
+	if len(b) < fixedHeader {
+		return ErrMalformed
+	}
+	d.Kind = Kind(b[3])
+	if d.Kind != KindForward && d.Kind != KindReturn {
+		return ErrMalformed
+	}
+	d.Service = flow.ServiceID(binary.BigEndian.Uint64(b[4:]))
+	d.Caller = parseAddr(b[28:])
+	d.Balancer = parseAddr(b[46:])
+	d.ZoneRevision = binary.BigEndian.Uint64(b[64:])
+	d.Owner = flow.ShortID(binary.BigEndian.Uint32(b[72:]))
+	flags := b[76]
+	n := int(b[77])
+	if flags&^knownFlags != 0 || n > flow.MaxTried || len(b) < fixedHeader+4*n {
+		return ErrMalformed
+	}
+	d.Opening = flags&flagOpening != 0
+	d.Established = flags&flagEstablished != 0
+	d.Tried = flow.Tried{}
+	for i := range n {
+		d.Tried.Add(flow.ShortID(binary.BigEndian.Uint32(b[fixedHeader+4*i:])))
+	}
+	d.Payload = b[fixedHeader+4*n:]
+	if len(d.Payload) > MaxPayload {
+		return ErrOversized
+	}
+	return nil
+}
+
+// Opens reports whether a QUIC packet opens a flow: a long header of type Initial.
+// QUIC version 2 numbers the types differently, so the version is read too.
+func Opens(packet []byte) bool {
+	const longHeader, typeMask = 0x80, 0x30
+	if len(packet) < 5 || packet[0]&longHeader == 0 {
+		return false
+	}
+	const versionTwo, initialTwo = 0x6b3343cf, 0x10
+	if binary.BigEndian.Uint32(packet[1:]) == versionTwo {
+		return packet[0]&typeMask == initialTwo
+	}
+	return packet[0]&typeMask == 0
+}
--- /dev/null
+++ b/internal/wire/sealer.go
@@ -0,0 +1,147 @@
+package wire
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+)
+
+// KeySize is the least size of a shared key in bytes.
+const KeySize = 32
+
+// Purpose separates the keys that are derived from the shared key.
+type Purpose string
+
+// Purposes of keys.
+const (
+	PurposeData    Purpose = "bramleymast data v1"
+	PurposeControl Purpose = "bramleymast control v1"
+	PurposeRPC     Purpose = "bramleymast rpc v1"
+	PurposeTicket  Purpose = "bramleymast ticket v1"
+)
+
+// DeriveKey returns a 32-byte key for a purpose and a context, such as the incarnation of a sender.
+func DeriveKey(shared []byte, purpose Purpose, context []byte) ([]byte, error) {
+	if len(shared) < KeySize {
+		return nil, errors.Errorf("the shared key has %d bytes, at least %d are needed", len(shared), KeySize)
+	}
+	key, err := hkdf.Key(sha256.New, shared, context, string(purpose), KeySize)
+	return key, errors.Trace(err)
+}
+
+// NewAEAD returns AES-256-GCM under a derived key.
+func NewAEAD(shared []byte, purpose Purpose, context []byte) (cipher.AEAD, error) {
+	key, err := DeriveKey(shared, purpose, context)
+	if err != nil {
+		return nil, err
+	}
+	block, err := aes.NewCipher(key)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	aead, err := cipher.NewGCM(block)
+	return aead, errors.Trace(err)
+}
+
+// maxSenders bounds the cache of sender keys against datagrams with invented senders.
+const maxSenders = 8192
+
+// Sealer authenticates datagrams with a key derived from the shared key and the sender's incarnation.
+type Sealer struct {
+	shared  []byte
+	purpose Purpose
+	sender  uint64
+	own     cipher.AEAD
+	counter atomic.Uint64
+
+	mu      sync.RWMutex
+	senders map[uint64]cipher.AEAD
+}
+
+// NewSealer returns a sealer for a process whose incarnation must never be used again with the same key.
+func NewSealer(shared []byte, purpose Purpose, incarnation uint64) (*Sealer, error) {
+	s := &Sealer{shared: shared, purpose: purpose, sender: incarnation, senders: make(map[uint64]cipher.AEAD)}
+	own, err := s.derive(incarnation)
+	if err != nil {
+		return nil, err
+	}
+	s.own = own
+	return s, nil
+}
+
+func (s *Sealer) derive(sender uint64) (cipher.AEAD, error) {
+	return NewAEAD(s.shared, s.purpose, binary.BigEndian.AppendUint64(nil, sender))
+}
+
+func (s *Sealer) aead(sender uint64) (cipher.AEAD, error) {
+	s.mu.RLock()
+	a, ok := s.senders[sender]
+	s.mu.RUnlock()
+	if ok {
+		return a, nil
+	}
+	return s.derive(sender)
+}
+
+// remember caches the key of a sender after one of its datagrams was authentic.
+func (s *Sealer) remember(sender uint64, a cipher.AEAD) {
+	s.mu.RLock()
+	_, ok := s.senders[sender]
+	s.mu.RUnlock()
+	if ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.senders) >= maxSenders {
+		clear(s.senders)
+	}
+	s.senders[sender] = a
+}
+
+func nonce(counter uint64) [12]byte {
+	var n [12]byte
+	binary.BigEndian.PutUint64(n[4:], counter)
+	return n
+}
+
+// Append encodes and authenticates a datagram behind b.
+func (s *Sealer) Append(b []byte, d *Datagram) ([]byte, error) {
+	if len(d.Payload) > MaxPayload {
+		return b, ErrOversized
+	}
+	start := len(b)
+	c := s.counter.Add(1)
+	b = d.appendBody(b, s.sender, c)
+	n := nonce(c)
+	return s.own.Seal(b, n[:], nil, b[start:]), nil
+}
+
+// Open checks and decodes a datagram; the payload of d aliases b.
+func (s *Sealer) Open(d *Datagram, b []byte) error {
+	if len(b) > MaxDatagram {
+		return ErrOversized
+	}
+	if len(b) < fixedHeader+tagSize || binary.BigEndian.Uint16(b) != magic || b[2] != version {
+		return ErrMalformed
+	}
+	sender := binary.BigEndian.Uint64(b[12:])
+	counter := binary.BigEndian.Uint64(b[20:])
+	a, err := s.aead(sender)
+	if err != nil {
+		return ErrUnauthentic
+	}
+	body, tag := b[:len(b)-tagSize], b[len(b)-tagSize:]
+	n := nonce(counter)
+	if _, err := a.Open(nil, n[:], tag, body); err != nil {
+		return ErrUnauthentic
+	}
+	s.remember(sender, a)
+	return parseBody(d, body)
+}
--- /dev/null
+++ b/pkg/board/record.go
@@ -0,0 +1,171 @@
+// Package board is the blackboard of a process: versioned records that controllers read and write.
+package board
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+
+	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/flow"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// Kind is the kind of a record.
+type Kind uint8
+
+// Kinds of records, in the order of their priority on a control stream.
+const (
+	KindZone Kind = iota + 1
+	KindContract
+	KindBackend
+	KindAgent
+	KindBalancer
+	KindRelay
+)
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	switch k {
+	case KindZone:
+		return "zone"
+	case KindContract:
+		return "contract"
+	case KindBackend:
+		return "backend"
+	case KindAgent:
+		return "agent"
+	case KindBalancer:
+		return "balancer"
+	case KindRelay:
+		return "relay"
+	}
+	return fmt.Sprintf("kind(%d)", uint8(k))
+}
+
+// Verdict is what others say of a member at a version that the member wrote.
+type Verdict uint8
+
+// Verdicts, each of which overrides the ones before it at the same epoch and sequence.
+const (
+	Alive Verdict = iota
+	Suspect
+	Dead
+)
+
+// String returns the name of the verdict.
+func (v Verdict) String() string {
+	switch v {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	}
+	return fmt.Sprintf("verdict(%d)", uint8(v))
+}
+
+// Version orders the states of one record: by epoch, then sequence, then verdict.
+// Configuration has epoch 0 and the store's revision as its sequence; a member has its incarnation as its epoch.
+type Version struct {
+	Epoch   uint64
+	Seq     uint64
+	Verdict Verdict
+}
+
+// Compare returns -1, 0 or +1.
+func (v Version) Compare(o Version) int {
+	return cmp.Or(
+		cmp.Compare(v.Epoch, o.Epoch),
+		cmp.Compare(v.Seq, o.Seq),
+		cmp.Compare(v.Verdict, o.Verdict),
+	)
+}
+
+// ID names a record.
+type ID struct {
+	Kind Kind
+	Key  string
+}
+
+// Record is one versioned state.
+type Record struct {
+	ID      ID
+	Version Version
+	Value   Value
+}
+
+// Value is the state held by a record: Contract, Zone, Backend, Agent, Balancer or Relay.
+type Value interface{ kind() Kind }
+
+// Contract is the contract of a customer service.
+type Contract struct{ contract.Contract }
+
+// Zone is the operators' state of an availability zone.
+type Zone struct{ contract.Availability }
+
+// Backend is the operators' state of a backend server, whose key is the id of its agent.
+type Backend struct{ contract.Availability }
+
+// Phase is the state of an agent as it states it itself.
+type Phase uint8
+
+// Phases of an agent.
+const (
+	PhaseCold Phase = iota + 1
+	PhaseReady
+	PhaseDraining
+	PhaseLeft
+)
+
+// String returns the name of the phase.
+func (p Phase) String() string {
+	switch p {
+	case PhaseCold:
+		return "cold"
+	case PhaseReady:
+		return "ready"
+	case PhaseDraining:
+		return "draining"
+	case PhaseLeft:
+		return "left"
+	}
+	return fmt.Sprintf("phase(%d)", uint8(p))
+}
+
+// Agent is the member record of an agent and its backend server.
+type Agent struct {
+	Service string
+	Zone    string
+	Phase   Phase
+	// Data receives forwarded packets (UDP).
+	Data netip.AddrPort
+	// Control receives control datagrams (UDP) and net/rpc (TCP).
+	Control netip.AddrPort
+}
+
+// Balancer is the member record of a balancer.
+type Balancer struct {
+	Zone    string
+	Leaving bool
+	Data    netip.AddrPort
+	Control netip.AddrPort
+}
+
+// Relay names the balancer that watches the store for a zone; its epoch is the fencing value of its lease.
+type Relay struct {
+	Balancer string
+	// Applied is the store revision up to which the relay has read.
+	Applied store.Revision
+}
+
+func (Contract) kind() Kind { return KindContract }
+func (Zone) kind() Kind     { return KindZone }
+func (Backend) kind() Kind  { return KindBackend }
+func (Agent) kind() Kind    { return KindAgent }
+func (Balancer) kind() Kind { return KindBalancer }
+func (Relay) kind() Kind    { return KindRelay }
+
+// ShortID returns the short id of the member that the record is about.
+func (r Record) ShortID() flow.ShortID { return flow.ShortIDOf(r.ID.Key) }
