feat: add the codec of the store's configuration values

Operator commands write these values and the relay of a zone reads them, so both need one codec. Unknown fields are refused, because a field of a later version could state a limit that this version would ignore.

--- /dev/null
+++ b/internal/configvalue/configvalue.go
@@ -0,0 +1,217 @@
+// Package configvalue encodes and decodes the values that the platform's store holds under config/.
+package configvalue
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// ErrKey means that a store key is not one of the configuration.
+const ErrKey = errors.ConstError("the key is not one of the configuration")
+
+// Prefixes of the store's keys.
+const (
+	Prefix          = "config/"
+	ContractsPrefix = Prefix + "contracts/"
+	ZonesPrefix     = Prefix + "zones/"
+	BackendsPrefix  = Prefix + "backends/"
+	RelayPrefix     = "relay/"
+)
+
+// MaxHistory is the number of earlier revisions that the value of a contract keeps.
+const MaxHistory = 20
+
+// ContractKey returns the store key of a service's contract.
+func ContractKey(service string) string { return ContractsPrefix + service }
+
+// ZoneKey returns the store key of the operators' state of an availability zone.
+func ZoneKey(zone string) string { return ZonesPrefix + zone }
+
+// BackendKey returns the store key of the operators' state of a backend server.
+func BackendKey(id string) string { return BackendsPrefix + id }
+
+// RelayKey returns the store key of the relay lease of an availability zone.
+func RelayKey(zone string) string { return RelayPrefix + zone }
+
+// Kind is the kind of value that a key holds.
+type Kind uint8
+
+// Kinds of values.
+const (
+	KindContract Kind = iota + 1
+	KindZone
+	KindBackend
+)
+
+// ParseKey returns what a configuration key names, such as KindZone and "zone-a" for config/zones/zone-a.
+func ParseKey(key string) (Kind, string, error) {
+	prefixes := []struct {
+		kind   Kind
+		prefix string
+	}{{KindContract, ContractsPrefix}, {KindZone, ZonesPrefix}, {KindBackend, BackendsPrefix}}
+	for _, p := range prefixes {
+		if name, ok := strings.CutPrefix(key, p.prefix); ok && name != "" {
+			return p.kind, name, nil
+		}
+	}
+	return 0, "", errors.Annotatef(ErrKey, "key %q", key)
+}
+
+// Revision is one earlier contract of a service.
+type Revision struct {
+	Revision    store.Revision
+	OperationID string
+	Author      string
+	Time        time.Time
+	Contract    contract.Contract
+}
+
+// Contract is the value of a service's contract: the one in force and its earlier revisions, newest first.
+type Contract struct {
+	OperationID string
+	Author      string
+	Time        time.Time
+	Contract    contract.Contract
+	History     []Revision
+}
+
+// Next returns the value that replaces c, which is in the store at a revision; the oldest history is dropped.
+func (c Contract) Next(at store.Revision, operationID, author string, now time.Time, next contract.Contract) Contract {
+	old := Revision{Revision: at, OperationID: c.OperationID, Author: c.Author, Time: c.Time, Contract: c.Contract}
+	history := slices.Concat([]Revision{old}, c.History)
+	return Contract{
+		OperationID: operationID,
+		Author:      author,
+		Time:        now,
+		Contract:    next,
+		History:     history[:min(len(history), MaxHistory)],
+	}
+}
+
+// State is the value of an availability zone or a backend server.
+type State struct {
+	OperationID string
+	Author      string
+	Reason      string
+	Out         bool
+}
+
+// Availability returns the state as the board holds it.
+func (s State) Availability() contract.Availability {
+	return contract.NewAvailability(s.Out, s.Author, s.Reason)
+}
+
+type contractValue struct {
+	OperationID string          `json:"operation_id"`
+	Author      string          `json:"author"`
+	Time        time.Time       `json:"time"`
+	Contract    json.RawMessage `json:"contract"`
+	History     []revisionValue `json:"history"`
+}
+
+type revisionValue struct {
+	Revision    uint64          `json:"revision"`
+	OperationID string          `json:"operation_id"`
+	Author      string          `json:"author"`
+	Time        time.Time       `json:"time"`
+	Contract    json.RawMessage `json:"contract"`
+}
+
+type stateValue struct {
+	OperationID string `json:"operation_id"`
+	Author      string `json:"author"`
+	Reason      string `json:"reason"`
+	Out         bool   `json:"out"`
+}
+
+// EncodeContract returns the store value of a contract, or store.ErrTooLarge.
+func EncodeContract(c Contract) ([]byte, error) {
+	body, err := c.Contract.Encode()
+	if err != nil {
+		return nil, errors.Annotate(err, "cannot encode the contract")
+	}
+	v := contractValue{OperationID: c.OperationID, Author: c.Author, Time: c.Time, Contract: body, History: []revisionValue{}}
+	for _, r := range c.History {
+		old, err := r.Contract.Encode()
+		if err != nil {
+			return nil, errors.Annotatef(err, "cannot encode the contract of revision %d", r.Revision)
+		}
+		v.History = append(v.History, revisionValue{
+			Revision: uint64(r.Revision), OperationID: r.OperationID, Author: r.Author, Time: r.Time, Contract: old,
+		})
+	}
+	return encode(v)
+}
+
+// DecodeContract reads the store value of a contract; an invalid contract is an error that holds its findings.
+func DecodeContract(data []byte) (Contract, error) {
+	var v contractValue
+	if err := decode(data, &v); err != nil {
+		return Contract{}, err
+	}
+	c := Contract{OperationID: v.OperationID, Author: v.Author, Time: v.Time}
+	var err error
+	if c.Contract, err = decodeBody(v.Contract); err != nil {
+		return Contract{}, err
+	}
+	for _, r := range v.History {
+		old, err := decodeBody(r.Contract)
+		if err != nil {
+			return Contract{}, errors.Annotatef(err, "revision %d", r.Revision)
+		}
+		c.History = append(c.History, Revision{
+			Revision: store.Revision(r.Revision), OperationID: r.OperationID, Author: r.Author, Time: r.Time, Contract: old,
+		})
+	}
+	return c, nil
+}
+
+func decodeBody(data []byte) (contract.Contract, error) {
+	c, list := contract.Decode("", data)
+	return c, list.Err()
+}
+
+// EncodeState returns the store value of a zone or a backend server.
+func EncodeState(s State) ([]byte, error) {
+	return encode(stateValue(s))
+}
+
+// DecodeState reads the store value of a zone or a backend server.
+func DecodeState(data []byte) (State, error) {
+	var v stateValue
+	err := decode(data, &v)
+	return State(v), err
+}
+
+func encode(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, errors.Annotate(err, "cannot encode the value")
+	}
+	if len(b) > store.MaxValue {
+		return nil, errors.Annotatef(store.ErrTooLarge, "%d bytes", len(b))
+	}
+	return b, nil
+}
+
+// decode rejects unknown fields, because a value of a later version could state a limit that this one would ignore.
+func decode(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return errors.Annotate(err, "cannot decode the value")
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("cannot decode the value: there is data after it")
+	}
+	return nil
+}
