--- /dev/null
+++ b/internal/standin/store/memory.go
@@ -0,0 +1,350 @@
+// Package store is a stand-in of the platform's configuration store, for tests and trials only.
+package store
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// Limits of the stand-in.
+const (
+	// historyLimit is the number of changes after which a waiting watch must list again.
+	historyLimit = 4096
+	minLease     = 100 * time.Millisecond
+)
+
+// Call is a kind of store call.
+type Call string
+
+// Kinds of store calls.
+const (
+	CallGet    Call = "get"
+	CallList   Call = "list"
+	CallSwap   Call = "swap"
+	CallDelete Call = "delete"
+	CallWatch  Call = "watch"
+	CallGrant  Call = "grant"
+	CallRenew  Call = "renew"
+	CallRevoke Call = "revoke"
+)
+
+// Fault is a way in which the store fails; the zero value is none.
+type Fault struct {
+	// Down refuses every call before it takes effect.
+	Down bool
+	// Delay is added to every call.
+	Delay time.Duration
+	// LoseAnswers is the number of further writes that take effect and are not answered.
+	LoseAnswers int
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+type entry struct {
+	store.Entry
+	lease store.LeaseID
+}
+
+// Memory holds keys, leases and a bounded history; the zero value is empty and ready to use.
+type Memory struct {
+	mu        sync.Mutex
+	fault     Fault
+	calls     map[Call]int
+	revision  store.Revision
+	compacted store.Revision
+	entries   map[string]entry
+	history   []store.Entry
+	leases    map[store.LeaseID]lease
+	lastLease store.LeaseID
+	changed   chan struct{}
+}
+
+var _ store.Store = (*Memory)(nil)
+
+// SetFault makes later calls fail in the given way and ends the waiting watches when the store goes down.
+func (m *Memory) SetFault(f Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault = f
+	m.wake()
+}
+
+// Calls returns how many calls of each kind were made, including the failed ones.
+func (m *Memory) Calls() map[Call]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	calls := make(map[Call]int, len(m.calls))
+	for k, n := range m.calls {
+		calls[k] = n
+	}
+	return calls
+}
+
+func (m *Memory) wake() {
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+}
+
+func (m *Memory) wait() <-chan struct{} {
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	return m.changed
+}
+
+// begin counts a call, applies the delay and ends lapsed leases; it returns with the lock held unless it fails.
+func (m *Memory) begin(ctx context.Context, call Call) error {
+	m.mu.Lock()
+	if m.calls == nil {
+		m.calls = make(map[Call]int)
+	}
+	m.calls[call]++
+	delay := m.fault.Delay
+	m.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return store.ErrUnknownOutcome
+		}
+	}
+	m.mu.Lock()
+	if m.fault.Down {
+		m.mu.Unlock()
+		return store.ErrUnavailable
+	}
+	m.expire(time.Now())
+	return nil
+}
+
+// answer loses the answer of a write that took effect while that fault is set.
+func (m *Memory) answer() error {
+	if m.fault.LoseAnswers == 0 {
+		return nil
+	}
+	m.fault.LoseAnswers--
+	return store.ErrUnknownOutcome
+}
+
+func (m *Memory) expire(now time.Time) {
+	for id, l := range m.leases {
+		if !l.end.After(now) {
+			m.end(id)
+		}
+	}
+}
+
+// nextLapse returns how long it takes until a lease may lapse.
+func (m *Memory) nextLapse() time.Duration {
+	next := time.Hour
+	for _, l := range m.leases {
+		next = min(next, time.Until(l.end))
+	}
+	return max(next, time.Millisecond)
+}
+
+func (m *Memory) end(id store.LeaseID) {
+	delete(m.leases, id)
+	var keys []string
+	for key, e := range m.entries {
+		if e.lease == id {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		m.write(entry{Entry: store.Entry{Key: key, Deleted: true}})
+	}
+}
+
+func (m *Memory) write(e entry) store.Revision {
+	m.revision++
+	e.Revision = m.revision
+	if m.entries == nil {
+		m.entries = make(map[string]entry)
+	}
+	if e.Deleted {
+		delete(m.entries, e.Key)
+	} else {
+		m.entries[e.Key] = e
+	}
+	m.history = append(m.history, e.Entry)
+	if len(m.history) > historyLimit {
+		m.compacted = m.history[0].Revision
+		m.history = m.history[1:]
+	}
+	m.wake()
+	return m.revision
+}
+
+// Get returns the entry of a key.
+func (m *Memory) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := m.begin(ctx, CallGet); err != nil {
+		return store.Entry{}, err
+	}
+	defer m.mu.Unlock()
+	e, ok := m.entries[key]
+	if !ok {
+		return store.Entry{}, store.ErrNotFound
+	}
+	return e.Entry, nil
+}
+
+// List returns the entries whose keys begin with a prefix.
+func (m *Memory) List(ctx context.Context, prefix string) (store.Page, error) {
+	if err := m.begin(ctx, CallList); err != nil {
+		return store.Page{}, err
+	}
+	defer m.mu.Unlock()
+	page := store.Page{Revision: m.revision}
+	for key, e := range m.entries {
+		if strings.HasPrefix(key, prefix) {
+			page.Entries = append(page.Entries, e.Entry)
+		}
+	}
+	sortEntries(page.Entries)
+	return page, nil
+}
+
+func sortEntries(es []store.Entry) {
+	slices.SortFunc(es, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+}
+
+// Swap writes a value if the key is at the expected revision.
+func (m *Memory) Swap(ctx context.Context, key string, value []byte, expected store.Revision, id store.LeaseID) (store.Revision, error) {
+	if len(value) > store.MaxValue {
+		return 0, store.ErrTooLarge
+	}
+	if err := m.begin(ctx, CallSwap); err != nil {
+		return 0, err
+	}
+	defer m.mu.Unlock()
+	if m.entries[key].Revision != expected {
+		return 0, store.ErrConflict
+	}
+	if _, ok := m.leases[id]; id != 0 && !ok {
+		return 0, store.ErrNotFound
+	}
+	r := m.write(entry{Entry: store.Entry{Key: key, Value: slices.Clone(value)}, lease: id})
+	if err := m.answer(); err != nil {
+		return 0, err
+	}
+	return r, nil
+}
+
+// Delete removes a key that is at the expected revision.
+func (m *Memory) Delete(ctx context.Context, key string, expected store.Revision) error {
+	if err := m.begin(ctx, CallDelete); err != nil {
+		return err
+	}
+	defer m.mu.Unlock()
+	e, ok := m.entries[key]
+	if !ok {
+		return store.ErrNotFound
+	}
+	if e.Revision != expected {
+		return store.ErrConflict
+	}
+	m.write(entry{Entry: store.Entry{Key: key, Deleted: true}})
+	return m.answer()
+}
+
+// Watch waits until a key with the prefix changes after a revision.
+func (m *Memory) Watch(ctx context.Context, prefix string, after store.Revision) (store.Page, error) {
+	if err := m.begin(ctx, CallWatch); err != nil {
+		return store.Page{}, err
+	}
+	for {
+		page, err := m.changes(prefix, after)
+		changed, lapse := m.wait(), m.nextLapse()
+		m.mu.Unlock()
+		if err != nil || len(page.Entries) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-time.After(lapse):
+		case <-ctx.Done():
+			return store.Page{}, ctx.Err()
+		}
+		m.mu.Lock()
+		m.expire(time.Now())
+	}
+}
+
+// changes returns the newest entry of each key with the prefix that changed after a revision.
+func (m *Memory) changes(prefix string, after store.Revision) (store.Page, error) {
+	if m.fault.Down {
+		return store.Page{}, store.ErrUnknownOutcome
+	}
+	if after < m.compacted || after > m.revision {
+		return store.Page{}, store.ErrCompacted
+	}
+	page := store.Page{Revision: m.revision}
+	seen := make(map[string]bool)
+	for i := len(m.history) - 1; i >= 0 && m.history[i].Revision > after; i-- {
+		e := m.history[i]
+		if strings.HasPrefix(e.Key, prefix) && !seen[e.Key] {
+			seen[e.Key] = true
+			page.Entries = append(page.Entries, e)
+		}
+	}
+	sortEntries(page.Entries)
+	return page, nil
+}
+
+// Grant opens a lease.
+func (m *Memory) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := m.begin(ctx, CallGrant); err != nil {
+		return 0, err
+	}
+	defer m.mu.Unlock()
+	ttl = max(ttl, minLease)
+	m.lastLease++
+	if m.leases == nil {
+		m.leases = make(map[store.LeaseID]lease)
+	}
+	m.leases[m.lastLease] = lease{ttl: ttl, end: time.Now().Add(ttl)}
+	if err := m.answer(); err != nil {
+		return 0, err
+	}
+	return m.lastLease, nil
+}
+
+// Renew extends a lease.
+func (m *Memory) Renew(ctx context.Context, id store.LeaseID) error {
+	if err := m.begin(ctx, CallRenew); err != nil {
+		return err
+	}
+	defer m.mu.Unlock()
+	l, ok := m.leases[id]
+	if !ok {
+		return store.ErrNotFound
+	}
+	l.end = time.Now().Add(l.ttl)
+	m.leases[id] = l
+	return m.answer()
+}
+
+// Revoke ends a lease and deletes the keys that were written under it.
+func (m *Memory) Revoke(ctx context.Context, id store.LeaseID) error {
+	if err := m.begin(ctx, CallRevoke); err != nil {
+		return err
+	}
+	defer m.mu.Unlock()
+	if _, ok := m.leases[id]; !ok {
+		return store.ErrNotFound
+	}
+	m.end(id)
+	return m.answer()
+}
--- /dev/null
+++ b/internal/standin/store/server.go
@@ -0,0 +1,170 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// Limits of the HTTP interface.
+const (
+	// maxBody holds a value of store.MaxValue in base64 and the other fields.
+	maxBody = 2 * store.MaxValue
+	// maxPoll is how long one watch request waits before it is answered without changes.
+	maxPoll = 20 * time.Second
+)
+
+type request struct {
+	Key      string `json:"key,omitempty"`
+	Prefix   string `json:"prefix,omitempty"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+	Lease    uint64 `json:"lease,omitempty"`
+	TTLMS    int64  `json:"ttl_ms,omitempty"`
+}
+
+type entryJSON struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+type response struct {
+	Error    string      `json:"error,omitempty"`
+	Entries  []entryJSON `json:"entries,omitempty"`
+	Revision uint64      `json:"revision,omitempty"`
+	Lease    uint64      `json:"lease,omitempty"`
+}
+
+type faultJSON struct {
+	Down        bool  `json:"down"`
+	DelayMS     int64 `json:"delay_ms"`
+	LoseAnswers int   `json:"lose_answers"`
+}
+
+// Server serves a Memory over HTTP and JSON; the zero value is empty and ready to use.
+//
+// Calls are POST /v1/<call>. The admin interface is PUT /admin/fault and GET /admin/calls.
+type Server struct {
+	Memory
+}
+
+// ServeHTTP answers a store call or an admin call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/{call}", s.serveCall)
+	mux.HandleFunc("PUT /admin/fault", s.serveFault)
+	mux.HandleFunc("GET /admin/calls", s.serveCalls)
+	mux.ServeHTTP(w, r)
+}
+
+func (s *Server) serveFault(w http.ResponseWriter, r *http.Request) {
+	var f faultJSON
+	if !readBody(w, r, &f) {
+		return
+	}
+	s.SetFault(Fault{Down: f.Down, Delay: time.Duration(f.DelayMS) * time.Millisecond, LoseAnswers: f.LoseAnswers})
+}
+
+func (s *Server) serveCalls(w http.ResponseWriter, _ *http.Request) {
+	writeBody(w, s.Calls())
+}
+
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	var req request
+	if !readBody(w, r, &req) {
+		return
+	}
+	resp, err := s.do(r.Context(), Call(r.PathValue("call")), req)
+	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknownOutcome) {
+		// A failed store closes the connection without an answer.
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		resp = response{Error: errorCode(err)}
+	}
+	writeBody(w, resp)
+}
+
+func (s *Server) do(ctx context.Context, call Call, req request) (response, error) {
+	revision, id := store.Revision(req.Revision), store.LeaseID(req.Lease)
+	switch call {
+	case CallGet:
+		e, err := s.Get(ctx, req.Key)
+		return pageResponse(store.Page{Entries: []store.Entry{e}}), err
+	case CallList:
+		page, err := s.List(ctx, req.Prefix)
+		return pageResponse(page), err
+	case CallSwap:
+		n, err := s.Swap(ctx, req.Key, req.Value, revision, id)
+		return response{Revision: uint64(n)}, err
+	case CallDelete:
+		return response{}, s.Delete(ctx, req.Key, revision)
+	case CallWatch:
+		return s.poll(ctx, req.Prefix, revision)
+	case CallGrant:
+		n, err := s.Grant(ctx, time.Duration(req.TTLMS)*time.Millisecond)
+		return response{Lease: uint64(n)}, err
+	case CallRenew:
+		return response{}, s.Renew(ctx, id)
+	case CallRevoke:
+		return response{}, s.Revoke(ctx, id)
+	}
+	return response{}, errors.NotFoundf("call %q", string(call))
+}
+
+// poll waits for changes; after maxPoll it answers with the asked revision and no entries.
+func (s *Server) poll(ctx context.Context, prefix string, after store.Revision) (response, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxPoll)
+	defer cancel()
+	page, err := s.Watch(ctx, prefix, after)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return response{Revision: uint64(after)}, nil
+	}
+	return pageResponse(page), err
+}
+
+func pageResponse(page store.Page) response {
+	resp := response{Revision: uint64(page.Revision)}
+	for _, e := range page.Entries {
+		resp.Entries = append(resp.Entries, entryJSON{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Deleted: e.Deleted})
+	}
+	return resp
+}
+
+func errorCode(err error) string {
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		return "conflict"
+	case errors.Is(err, store.ErrNotFound):
+		return "not_found"
+	case errors.Is(err, store.ErrCompacted):
+		return "compacted"
+	case errors.Is(err, store.ErrTooLarge):
+		return "too_large"
+	}
+	return err.Error()
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	if err := d.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeBody(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		// The caller has gone; it counts the outcome as unknown.
+		return
+	}
+}
