feat: add the control core and its transport

Every process needs the configuration and the members without asking the store. pkg/membership decides (heartbeats to two home balancers, verdicts, push, two-level digests, relay role, catch-up) and internal/control carries it over UDP and net/rpc.

--- /dev/null
+++ b/internal/control/relay.go
@@ -0,0 +1,178 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/internal/configvalue"
+	"github.com/bramleymast/bramleymast/internal/rungroup"
+	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/membership"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// storeTime bounds a store call other than a watch.
+const storeTime = 3 * time.Second
+
+func (p *Process) called(name string) { p.metrics.calls.WithLabelValues(name).Inc() }
+
+// acquireLease takes the relay lease of the zone; the revision of its key is the fencing value.
+func (p *Process) acquireLease(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	p.called("grant")
+	id, err := p.cfg.Store.Grant(ctx, membership.LeaseTime)
+	if err != nil {
+		p.post(membership.LeaseAnswer{Err: err})
+		return nil
+	}
+	p.called("swap")
+	fencing, err := p.cfg.Store.Swap(ctx, configvalue.RelayKey(p.cfg.Zone), []byte(p.cfg.ID), 0, id)
+	if err != nil {
+		// After a lost answer the key may exist, so the lease must not stay.
+		p.revoke(id)
+		p.post(membership.LeaseAnswer{Err: err})
+		return nil
+	}
+	p.mu.Lock()
+	p.lease = id
+	p.mu.Unlock()
+	p.post(membership.LeaseAnswer{Fencing: fencing})
+	return nil
+}
+
+func (p *Process) currentLease() store.LeaseID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lease
+}
+
+func (p *Process) renewLease(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	p.called("renew")
+	p.post(membership.RenewAnswer{Err: p.cfg.Store.Renew(ctx, p.currentLease())})
+	return nil
+}
+
+func (p *Process) releaseLease(context.Context) error {
+	p.revoke(p.currentLease())
+	return nil
+}
+
+// revoke ends a lease even while the process stops; a lease that cannot be ended lapses by itself.
+func (p *Process) revoke(id store.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTime)
+	defer cancel()
+	p.called("revoke")
+	if err := p.cfg.Store.Revoke(ctx, id); err != nil {
+		p.cfg.Logger.Debug("cannot end the relay lease, it lapses by itself", "error", err)
+	}
+}
+
+func (p *Process) startReading(g *rungroup.Group, a membership.ReadStore) {
+	ctx, cancel := context.WithCancel(g.Context())
+	p.mu.Lock()
+	p.reading = cancel
+	p.mu.Unlock()
+	g.Go(func(context.Context) error {
+		defer cancel()
+		page, err := p.read(ctx, a.After)
+		p.post(membership.StoreRead{Records: p.records(page), Revision: page.Revision, Err: err})
+		return nil
+	})
+}
+
+func (p *Process) stopReading() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reading != nil {
+		p.reading()
+	}
+}
+
+func (p *Process) read(ctx context.Context, after store.Revision) (store.Page, error) {
+	if after > 0 {
+		p.called("watch")
+		return p.cfg.Store.Watch(ctx, configvalue.Prefix, after)
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
+	p.called("list")
+	return p.cfg.Store.List(ctx, configvalue.Prefix)
+}
+
+// records decodes the entries of a page. A value that cannot be decoded is counted and left out,
+// so the last good one stays in force.
+func (p *Process) records(page store.Page) []board.Record {
+	var out []board.Record
+	for _, e := range page.Entries {
+		r, err := recordOf(e)
+		if err != nil {
+			p.metrics.values.WithLabelValues(valueReason(err)).Inc()
+			p.cfg.Logger.Error("cannot use a value of the store, the last good one stays in force", "key", e.Key, "revision", uint64(e.Revision), "error", err)
+			continue
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// errDeletedContract means that the contract of a service was deleted; the last one stays in force.
+const errDeletedContract = errors.ConstError("the contract was deleted")
+
+func valueReason(err error) string {
+	switch {
+	case errors.Is(err, errDeletedContract):
+		return "deleted_contract"
+	case errors.Is(err, configvalue.ErrKey):
+		return "unknown_key"
+	}
+	return "undecodable"
+}
+
+func recordOf(e store.Entry) (board.Record, error) {
+	kind, name, err := configvalue.ParseKey(e.Key)
+	if err != nil {
+		return board.Record{}, err
+	}
+	r := board.Record{Version: board.Version{Seq: uint64(e.Revision)}}
+	if kind == configvalue.KindContract {
+		r.ID = board.ID{Kind: board.KindContract, Key: name}
+		r.Value, err = contractOf(name, e)
+		return r, err
+	}
+	var a contract.Availability
+	if !e.Deleted {
+		s, err := configvalue.DecodeState(e.Value)
+		if err != nil {
+			return board.Record{}, err
+		}
+		a = s.Availability()
+	}
+	if kind == configvalue.KindZone {
+		r.ID = board.ID{Kind: board.KindZone, Key: name}
+		r.Value = board.Zone{Availability: a}
+		return r, nil
+	}
+	r.ID = board.ID{Kind: board.KindBackend, Key: name}
+	r.Value = board.Backend{Availability: a}
+	return r, nil
+}
+
+func contractOf(name string, e store.Entry) (board.Value, error) {
+	if e.Deleted {
+		return nil, errDeletedContract
+	}
+	v, err := configvalue.DecodeContract(e.Value)
+	if err != nil {
+		return nil, err
+	}
+	if v.Contract.Service() != name {
+		return nil, errors.Errorf("the contract is of service %q", v.Contract.Service())
+	}
+	return board.Contract{Contract: v.Contract}, nil
+}
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,361 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bramleymast/bramleymast/internal/rungroup"
+	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/membership"
+)
+
+// errBusy means that a process has too much to do and the call was not run.
+const errBusy = errors.ConstError("busy")
+
+const (
+	// pullRate and pullBurst admit the processes of a rack that returns a few at a time:
+	// one answer to a pull at the design size takes some tens of milliseconds.
+	pullRate  = 4
+	pullBurst = 32
+	// maxConnections bounds the TCP connections of other processes and operators.
+	maxConnections = 256
+	askTime        = 5 * time.Second
+)
+
+type wirePull struct {
+	_       struct{} `cbor:",toarray"`
+	Member  []byte
+	Service string
+	Have    []wireItem
+	Want    []uint64
+}
+
+type wireItem struct {
+	_                struct{} `cbor:",toarray"`
+	Hash, Epoch, Seq uint64
+	Verdict          uint8
+}
+
+// pull asks a balancer for records.
+func (p *Process) pull(ctx context.Context, a membership.Pull) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTime)
+	defer cancel()
+	records, err := p.callPull(ctx, a)
+	if err != nil {
+		p.cfg.Logger.Debug("cannot pull records", "from", a.To.String(), "error", err)
+	}
+	p.post(membership.Pulled{From: a.To, Request: a.Request, Records: records, Err: err})
+	return nil
+}
+
+func (p *Process) callPull(ctx context.Context, a membership.Pull) ([]board.Record, error) {
+	w := wirePull{Service: a.Request.Service, Want: a.Request.Want}
+	if a.Request.Member.Value != nil {
+		b, err := membership.EncodeRecord(a.Request.Member)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		w.Member = b
+	}
+	for _, i := range a.Request.Have {
+		w.Have = append(w.Have, wireItem{Hash: i.Hash, Epoch: i.Version.Epoch, Seq: i.Version.Seq, Verdict: uint8(i.Version.Verdict)})
+	}
+	args, err := cbor.Marshal(w)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var reply []byte
+	if err := p.Call(ctx, a.To, "Control.Pull", args, &reply); err != nil {
+		return nil, errors.Trace(err)
+	}
+	var encoded [][]byte
+	if err := cbor.Unmarshal(reply, &encoded); err != nil {
+		return nil, errors.Trace(err)
+	}
+	records := make([]board.Record, 0, len(encoded))
+	for _, b := range encoded {
+		r, err := membership.DecodeRecord(b)
+		if err != nil {
+			p.metrics.refused.WithLabelValues(errMalformed.Error()).Inc()
+			continue
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+// accept serves net/rpc on sealed connections.
+func (p *Process) accept(ctx context.Context, g *rungroup.Group) error {
+	slots := make(chan struct{}, maxConnections)
+	for ctx.Err() == nil {
+		c, err := p.tcp.Accept()
+		if err != nil {
+			p.metrics.refused.WithLabelValues("accept_error").Inc()
+			time.Sleep(10 * time.Millisecond) // Out of descriptors; the next attempt must not spin.
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			p.metrics.refused.WithLabelValues(errBusy.Error()).Inc()
+			c.Close()
+			continue
+		}
+		g.Go(func(ctx context.Context) error {
+			defer func() { <-slots }()
+			p.serve(ctx, c)
+			return nil
+		})
+	}
+	return nil
+}
+
+func (p *Process) serve(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	s, err := newSealedConn(c, p.cfg.SharedKey, false)
+	if err == nil {
+		p.rpc.ServeConn(s)
+	}
+	if err != nil || !s.authentic {
+		p.metrics.refused.WithLabelValues(errUnauthentic.Error()).Inc()
+	}
+}
+
+// service holds the net/rpc methods of every process.
+type service struct{ p *Process }
+
+// Pull answers a pull of another process; arguments and answer are encoded in CBOR.
+func (s *service) Pull(args []byte, reply *[]byte) error {
+	if !s.p.pulls.Allow() {
+		s.p.metrics.refused.WithLabelValues(errBusy.Error()).Inc()
+		return errBusy
+	}
+	req, err := decodePull(args)
+	if err != nil {
+		s.p.metrics.refused.WithLabelValues(errMalformed.Error()).Inc()
+		return errMalformed
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	if req.Member.Value != nil {
+		s.p.post(membership.Received{Message: membership.Push{Records: []board.Record{req.Member}}})
+	}
+	var records []board.Record
+	if err := s.p.ask(ctx, func(n *membership.Node) { records = n.Snapshot(req) }); err != nil {
+		return err
+	}
+	encoded := make([][]byte, 0, len(records))
+	for _, r := range records {
+		b, err := membership.EncodeRecord(r)
+		if err != nil {
+			return err
+		}
+		encoded = append(encoded, b)
+	}
+	*reply, err = cbor.Marshal(encoded)
+	return err
+}
+
+func decodePull(b []byte) (membership.PullRequest, error) {
+	var w wirePull
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return membership.PullRequest{}, errors.Trace(err)
+	}
+	req := membership.PullRequest{Service: w.Service, Want: w.Want}
+	if len(w.Member) > 0 {
+		r, err := membership.DecodeRecord(w.Member)
+		if err != nil {
+			return membership.PullRequest{}, err
+		}
+		req.Member = r
+	}
+	for _, i := range w.Have {
+		v := board.Version{Epoch: i.Epoch, Seq: i.Seq, Verdict: board.Verdict(i.Verdict)}
+		req.Have = append(req.Have, membership.Item{Hash: i.Hash, Version: v})
+	}
+	return req, nil
+}
+
+// StatusArgs is the argument of Control.Status.
+type StatusArgs struct{}
+
+// StatusReply is what a process tells operators.
+type StatusReply struct {
+	ID           string
+	Kind         string
+	Zone         string
+	Service      string
+	Incarnation  uint64
+	Synchronised bool
+	// Relay is true when the process reads the store for its zone.
+	Relay   bool
+	Members []MemberStatus
+	Records []RecordStatus
+	// Refusals are the counters of the process that have a reason.
+	Refusals []Counter
+}
+
+// MemberStatus is one known balancer or agent.
+type MemberStatus struct {
+	ID          string
+	Kind        string
+	Zone        string
+	Service     string
+	Phase       string
+	Verdict     string
+	Incarnation uint64
+	Seq         uint64
+	Data        string
+	Control     string
+}
+
+// RecordStatus is the revision of a contract, the state of a zone or backend server, or the relay of a zone.
+type RecordStatus struct {
+	Kind     string
+	Key      string
+	Revision uint64
+	Out      bool
+	Author   string
+	Reason   string
+	// Holder is the balancer that holds the relay role.
+	Holder string
+}
+
+// Counter is the value of a counter for one reason.
+type Counter struct {
+	Name   string
+	Reason string
+	Value  float64
+}
+
+// AppliedArgs is the argument of Control.Applied.
+type AppliedArgs struct{}
+
+// AppliedReply holds the revisions that a balancer and the agents whose home it is have applied.
+type AppliedReply struct {
+	ID      string
+	Records []RecordStatus
+	Agents  []AgentApplied
+}
+
+// AgentApplied is what an agent has applied.
+type AgentApplied struct {
+	ID      string
+	Service string
+	// Contract is the revision of the contract that the agent applies.
+	Contract uint64
+	// InStep is true when the agent holds the same zone and backend states and contract as the balancer.
+	InStep bool
+}
+
+// Status tells what the process knows.
+func (s *service) Status(_ StatusArgs, reply *StatusReply) error {
+	cfg := &s.p.cfg
+	*reply = StatusReply{
+		ID: cfg.ID, Kind: board.KindBalancer.String(), Zone: cfg.Zone, Service: cfg.Service, Incarnation: cfg.Incarnation,
+		Synchronised: s.p.Synchronised(), Relay: s.p.holding.Load(),
+		Records: configStatus(cfg.Board), Refusals: refusals(cfg.Registerer),
+	}
+	if cfg.Service != "" {
+		reply.Kind = board.KindAgent.String()
+	}
+	for _, r := range cfg.Board.Records(board.KindBalancer, board.KindAgent) {
+		reply.Members = append(reply.Members, memberStatus(r))
+	}
+	return nil
+}
+
+// Applied tells the revisions that are in force here and at the agents whose home this balancer is.
+func (s *service) Applied(_ AppliedArgs, reply *AppliedReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	var agents []membership.AgentState
+	if err := s.p.ask(ctx, func(n *membership.Node) { agents = n.Agents() }); err != nil {
+		return err
+	}
+	*reply = AppliedReply{ID: s.p.cfg.ID, Records: configStatus(s.p.cfg.Board)}
+	for _, a := range agents {
+		r, _ := s.p.cfg.Board.Get(board.ID{Kind: board.KindAgent, Key: a.ID})
+		v, _ := r.Value.(board.Agent)
+		reply.Agents = append(reply.Agents, AgentApplied{ID: a.ID, Service: v.Service, Contract: a.Contract, InStep: a.InStep})
+	}
+	return nil
+}
+
+func configStatus(b *board.Board) []RecordStatus {
+	records := b.Records(board.KindZone, board.KindContract, board.KindBackend, board.KindRelay)
+	out := make([]RecordStatus, 0, len(records))
+	for _, r := range records {
+		s := RecordStatus{Kind: r.ID.Kind.String(), Key: r.ID.Key, Revision: r.Version.Seq}
+		switch v := r.Value.(type) {
+		case board.Zone:
+			s.Out, s.Author, s.Reason = v.Out(), v.Author(), v.Reason()
+		case board.Backend:
+			s.Out, s.Author, s.Reason = v.Out(), v.Author(), v.Reason()
+		case board.Relay:
+			s.Holder = v.Balancer
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func memberStatus(r board.Record) MemberStatus {
+	m := MemberStatus{
+		ID: r.ID.Key, Kind: r.ID.Kind.String(), Verdict: r.Version.Verdict.String(),
+		Incarnation: r.Version.Epoch, Seq: r.Version.Seq,
+	}
+	switch v := r.Value.(type) {
+	case board.Agent:
+		m.Zone, m.Service, m.Phase = v.Zone, v.Service, v.Phase.String()
+		m.Data, m.Control = addrText(v.Data), addrText(v.Control)
+	case board.Balancer:
+		m.Zone, m.Phase = v.Zone, "serving"
+		if v.Leaving {
+			m.Phase = "leaving"
+		}
+		m.Data, m.Control = addrText(v.Data), addrText(v.Control)
+	}
+	return m
+}
+
+func addrText(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
+// refusals reads the counters with a reason from the registry of the process.
+func refusals(r prometheus.Registerer) []Counter {
+	g, ok := r.(prometheus.Gatherer)
+	if !ok {
+		return nil
+	}
+	families, err := g.Gather()
+	if err != nil {
+		return nil
+	}
+	var out []Counter
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			for _, l := range m.GetLabel() {
+				if l.GetName() == "reason" && m.GetCounter() != nil {
+					out = append(out, Counter{Name: f.GetName(), Reason: l.GetValue(), Value: m.GetCounter().GetValue()})
+				}
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Counter) int { return strings.Compare(a.Name+a.Reason, b.Name+b.Reason) })
+	return out
+}
--- /dev/null
+++ b/pkg/membership/outbox.go
@@ -0,0 +1,215 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bramleymast/bramleymast/pkg/board"
+)
+
+// Sizes in bytes.
+const (
+	// maxPayload keeps a control datagram within a 1,500-byte link.
+	maxPayload = 1200
+	// pushOverhead is the encoding around the records of a push.
+	pushOverhead = 16
+	// datagramOverhead is the frame and tag of a control datagram and its IPv4 and UDP headers.
+	datagramOverhead = 36 + 28
+)
+
+const (
+	// burstTime is how long an idle node saves up its budget; a zone state then reaches all peers at once.
+	burstTime = 4 * time.Second
+	// maxQueued bounds the records that wait in one class; what is dropped is repaired by the digests.
+	maxQueued = 8192
+)
+
+// class is the priority of a queued record; lower values are sent first.
+type class uint8
+
+const (
+	classZone class = iota
+	classConfig
+	classMember
+	classCount
+)
+
+func classOf(k board.Kind) class {
+	switch k {
+	case board.KindZone:
+		return classZone
+	case board.KindContract, board.KindBackend:
+		return classConfig
+	default:
+		return classMember
+	}
+}
+
+// bucket is a token bucket of bytes.
+type bucket struct {
+	rate   float64
+	tokens float64
+	last   time.Time
+}
+
+func (b *bucket) refill(now time.Time) {
+	if b.last.IsZero() {
+		b.tokens = b.rate * burstTime.Seconds()
+	} else if d := now.Sub(b.last); d > 0 {
+		b.tokens = min(b.tokens+b.rate*d.Seconds(), b.rate*burstTime.Seconds())
+	}
+	b.last = now
+}
+
+// take spends tokens; a debt of at most one second delays what can wait.
+func (b *bucket) take(n int) {
+	b.tokens = max(b.tokens-float64(n), -b.rate)
+}
+
+// untilPositive returns how long it takes until the debt is paid.
+func (b *bucket) untilPositive() time.Duration {
+	if b.tokens > 0 || b.rate <= 0 {
+		return 0
+	}
+	return time.Duration((1-b.tokens)/b.rate*float64(time.Second)) + time.Millisecond
+}
+
+// queue holds records by destination, so that those for one destination share a datagram
+// and a record that changes again while it waits is sent once.
+type queue struct {
+	order   []netip.AddrPort
+	ids     map[netip.AddrPort][]queued
+	waiting int
+}
+
+type queued struct {
+	id      board.ID
+	relayed bool
+}
+
+// add reports whether there was room for a record.
+func (q *queue) add(to netip.AddrPort, e queued) bool {
+	ids := q.ids[to]
+	for _, have := range ids {
+		if have.id == e.id {
+			return true
+		}
+	}
+	if q.waiting >= maxQueued {
+		return false
+	}
+	if q.ids == nil {
+		q.ids = make(map[netip.AddrPort][]queued)
+	}
+	if len(ids) == 0 {
+		q.order = append(q.order, to)
+	}
+	q.ids[to] = append(ids, e)
+	q.waiting++
+	return true
+}
+
+// next returns the first destination.
+func (q *queue) next() (netip.AddrPort, []queued, bool) {
+	if len(q.order) == 0 {
+		return netip.AddrPort{}, nil, false
+	}
+	return q.order[0], q.ids[q.order[0]], true
+}
+
+// done removes the first n records of the first destination, which goes to the end if it has more.
+func (q *queue) done(n int) {
+	to := q.order[0]
+	q.order = q.order[1:]
+	q.waiting -= n
+	if rest := q.ids[to][n:]; len(rest) > 0 {
+		q.ids[to] = rest
+		q.order = append(q.order, to)
+		return
+	}
+	delete(q.ids, to)
+}
+
+// flush sends queued records in the order of their classes while the budget lasts.
+func (n *Node) flush() {
+	for c := range classCount {
+		q := &n.queues[c]
+		for n.bucket.tokens > 0 {
+			to, es, ok := q.next()
+			if !ok {
+				break
+			}
+			q.done(n.sendRecords(to, es))
+		}
+	}
+}
+
+// sendRecords sends as many of the records as fit into one datagram and returns how many it has dealt with.
+func (n *Node) sendRecords(to netip.AddrPort, es []queued) int {
+	push := Push{Relayed: es[0].relayed}
+	size := pushOverhead
+	var large []Item
+	count := 0
+	for _, e := range es {
+		r, ok := n.board.Get(e.id)
+		if e.relayed != push.Relayed {
+			break
+		}
+		if !ok {
+			count++
+			continue
+		}
+		b, err := EncodeRecord(r)
+		if err != nil || len(b) > maxPayload-pushOverhead {
+			large = append(large, Item{Hash: HashOf(r.ID), Version: r.Version})
+			count++
+			continue
+		}
+		if size+len(b) > maxPayload {
+			break
+		}
+		size += len(b)
+		push.Records = append(push.Records, r)
+		count++
+	}
+	if len(push.Records) > 0 {
+		n.send(to, push)
+	}
+	if len(large) > 0 {
+		n.send(to, Notice{Items: large})
+	}
+	return count
+}
+
+// send emits a message at once and charges it to the budget.
+func (n *Node) send(to netip.AddrPort, m Message) {
+	if !to.IsValid() || to == n.cfg.Address {
+		return
+	}
+	payload, err := Encode(m)
+	if err != nil {
+		n.note(ReasonInvalid, board.ID{}, board.Version{})
+		return
+	}
+	n.bucket.take(len(payload) + datagramOverhead)
+	n.emit(Send{To: to, Message: m, Payload: payload})
+}
+
+// enqueue puts a record in line for a destination.
+func (n *Node) enqueue(to netip.AddrPort, id board.ID, relayed bool) {
+	if !to.IsValid() || to == n.cfg.Address {
+		return
+	}
+	if !n.queues[classOf(id.Kind)].add(to, queued{id: id, relayed: relayed}) {
+		n.note(ReasonQueueFull, id, board.Version{})
+	}
+}
+
+func (n *Node) queueEmpty() bool {
+	for i := range n.queues {
+		if n.queues[i].waiting > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/membership/peers.go
@@ -0,0 +1,164 @@
+package membership
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleymast/bramleymast/pkg/board"
+)
+
+func compareStrings(a, b string) int { return strings.Compare(a, b) }
+
+func compareIDs(a, b board.ID) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), strings.Compare(a.Key, b.Key))
+}
+
+// peer is a live balancer other than the own process.
+type peer struct {
+	id      string
+	hash    uint64
+	zone    string
+	control netip.AddrPort
+}
+
+// peers caches the live balancers of the board.
+type peers struct {
+	dirty   bool
+	byZone  map[string][]peer
+	names   []string
+	zoneOf  map[netip.AddrPort]string
+	heardAt map[string]time.Time
+}
+
+// refresh reads the board again after a balancer's record has changed.
+func (p *peers) refresh(n *Node) {
+	if !p.dirty {
+		return
+	}
+	p.dirty = false
+	p.byZone = make(map[string][]peer)
+	p.zoneOf = make(map[netip.AddrPort]string)
+	p.names = nil
+	for _, r := range n.board.Records(board.KindBalancer) {
+		b, ok := r.Value.(board.Balancer)
+		if !ok || r.ID == n.self {
+			continue
+		}
+		p.zoneOf[b.Control] = b.Zone
+		if r.Version.Verdict == board.Dead || b.Leaving {
+			continue
+		}
+		if _, ok := p.byZone[b.Zone]; !ok {
+			p.names = append(p.names, b.Zone)
+		}
+		p.byZone[b.Zone] = append(p.byZone[b.Zone], peer{id: r.ID.Key, hash: xxhash.Sum64String(r.ID.Key), zone: b.Zone, control: b.Control})
+	}
+	slices.Sort(p.names)
+}
+
+// heard notes that a balancer of a zone is alive.
+func (p *peers) heard(n *Node, from netip.AddrPort) {
+	p.refresh(n)
+	zone, ok := p.zoneOf[from]
+	if !ok {
+		return
+	}
+	if p.heardAt == nil {
+		p.heardAt = make(map[string]time.Time)
+	}
+	p.heardAt[zone] = n.now
+}
+
+// zones returns the other zones that have live balancers, sorted.
+func (p *peers) zones(n *Node) []string {
+	p.refresh(n)
+	out := make([]string, 0, len(p.names))
+	for _, z := range p.names {
+		if z != n.cfg.Zone {
+			out = append(out, z)
+		}
+	}
+	return out
+}
+
+func (p *peers) count(n *Node) int {
+	p.refresh(n)
+	total := 0
+	for _, ps := range p.byZone {
+		total += len(ps)
+	}
+	return total
+}
+
+// all returns the live balancers of every zone in the order of the zones' names.
+func (p *peers) all(n *Node) []peer {
+	p.refresh(n)
+	var out []peer
+	for _, z := range p.names {
+		out = append(out, p.byZone[z]...)
+	}
+	return out
+}
+
+// sample returns up to count random live balancers of a zone, without the one at an address.
+func (p *peers) sample(n *Node, zone string, count int, without netip.AddrPort) []peer {
+	p.refresh(n)
+	ps := p.byZone[zone]
+	out := make([]peer, 0, count)
+	if len(ps) <= count {
+		for _, c := range ps {
+			if c.control != without {
+				out = append(out, c)
+			}
+		}
+		return out
+	}
+	// At most 4 attempts a peer keep the cost independent of the size of the zone.
+	for range 4 * count {
+		c := ps[n.rand.IntN(len(ps))]
+		if c.control == without || slices.Contains(out, c) {
+			continue
+		}
+		out = append(out, c)
+		if len(out) == count {
+			break
+		}
+	}
+	return out
+}
+
+// score is the rendezvous score of a balancer for a key.
+func score(key, member uint64) uint64 {
+	x := key ^ member*0x9e3779b97f4a7c15
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// rank returns the count candidates with the highest scores for a key, the highest first.
+func rank(key uint64, candidates []peer, count int, skip func(peer) bool) []peer {
+	out := make([]peer, 0, count+1)
+	for _, c := range candidates {
+		if skip != nil && skip(c) {
+			continue
+		}
+		s := score(key, c.hash)
+		i := len(out)
+		for i > 0 && s > score(key, out[i-1].hash) {
+			i--
+		}
+		if i == count {
+			continue
+		}
+		out = slices.Insert(out, i, c)
+		out = out[:min(len(out), count)]
+	}
+	return out
+}
