feat: carry the service address in datagrams

A contract may list several addresses, and a balancer that gets a return datagram need not have seen the flow. Without the address it cannot know from which socket to answer. Ruled out: an index into the contract's list, which changes meaning when the contract changes. The header grows by 18 bytes; 1,252 bytes of QUIC still give a packet below 1,500 bytes.

--- a/internal/wire/datagram.go
+++ b/internal/wire/datagram.go
@@ -25,8 +25,8 @@
 	tagSize    = 16
 	addrSize   = 16 + 2
 	// fixedHeader is the header without the tried list: magic, version and kind, service, sender, counter,
-	// caller, balancer, zone revision, owner, flags, number of tried agents.
-	fixedHeader = 2 + 1 + 1 + 8 + 8 + 8 + addrSize + addrSize + 8 + 4 + 1 + 1
+	// caller, balancer, zone revision, owner, flags, number of tried agents, service address.
+	fixedHeader = 2 + 1 + 1 + 8 + 8 + 8 + addrSize + addrSize + 8 + 4 + 1 + 1 + addrSize
 	// MaxDatagram is the largest encoded datagram.
 	MaxDatagram = fixedHeader + 4*flow.MaxTried + MaxPayload + tagSize
 )
@@ -59,6 +59,9 @@
 	Caller netip.AddrPort
 	// Balancer is the data address of the balancer through which answers may go.
 	Balancer netip.AddrPort
+	// Address is the address in the contract to which the caller sent. A return datagram repeats it, because
+	// the balancer that gets it need not have seen the flow and must answer from the same address.
+	Address netip.AddrPort
 	// ZoneRevision is the highest store revision of any zone state that the sender knows.
 	ZoneRevision uint64
 	// Owner is the agent that sent a return datagram.
@@ -73,13 +76,20 @@
 	Payload []byte
 }
 
+// appendAddr encodes an invalid address as zeros.
 func appendAddr(b []byte, a netip.AddrPort) []byte {
-	ip := a.Addr().As16()
+	var ip [16]byte
+	if a.Addr().IsValid() {
+		ip = a.Addr().As16()
+	}
 	b = append(b, ip[:]...)
 	return binary.BigEndian.AppendUint16(b, a.Port())
 }
 
 func parseAddr(b []byte) netip.AddrPort {
+	if [addrSize]byte(b) == [addrSize]byte{} {
+		return netip.AddrPort{}
+	}
 	ip := netip.AddrFrom16([16]byte(b[:16])).Unmap()
 	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[16:18]))
 }
@@ -107,6 +117,7 @@
 	b = binary.BigEndian.AppendUint64(b, d.ZoneRevision)
 	b = binary.BigEndian.AppendUint32(b, uint32(d.Owner))
 	b = append(b, d.flags(), byte(d.Tried.Len()))
+	b = appendAddr(b, d.Address)
 	for _, id := range d.Tried.IDs() {
 		b = binary.BigEndian.AppendUint32(b, uint32(id))
 	}
@@ -132,6 +143,7 @@
 	if flags&^knownFlags != 0 || n > flow.MaxTried || len(b) < fixedHeader+4*n {
 		return ErrMalformed
 	}
+	d.Address = parseAddr(b[78:])
 	d.Opening = flags&flagOpening != 0
 	d.Established = flags&flagEstablished != 0
 	d.Tried = flow.Tried{}
