--- a/pkg/board/view.go
+++ b/pkg/board/view.go
@@ -57,3 +57,11 @@
 	since, ok := g.since[zone]
 	return ok && now.Sub(since) >= grace
 }
+
+// Since returns when a zone was first seen out, and false when it is in service.
+func (g *ZoneGate) Since(zone string) (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	since, ok := g.since[zone]
+	return since, ok
+}
