--- /dev/null
+++ b/pkg/flow/steerer_test.go
@@ -0,0 +1,156 @@
+package flow_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/bramleymast/bramleymast/pkg/flow"
+)
+
+var (
+	service = flow.ServiceIDOf("orders")
+	start   = time.Unix(1_000_000, 0)
+)
+
+func callerAt(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 4433)
+}
+
+func memberNamed(name string, opens, holds bool) flow.Member {
+	return flow.NewMember(name, netip.MustParseAddrPort("10.1.0.1:9000"), "a", opens, holds)
+}
+
+func ExampleSteerer() {
+	view := flow.NewView(flow.ServiceIDOf("orders"), []flow.Member{
+		flow.NewMember("backend-1", netip.MustParseAddrPort("10.1.0.1:9000"), "a", true, true),
+		flow.NewMember("backend-2", netip.MustParseAddrPort("10.1.0.2:9000"), "b", true, true),
+	})
+	steerer := flow.NewSteerer(flow.NewCache(1024))
+	caller := netip.MustParseAddrPort("203.0.113.7:50000")
+	now := time.Unix(1_000_000, 0)
+
+	opening, _ := steerer.Steer(now, view, caller, true)
+	fmt.Println(opening.Member.ID(), opening.Cached)
+
+	// A return datagram with the established flag names the agent that accepted the flow.
+	steerer.Learn(now, flow.NewKey(caller, view.Service()), flow.ShortIDOf("backend-2"))
+	next, _ := steerer.Steer(now, view, caller, false)
+	fmt.Println(next.Member.ID(), next.Cached)
+	// Output:
+	// backend-1 false
+	// backend-2 true
+}
+
+func ExampleCache() {
+	cache := flow.NewCache(1000)
+	key := flow.NewKey(netip.MustParseAddrPort("203.0.113.7:50000"), flow.ServiceIDOf("orders"))
+	now := time.Unix(1_000_000, 0)
+
+	cache.Put(now, key.Hash(), flow.ShortIDOf("backend-1"))
+	owner, ok := cache.Get(now, key.Hash())
+	fmt.Println(owner == flow.ShortIDOf("backend-1"), ok, cache.Entries())
+	// Output: true true 1024
+}
+
+// Guards against a wrong verdict, a drain or a departure that sends a flow to another member than section 5 says.
+func TestSteerRules(t *testing.T) {
+	other := memberNamed("other", true, true)
+	cases := []struct {
+		name    string
+		owner   []flow.Member
+		opening bool
+		want    string
+	}{
+		{"owner in service, opening", []flow.Member{memberNamed("owner", true, true)}, true, "owner"},
+		{"owner in service, continuing", []flow.Member{memberNamed("owner", true, true)}, false, "owner"},
+		{"draining owner, opening", []flow.Member{memberNamed("owner", false, true)}, true, "other"},
+		{"draining owner, continuing", []flow.Member{memberNamed("owner", false, true)}, false, "owner"},
+		{"owner thought dead, opening", []flow.Member{memberNamed("owner", false, false)}, true, "other"},
+		{"owner thought dead, continuing", []flow.Member{memberNamed("owner", false, false)}, false, "owner"},
+		{"owner has left, continuing", nil, false, "other"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			view := flow.NewView(service, append(c.owner, other))
+			s := flow.NewSteerer(flow.NewCache(1024))
+			for i := range 100 {
+				s.Learn(start, flow.NewKey(callerAt(i), service), flow.ShortIDOf("owner"))
+				d, ok := s.Steer(start, view, callerAt(i), c.opening)
+				assert.Assert(t, ok)
+				assert.Equal(t, d.Member.ID(), c.want)
+				assert.Equal(t, d.Cached, c.want == "owner")
+			}
+		})
+	}
+}
+
+// Guards against packets sent to a member that the rule excludes, and against a nil member reported as found.
+func TestSteerWithoutCacheFollowsRanking(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := make([]flow.Member, rapid.IntRange(0, 8).Draw(t, "members"))
+		for i := range members {
+			holds := rapid.Bool().Draw(t, "holds")
+			opens := holds && rapid.Bool().Draw(t, "opens")
+			members[i] = memberNamed(fmt.Sprintf("m%d", i), opens, holds)
+		}
+		view := flow.NewView(service, members)
+		opening := rapid.Bool().Draw(t, "opening")
+		caller := callerAt(rapid.IntRange(0, 1<<20).Draw(t, "caller"))
+		d, ok := flow.NewSteerer(flow.NewCache(64)).Steer(start, view, caller, opening)
+		want := view.First(flow.NewKey(caller, service).Hash(), opening, flow.Tried{})
+		assert.Equal(t, d.Member, want)
+		assert.Equal(t, ok, want != nil)
+		if ok {
+			assert.Assert(t, opening && d.Member.Opens() || !opening && d.Member.Holds())
+		}
+	})
+}
+
+// Guards against a flow of one service that takes the owner of the same caller's flow to another service.
+func TestCacheKeepsServicesApart(t *testing.T) {
+	s := flow.NewSteerer(flow.NewCache(1024))
+	view := flow.NewView(flow.ServiceIDOf("catalogue"), []flow.Member{memberNamed("c1", true, true)})
+	s.Learn(start, flow.NewKey(callerAt(1), service), flow.ShortIDOf("o1"))
+	d, ok := s.Steer(start, view, callerAt(1), false)
+	assert.Assert(t, ok)
+	assert.Equal(t, d.Member.ID(), "c1")
+	assert.Assert(t, !d.Cached)
+}
+
+// Guards against a full cache that grows, or that overwrites flows in use before idle ones.
+func TestCacheOverwritesTheOldest(t *testing.T) {
+	cache := flow.NewCache(1024)
+	busy := flow.NewKey(callerAt(0), service).Hash()
+	cache.Put(start, busy, 1)
+	for i := 1; i <= 100*cache.Entries(); i++ {
+		now := start.Add(time.Duration(i) * time.Second)
+		cache.Put(now, flow.NewKey(callerAt(i), service).Hash(), 2)
+		owner, ok := cache.Get(now, busy)
+		assert.Assert(t, ok && owner == 1, "the busy flow was lost after %d others", i)
+	}
+	known := 0
+	for i := range 100 * cache.Entries() {
+		if _, ok := cache.Get(start, flow.NewKey(callerAt(i), service).Hash()); ok {
+			known++
+		}
+	}
+	assert.Assert(t, known <= cache.Entries(), "%d flows in %d entries", known, cache.Entries())
+}
+
+// Guards against an allocation for each packet.
+func TestSteerAllocatesNothing(t *testing.T) {
+	view := flow.NewView(service, []flow.Member{memberNamed("a", true, true), memberNamed("b", true, true)})
+	s := flow.NewSteerer(flow.NewCache(1024))
+	caller := callerAt(1)
+	for _, cached := range []bool{false, true} {
+		if cached {
+			s.Learn(start, flow.NewKey(caller, service), flow.ShortIDOf("a"))
+		}
+		assert.Equal(t, testing.AllocsPerRun(100, func() { s.Steer(start, view, caller, !cached) }), 0.0)
+	}
+}
