feat: hold a cached flow in ten bytes

Cause: 500,000 flows took 16 MB, lost 3.3% to full buckets, and a look-up was close to twice as slow as at 5,000 flows. Change: a tag of 32 bits, the owner and a 16-bit time of last use, six entries in a cache line, and the neighbouring bucket when the own one is full; one allocation for all shards. Ruled out by trial: the ten-byte entry in 16 MB without a neighbour keeps 99.8% but looks up in 124-175 ns (1.7 times); in 8 MB without a neighbour it keeps 95.8%. Full 64-bit hashes need 16 bytes an entry. Figures, go test -run '^$' -bench . -count 5 ./pkg/flow, before to after: 33.6 to 16.8 bytes a flow, 96.7% to 98.8% kept, look-up at 500,000 flows 111-157 to 103-145 ns against 56-73 ns at 5,000 in the same run (medians 112 and 69 ns: 1.6 times). Steering a cached flow 107-143 ns against 63-81 ns of the baseline (medians 1.8 times), 0 allocations.

--- a/pkg/flow/cache.go
+++ b/pkg/flow/cache.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -8,21 +9,26 @@
 const (
 	// cacheShards is a power of two; it is well above the number of threads, so that two rarely want one lock.
 	cacheShards = 256
-	// cacheWays is how many entries share a bucket: four entries of 16 bytes fill one 64-byte cache line.
-	cacheWays = 4
+	// cacheWays is how many entries share a bucket: six entries of 10 bytes fit one 64-byte cache line.
+	cacheWays = 6
+	// cacheTick is the resolution of the time of last use; 16 bits of it span six days, after which the order
+	// of two entries may be mistaken.
+	cacheTick = 8 * time.Second
 	// DefaultCacheEntries leaves room for 500,000 flows with few overwritten entries.
-	DefaultCacheEntries = 1 << 20
+	DefaultCacheEntries = 3 << 18
 )
 
-// cacheEntry has no pointers, so the garbage collector does not scan the cache.
-type cacheEntry struct {
-	hash  uint64
-	owner ShortID // 0 marks an empty entry
-	used  uint32  // seconds since the Unix epoch
+// cacheBucket has no pointers, so the garbage collector does not scan the cache.
+//
+// A tag is 32 bits of the hash. With the bits that choose the bucket, two flows of 500,000 share a place and a tag
+// with a chance below one in a thousand; the agent that gets the wrong packet passes it on.
+type cacheBucket struct {
+	tags   [cacheWays]uint32
+	owners [cacheWays]ShortID // 0 marks an empty entry
+	used   [cacheWays]uint16  // in ticks
+	_      [4]byte
 }
 
-type cacheBucket [cacheWays]cacheEntry
-
 type cacheShard struct {
 	mu      sync.Mutex
 	buckets []cacheBucket
@@ -37,15 +43,17 @@
 	mask   uint64
 }
 
-// NewCache returns a cache with room for at least the given number of entries, rounded up to a power of two.
+// NewCache returns a cache with room for at least the given number of entries.
 func NewCache(entries int) *Cache {
-	perShard := 1
+	// Each bucket has a neighbour.
+	perShard := 2
 	for perShard*cacheWays*cacheShards < entries {
 		perShard *= 2
 	}
 	c := &Cache{mask: uint64(perShard - 1)}
+	buckets := make([]cacheBucket, perShard*cacheShards)
 	for i := range c.shards {
-		c.shards[i].buckets = make([]cacheBucket, perShard)
+		c.shards[i].buckets = buckets[i*perShard : (i+1)*perShard]
 	}
 	return c
 }
@@ -53,44 +61,87 @@
 // Entries returns how many entries fit.
 func (c *Cache) Entries() int { return cacheShards * cacheWays * int(c.mask+1) }
 
-// bucket takes the shard from the low bits of the hash and the bucket from the high ones.
-func (c *Cache) bucket(hash uint64) (*cacheShard, *cacheBucket) {
-	s := &c.shards[hash%cacheShards]
-	return s, &s.buckets[hash>>32&c.mask]
+// place takes the shard from the low bits of the hash, the bucket from those above and the tag from the high ones.
+func (c *Cache) place(hash uint64) (s *cacheShard, i uint64, tag uint32) {
+	return &c.shards[hash%cacheShards], hash / cacheShards & c.mask, uint32(hash >> 32)
+}
+
+func cacheTicks(now time.Time) uint16 { return uint16(now.Unix() / int64(cacheTick/time.Second)) }
+
+// find returns the place of a tag, or -1.
+func (b *cacheBucket) find(tag uint32) int {
+	for i := range b.tags {
+		if b.tags[i] == tag && b.owners[i] != 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// full reports whether a bucket has no empty entry; entries are filled in order and never emptied.
+func (b *cacheBucket) full() bool { return b.owners[cacheWays-1] != 0 }
+
+// victim returns an empty entry or the one that was not used for the longest time, and for how long.
+func (b *cacheBucket) victim(ticks uint16) (place int, age uint16) {
+	for i := range b.owners {
+		if b.owners[i] == 0 {
+			return i, math.MaxUint16
+		}
+		if a := ticks - b.used[i]; a > age {
+			place, age = i, a
+		}
+	}
+	return place, age
+}
+
+// find returns the entry of a tag in its bucket, or in the neighbouring one when its own is full.
+func (s *cacheShard) find(i uint64, tag uint32) (*cacheBucket, int) {
+	b := &s.buckets[i]
+	if at := b.find(tag); at >= 0 || !b.full() {
+		return b, at
+	}
+	b = &s.buckets[i^1]
+	return b, b.find(tag)
+}
+
+// victim returns the entry to overwrite: the own bucket comes first unless the neighbouring one has an older entry.
+func (s *cacheShard) victim(i uint64, ticks uint16) (*cacheBucket, int) {
+	own, next := &s.buckets[i], &s.buckets[i^1]
+	at, age := own.victim(ticks)
+	if !own.full() {
+		return own, at
+	}
+	if other, otherAge := next.victim(ticks); otherAge > age {
+		return next, other
+	}
+	return own, at
 }
 
 // Get returns the owner of a flow and notes that the flow is in use.
 func (c *Cache) Get(now time.Time, hash uint64) (ShortID, bool) {
-	used := uint32(now.Unix())
-	s, b := c.bucket(hash)
+	ticks := cacheTicks(now)
+	s, i, tag := c.place(hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range b {
-		e := &b[i]
-		if e.owner != 0 && e.hash == hash {
-			e.used = max(e.used, used)
-			return e.owner, true
-		}
+	b, at := s.find(i, tag)
+	if at < 0 {
+		return 0, false
+	}
+	if b.used[at] != ticks {
+		b.used[at] = ticks
 	}
-	return 0, false
+	return b.owners[at], true
 }
 
 // Put notes the owner of a flow; it replaces the flow's earlier owner, else an empty or the oldest entry.
 func (c *Cache) Put(now time.Time, hash uint64, owner ShortID) {
-	used := uint32(now.Unix())
-	s, b := c.bucket(hash)
+	ticks := cacheTicks(now)
+	s, i, tag := c.place(hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	slot := &b[0]
-	for i := range b {
-		e := &b[i]
-		if e.owner != 0 && e.hash == hash {
-			slot = e
-			break
-		}
-		if e.owner == 0 || slot.owner != 0 && e.used < slot.used {
-			slot = e
-		}
+	b, at := s.find(i, tag)
+	if at < 0 {
+		b, at = s.victim(i, ticks)
 	}
-	*slot = cacheEntry{hash: hash, owner: owner, used: used}
+	b.tags[at], b.owners[at], b.used[at] = tag, owner, ticks
 }
