feat: read and check the settings of every process

Cause: the daemons, the operator commands and the stand-ins need typed settings, and encoding/json stops at the first deviation, ignores duplicate keys and matches names without regard to case.

Ruled out: DisableUnknownFields reports one unknown field, without its line or path, so it cannot give all findings of a file in one report.

Change: internal/strictjson decodes into tagged structs and collects unknown, missing, duplicate and mistyped fields, ranges, addresses and trailing data with their lines. internal/settings uses it for all seven files. contract.ValidName limits names, because they become parts of store keys. A data or control address that is 0.0.0.0 is a finding, because peers get it from the member record and could not use it.

Conclusion: internal/node can be composed against these types.

--- /dev/null
+++ b/internal/settings/standin.go
@@ -0,0 +1,217 @@
+package settings
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/bramleymast/bramleymast/internal/strictjson"
+	"github.com/bramleymast/bramleymast/pkg/finding"
+)
+
+// StandinStore is the settings of the stand-in for the platform's store.
+type StandinStore struct {
+	address      netip.AddrPort
+	adminAddress netip.AddrPort
+}
+
+// Address returns the address of the store's HTTP interface.
+func (o StandinStore) Address() netip.AddrPort { return o.address }
+
+// AdminAddress returns the address on which faults are set, or the zero value for none.
+func (o StandinStore) AdminAddress() netip.AddrPort { return o.adminAddress }
+
+// LoadStandinStore reads a file; the error holds every finding.
+func LoadStandinStore(file string) (StandinStore, error) {
+	return load[standinStoreJSON, StandinStore](file)
+}
+
+// DecodeStandinStore reads and checks settings; they are valid only when the list is empty.
+func DecodeStandinStore(file string, data []byte) (StandinStore, finding.List) {
+	return decode[standinStoreJSON, StandinStore](file, data)
+}
+
+type standinStoreJSON struct {
+	Address      netip.AddrPort `json:"address" check:"required"`
+	AdminAddress netip.AddrPort `json:"admin_address"`
+}
+
+func (r standinStoreJSON) settings(*strictjson.Source) StandinStore {
+	return StandinStore{address: r.Address, adminAddress: r.AdminAddress}
+}
+
+// StandinFabric is the settings of the stand-in for the packet fabric.
+type StandinFabric struct {
+	services     []netip.AddrPort
+	balancers    []FabricBalancer
+	adminAddress netip.AddrPort
+	seed         int64
+}
+
+// FabricBalancer is a balancer to which the fabric sends packets while it is ready.
+type FabricBalancer struct {
+	ip       netip.Addr
+	readyURL string
+}
+
+// IP returns the address to which the packets go; the port is that of the service address.
+func (b FabricBalancer) IP() netip.Addr { return b.ip }
+
+// ReadyURL returns the URL that answers 200 while the balancer is ready.
+func (b FabricBalancer) ReadyURL() string { return b.readyURL }
+
+// Services returns the service addresses that the fabric takes packets for.
+func (o StandinFabric) Services() []netip.AddrPort { return slices.Clone(o.services) }
+
+// Balancers returns the balancers.
+func (o StandinFabric) Balancers() []FabricBalancer { return slices.Clone(o.balancers) }
+
+// AdminAddress returns the address on which faults are set, or the zero value for none.
+func (o StandinFabric) AdminAddress() netip.AddrPort { return o.adminAddress }
+
+// Seed returns the seed of the random choices.
+func (o StandinFabric) Seed() int64 { return o.seed }
+
+// LoadStandinFabric reads a file; the error holds every finding.
+func LoadStandinFabric(file string) (StandinFabric, error) {
+	return load[standinFabricJSON, StandinFabric](file)
+}
+
+// DecodeStandinFabric reads and checks settings; they are valid only when the list is empty.
+func DecodeStandinFabric(file string, data []byte) (StandinFabric, finding.List) {
+	return decode[standinFabricJSON, StandinFabric](file, data)
+}
+
+type fabricBalancerJSON struct {
+	IP       netip.Addr `json:"ip" check:"required"`
+	ReadyURL string     `json:"ready_url" check:"required"`
+}
+
+type standinFabricJSON struct {
+	Services     []netip.AddrPort     `json:"services" check:"required"`
+	Balancers    []fabricBalancerJSON `json:"balancers" check:"required"`
+	AdminAddress netip.AddrPort       `json:"admin_address"`
+	Seed         int64                `json:"seed"`
+}
+
+func (r standinFabricJSON) settings(s *strictjson.Source) StandinFabric {
+	o := StandinFabric{services: r.Services, adminAddress: r.AdminAddress, seed: r.Seed}
+	for i, b := range r.Balancers {
+		checkURL(s, strictjson.Item("balancers", i)+".ready_url", b.ReadyURL)
+		o.balancers = append(o.balancers, FabricBalancer{ip: b.IP, readyURL: b.ReadyURL})
+	}
+	return o
+}
+
+// StandinBackend is the settings of the stand-in for a backend server.
+type StandinBackend struct {
+	address      netip.AddrPort
+	service      string
+	slots        int
+	coldSlots    int
+	cold         time.Duration
+	adminAddress netip.AddrPort
+}
+
+// Address returns the address of the backend server's HTTP interface.
+func (o StandinBackend) Address() netip.AddrPort { return o.address }
+
+// Service returns the customer service that it plays.
+func (o StandinBackend) Service() string { return o.service }
+
+// Slots returns how many requests in progress it bears when it is warm.
+func (o StandinBackend) Slots() int { return o.slots }
+
+// ColdSlots returns how many requests in progress it bears in cold start.
+func (o StandinBackend) ColdSlots() int { return o.coldSlots }
+
+// Cold returns how long a cold start takes.
+func (o StandinBackend) Cold() time.Duration { return o.cold }
+
+// AdminAddress returns the address on which faults are set, or the zero value for none.
+func (o StandinBackend) AdminAddress() netip.AddrPort { return o.adminAddress }
+
+// LoadStandinBackend reads a file; the error holds every finding.
+func LoadStandinBackend(file string) (StandinBackend, error) {
+	return load[standinBackendJSON, StandinBackend](file)
+}
+
+// DecodeStandinBackend reads and checks settings; they are valid only when the list is empty.
+func DecodeStandinBackend(file string, data []byte) (StandinBackend, finding.List) {
+	return decode[standinBackendJSON, StandinBackend](file, data)
+}
+
+type standinBackendJSON struct {
+	Address      netip.AddrPort `json:"address" check:"required"`
+	Service      name           `json:"service" check:"required"`
+	Slots        int            `json:"slots" check:"required" min:"1" max:"100000"`
+	ColdSlots    int            `json:"cold_slots" check:"required" min:"1" max:"100000"`
+	ColdMS       int64          `json:"cold_ms" min:"0" max:"3600000"`
+	AdminAddress netip.AddrPort `json:"admin_address"`
+}
+
+func (r standinBackendJSON) settings(s *strictjson.Source) StandinBackend {
+	if s.OK("slots") && s.OK("cold_slots") && r.ColdSlots > r.Slots {
+		s.Addf("cold_slots", "1 to slots", "is %d", r.ColdSlots)
+	}
+	return StandinBackend{
+		address: r.Address, service: string(r.Service), slots: r.Slots, coldSlots: r.ColdSlots,
+		cold: time.Duration(r.ColdMS) * time.Millisecond, adminAddress: r.AdminAddress,
+	}
+}
+
+// defaultCallerTimeout is the time a caller waits for a complete response.
+const defaultCallerTimeout = 10 * time.Second
+
+// StandinCaller is the settings of the stand-in for a caller.
+type StandinCaller struct {
+	address                  netip.AddrPort
+	certificateAuthorityFile string
+	requests                 int
+	seed                     int64
+	timeout                  time.Duration
+}
+
+// Address returns the service address that it calls.
+func (o StandinCaller) Address() netip.AddrPort { return o.address }
+
+// CertificateAuthorityFile returns the PEM file with the certificates that it trusts.
+func (o StandinCaller) CertificateAuthorityFile() string { return o.certificateAuthorityFile }
+
+// Requests returns how many requests it sends.
+func (o StandinCaller) Requests() int { return o.requests }
+
+// Seed returns the seed of the random choices.
+func (o StandinCaller) Seed() int64 { return o.seed }
+
+// Timeout returns how long it waits for a response.
+func (o StandinCaller) Timeout() time.Duration { return o.timeout }
+
+// LoadStandinCaller reads a file; the error holds every finding.
+func LoadStandinCaller(file string) (StandinCaller, error) {
+	return load[standinCallerJSON, StandinCaller](file)
+}
+
+// DecodeStandinCaller reads and checks settings; they are valid only when the list is empty.
+func DecodeStandinCaller(file string, data []byte) (StandinCaller, finding.List) {
+	return decode[standinCallerJSON, StandinCaller](file, data)
+}
+
+type standinCallerJSON struct {
+	Address                  netip.AddrPort `json:"address" check:"required"`
+	CertificateAuthorityFile string         `json:"certificate_authority_file" check:"required"`
+	Requests                 int            `json:"requests" check:"required" min:"1" max:"1000000"`
+	Seed                     int64          `json:"seed"`
+	TimeoutMS                *int64         `json:"timeout_ms" min:"1" max:"600000"`
+}
+
+func (r standinCallerJSON) settings(s *strictjson.Source) StandinCaller {
+	o := StandinCaller{
+		address: r.Address, certificateAuthorityFile: beside(s.File(), r.CertificateAuthorityFile),
+		requests: r.Requests, seed: r.Seed, timeout: defaultCallerTimeout,
+	}
+	if r.TimeoutMS != nil {
+		o.timeout = time.Duration(*r.TimeoutMS) * time.Millisecond
+	}
+	return o
+}
