--- a/pkg/contract/json.go
+++ b/pkg/contract/json.go
@@ -1,11 +1,12 @@
 package contract
 
 import (
-	"bytes"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"time"
 
+	"github.com/bramleymast/bramleymast/internal/strictjson"
 	"github.com/bramleymast/bramleymast/pkg/finding"
 )
 
@@ -19,9 +20,7 @@
 	defaultRetryPercent     = 10
 	defaultOutcomeRetention = 10 * time.Minute
 	defaultConnections      = 2000
-
-	// maxZoneOutGrace leaves the spread of the change within the five seconds after which a zone receives no packets.
-	maxZoneOutGrace = 3 * time.Second
+	defaultMinInService     = 1
 )
 
 const (
@@ -30,82 +29,108 @@
 )
 
 type contractJSON struct {
-	Service   string   `json:"service"`
-	Addresses []string `json:"addresses"`
-	Zones     []string `json:"zones"`
-	Backend   struct {
-		Slots       int `json:"slots"`
-		Connections int `json:"connections,omitempty"`
-	} `json:"backend"`
-	ColdStart struct {
-		Slots  int    `json:"slots"`
-		RampMS *int64 `json:"ramp_ms,omitempty"`
-	} `json:"cold_start"`
-	DeadlineMS *int64 `json:"deadline_ms,omitempty"`
-	WaitMS     *int64 `json:"wait_ms,omitempty"`
-	DrainMS    *int64 `json:"drain_ms,omitempty"`
-	Change     struct {
-		MinBackendsInService int    `json:"min_backends_in_service"`
-		ZoneOutGraceMS       *int64 `json:"zone_out_grace_ms,omitempty"`
-	} `json:"change"`
-	Retry struct {
-		BudgetPercent *int `json:"budget_percent,omitempty"`
-	} `json:"retry"`
-	NonIdempotent      string `json:"non_idempotent,omitempty"`
-	OutcomeRetentionMS *int64 `json:"outcome_retention_ms,omitempty"`
+	Service            nameText         `json:"service" check:"required"`
+	Addresses          []netip.AddrPort `json:"addresses" check:"required" max:"64"`
+	Zones              []nameText       `json:"zones" check:"required" max:"64"`
+	Backend            backendJSON      `json:"backend" check:"required"`
+	ColdStart          coldStartJSON    `json:"cold_start" check:"required"`
+	DeadlineMS         *int64           `json:"deadline_ms" min:"1" max:"3600000"`
+	WaitMS             *int64           `json:"wait_ms" min:"0" max:"3600000"`
+	DrainMS            *int64           `json:"drain_ms" min:"0" max:"86400000"`
+	Change             changeJSON       `json:"change"`
+	Retry              retryJSON        `json:"retry"`
+	NonIdempotent      policyText       `json:"non_idempotent"`
+	OutcomeRetentionMS *int64           `json:"outcome_retention_ms" min:"1000" max:"86400000"`
+}
+
+type backendJSON struct {
+	Slots       int  `json:"slots" check:"required" min:"1" max:"100000"`
+	Connections *int `json:"connections" min:"1" max:"1000000"`
+}
+
+type coldStartJSON struct {
+	Slots  int    `json:"slots" check:"required" min:"1" max:"100000"`
+	RampMS *int64 `json:"ramp_ms" min:"0" max:"3600000"`
+}
+
+type changeJSON struct {
+	MinBackendsInService *int `json:"min_backends_in_service" min:"0" max:"100000"`
+	// Three seconds leave the spread of the change within the five after which a zone receives no packets.
+	ZoneOutGraceMS *int64 `json:"zone_out_grace_ms" min:"0" max:"3000"`
+}
+
+type retryJSON struct {
+	BudgetPercent *int `json:"budget_percent" min:"0" max:"100"`
 }
 
+var errNotAllowed = errors.New("not allowed")
+
+type nameText string
+
+// UnmarshalText accepts valid names.
+func (n *nameText) UnmarshalText(text []byte) error {
+	if !ValidName(string(text)) {
+		return errNotAllowed
+	}
+	*n = nameText(text)
+	return nil
+}
+
+// Allowed returns the allowed values in words.
+func (n *nameText) Allowed() string { return AllowedName }
+
+type policyText string
+
+// UnmarshalText accepts "ticket" and "plain".
+func (p *policyText) UnmarshalText(text []byte) error {
+	if string(text) != nonIdempotentTicket && string(text) != nonIdempotentPlain {
+		return errNotAllowed
+	}
+	*p = policyText(text)
+	return nil
+}
+
+// Allowed returns the allowed values in words.
+func (p *policyText) Allowed() string { return `"ticket" or "plain"` }
+
 // Decode reads a contract in JSON and checks it as a whole; the contract is valid only when the list is empty.
 func Decode(file string, data []byte) (Contract, finding.List) {
-	var raw contractJSON
-	var list finding.List
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&raw); err != nil {
-		list.Add(finding.New("", err.Error(), "").At(file, 0))
-		return Contract{}, list
-	}
-	return raw.contract(&list), list
+	raw, source := strictjson.Decode[contractJSON](file, data)
+	c := raw.contract()
+	c.check(source)
+	return c, source.Findings()
 }
 
-func (r contractJSON) contract(list *finding.List) Contract {
+func (r contractJSON) contract() Contract {
 	c := Contract{
-		service:          r.Service,
-		zones:            r.Zones,
-		slots:            r.Backend.Slots,
-		connections:      r.Backend.Connections,
-		coldSlots:        r.ColdStart.Slots,
-		ramp:             milliseconds(r.ColdStart.RampMS, defaultRamp),
-		deadline:         milliseconds(r.DeadlineMS, defaultDeadline),
-		wait:             milliseconds(r.WaitMS, defaultWait),
-		drain:            milliseconds(r.DrainMS, defaultDrain),
-		minInService:     r.Change.MinBackendsInService,
-		zoneOutGrace:     milliseconds(r.Change.ZoneOutGraceMS, defaultZoneOutGrace),
-		retryPercent:     defaultRetryPercent,
-		ticketed:         r.NonIdempotent == nonIdempotentTicket,
-		outcomeRetention: milliseconds(r.OutcomeRetentionMS, defaultOutcomeRetention),
-	}
-	if c.connections == 0 {
-		c.connections = defaultConnections
-	}
-	if r.Retry.BudgetPercent != nil {
-		c.retryPercent = *r.Retry.BudgetPercent
-	}
-	for _, s := range r.Addresses {
-		a, err := netip.ParseAddrPort(s)
-		if err != nil {
-			list.Addf("addresses", "IP address and port, such as 10.0.0.1:443", "%q is not an address", s)
-			continue
-		}
-		c.addresses = append(c.addresses, a)
-	}
-	if r.NonIdempotent != "" && r.NonIdempotent != nonIdempotentTicket && r.NonIdempotent != nonIdempotentPlain {
-		list.Addf("non_idempotent", `"ticket" or "plain"`, "%q is not a policy", r.NonIdempotent)
-	}
-	c.check(list)
+		service:      string(r.Service),
+		addresses:    r.Addresses,
+		slots:        r.Backend.Slots,
+		connections:  valueOr(r.Backend.Connections, defaultConnections),
+		coldSlots:    r.ColdStart.Slots,
+		ramp:         milliseconds(r.ColdStart.RampMS, defaultRamp),
+		deadline:     milliseconds(r.DeadlineMS, defaultDeadline),
+		drain:        milliseconds(r.DrainMS, defaultDrain),
+		minInService: valueOr(r.Change.MinBackendsInService, defaultMinInService),
+		zoneOutGrace: milliseconds(r.Change.ZoneOutGraceMS, defaultZoneOutGrace),
+		retryPercent: valueOr(r.Retry.BudgetPercent, defaultRetryPercent),
+		ticketed:     r.NonIdempotent == nonIdempotentTicket,
+	}
+	for _, z := range r.Zones {
+		c.zones = append(c.zones, string(z))
+	}
+	c.wait = milliseconds(r.WaitMS, min(defaultWait, c.deadline))
+	c.outcomeRetention = milliseconds(r.OutcomeRetentionMS, max(defaultOutcomeRetention, c.deadline))
 	return c
 }
 
+func valueOr(v *int, d int) int {
+	if v == nil {
+		return d
+	}
+	return *v
+}
+
 func milliseconds(ms *int64, d time.Duration) time.Duration {
 	if ms == nil {
 		return d
@@ -113,53 +138,72 @@
 	return time.Duration(*ms) * time.Millisecond
 }
 
-func (c Contract) check(list *finding.List) {
-	if c.service == "" {
-		list.Addf("service", "a name", "is missing")
-	}
-	if len(c.addresses) == 0 {
-		list.Addf("addresses", "at least one address", "is empty")
-	}
-	if len(c.zones) == 0 {
-		list.Addf("zones", "at least one zone", "is empty")
+// check adds a finding for each field that does not fit the others.
+func (c Contract) check(s *strictjson.Source) {
+	checkAddresses(s, c.addresses)
+	checkDistinct(s, "zones", c.zones)
+	if s.OK("cold_start.slots") && s.OK("backend.slots") && c.coldSlots > c.slots {
+		s.Addf("cold_start.slots", "1 to backend.slots", "is %d, but backend.slots is %d", c.coldSlots, c.slots)
 	}
-	if c.slots < 1 {
-		list.Addf("backend.slots", "1 or more", "is %d", c.slots)
+	if s.OK("wait_ms") && s.OK("deadline_ms") && c.wait > c.deadline {
+		s.Addf("wait_ms", "0 to deadline_ms", "is %d, but deadline_ms is %d", c.wait.Milliseconds(), c.deadline.Milliseconds())
 	}
-	if c.connections < 1 {
-		list.Addf("backend.connections", "1 or more", "is %d", c.connections)
+	// A ticket that ends before the request it allowed would leave the caller without an outcome.
+	if s.OK("outcome_retention_ms") && s.OK("deadline_ms") && c.outcomeRetention < c.deadline {
+		s.Addf("outcome_retention_ms", "deadline_ms or more", "is %d, but deadline_ms is %d",
+			c.outcomeRetention.Milliseconds(), c.deadline.Milliseconds())
 	}
-	if c.coldSlots < 1 || c.coldSlots > c.slots {
-		list.Addf("cold_start.slots", "1 to backend.slots", "is %d", c.coldSlots)
+}
+
+func checkAddresses(s *strictjson.Source, addresses []netip.AddrPort) {
+	for i, a := range addresses {
+		path := strictjson.Item("addresses", i)
+		if !s.OK(path) {
+			continue
+		}
+		if a.Addr().IsUnspecified() || a.Addr().IsMulticast() || a.Port() == 0 {
+			s.Addf(path, "an address and port that callers can use", "is %s", a)
+		}
 	}
-	if c.zoneOutGrace < 0 || c.zoneOutGrace > maxZoneOutGrace {
-		list.Addf("change.zone_out_grace_ms", "0 to 3000", "is %d", c.zoneOutGrace.Milliseconds())
+	checkDistinct(s, "addresses", addresses)
+}
+
+func checkDistinct[T comparable](s *strictjson.Source, path string, items []T) {
+	first := make(map[T]int)
+	for i, item := range items {
+		at := strictjson.Item(path, i)
+		if !s.OK(at) {
+			continue
+		}
+		if j, ok := first[item]; ok {
+			s.Addf(at, "each item once", "is the same as %s", strictjson.Item(path, j))
+			continue
+		}
+		first[item] = i
 	}
 }
 
 // Encode returns the contract in JSON with every field present.
 func (c Contract) Encode() ([]byte, error) {
-	var r contractJSON
-	r.Service = c.service
-	for _, a := range c.addresses {
-		r.Addresses = append(r.Addresses, a.String())
+	r := contractJSON{
+		Service:            nameText(c.service),
+		Addresses:          c.addresses,
+		Backend:            backendJSON{Slots: c.slots, Connections: &c.connections},
+		ColdStart:          coldStartJSON{Slots: c.coldSlots, RampMS: msPointer(c.ramp)},
+		DeadlineMS:         msPointer(c.deadline),
+		WaitMS:             msPointer(c.wait),
+		DrainMS:            msPointer(c.drain),
+		Change:             changeJSON{MinBackendsInService: &c.minInService, ZoneOutGraceMS: msPointer(c.zoneOutGrace)},
+		Retry:              retryJSON{BudgetPercent: &c.retryPercent},
+		NonIdempotent:      nonIdempotentPlain,
+		OutcomeRetentionMS: msPointer(c.outcomeRetention),
+	}
+	for _, z := range c.zones {
+		r.Zones = append(r.Zones, nameText(z))
 	}
-	r.Zones = c.zones
-	r.Backend.Slots = c.slots
-	r.Backend.Connections = c.connections
-	r.ColdStart.Slots = c.coldSlots
-	r.ColdStart.RampMS = msPointer(c.ramp)
-	r.DeadlineMS = msPointer(c.deadline)
-	r.WaitMS = msPointer(c.wait)
-	r.DrainMS = msPointer(c.drain)
-	r.Change.MinBackendsInService = c.minInService
-	r.Change.ZoneOutGraceMS = msPointer(c.zoneOutGrace)
-	r.Retry.BudgetPercent = &c.retryPercent
-	r.NonIdempotent = nonIdempotentPlain
 	if c.ticketed {
 		r.NonIdempotent = nonIdempotentTicket
 	}
-	r.OutcomeRetentionMS = msPointer(c.outcomeRetention)
 	return json.MarshalIndent(r, "", "  ")
 }
 
