--- a/internal/configvalue/configvalue.go
+++ b/internal/configvalue/configvalue.go
@@ -85,9 +85,13 @@
 }
 
 // Next returns the value that replaces c, which is in the store at a revision; the oldest history is dropped.
+// At revision 0 there is nothing to replace, so the history stays empty.
 func (c Contract) Next(at store.Revision, operationID, author string, now time.Time, next contract.Contract) Contract {
-	old := Revision{Revision: at, OperationID: c.OperationID, Author: c.Author, Time: c.Time, Contract: c.Contract}
-	history := slices.Concat([]Revision{old}, c.History)
+	history := c.History
+	if at != 0 {
+		old := Revision{Revision: at, OperationID: c.OperationID, Author: c.Author, Time: c.Time, Contract: c.Contract}
+		history = slices.Concat([]Revision{old}, history)
+	}
 	return Contract{
 		OperationID: operationID,
 		Author:      author,
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,192 @@
+package node_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/bramleymast/bramleymast/internal/configvalue"
+	"github.com/bramleymast/bramleymast/internal/node"
+	"github.com/bramleymast/bramleymast/internal/standin/store"
+	"github.com/bramleymast/bramleymast/pkg/contract"
+)
+
+// waitTime ends a test that makes no progress; no test depends on how long a step takes.
+const waitTime = 30 * time.Second
+
+var sharedKey = []byte("0123456789abcdef0123456789abcdef")
+
+func selfSigned(t *testing.T) tls.Certificate {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	assert.NilError(t, err)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
+
+// deployment is a store, balancers and agents in one process.
+type deployment struct {
+	t         *testing.T
+	ctx       context.Context
+	store     *store.Memory
+	balancers []*node.Balancer
+	host      netip.Addr
+	port      uint16
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	pid := os.Getpid()
+	l, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	port := l.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	assert.NilError(t, l.Close())
+	return &deployment{
+		t: t, ctx: t.Context(), store: &store.Memory{}, port: port,
+		host: netip.AddrFrom4([4]byte{127, 64 + byte(pid>>14)&63, byte(pid >> 7), 1}),
+	}
+}
+
+func (d *deployment) common(id, zone string) node.Common {
+	c := node.Common{
+		ID: id, Zone: zone, SharedKey: sharedKey, Heartbeat: 100 * time.Millisecond,
+		DataAddress: netip.AddrPortFrom(d.host, 0), ControlAddress: netip.AddrPortFrom(d.host, 0),
+		HTTPAddress: netip.AddrPortFrom(d.host, 0), Budget: 1 << 20,
+	}
+	for _, b := range d.balancers {
+		c.Seeds = append(c.Seeds, b.ControlAddress())
+	}
+	return c
+}
+
+func (d *deployment) addBalancer(zone string) (*node.Balancer, netip.AddrPort) {
+	d.t.Helper()
+	n := len(d.balancers) + 1
+	ip := d.host
+	for range n {
+		ip = ip.Next()
+	}
+	b, err := node.NewBalancer(node.BalancerConfig{
+		Common: d.common(fmt.Sprintf("balancer-%d", n), zone), BindIP: ip, Store: d.store,
+	})
+	assert.NilError(d.t, err)
+	d.balancers = append(d.balancers, b)
+	d.run(b.Run)
+	return b, netip.AddrPortFrom(ip, d.port)
+}
+
+// run starts a task that ends with the test, which waits for it.
+func (d *deployment) run(task func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- task(ctx) }()
+	d.t.Cleanup(func() {
+		cancel()
+		assert.Check(d.t, <-done)
+	})
+}
+
+func (d *deployment) addAgent(id, service, zone string, h http.Handler) *node.Agent {
+	d.t.Helper()
+	s := httptest.NewServer(h)
+	d.t.Cleanup(s.Close)
+	a, err := node.NewAgent(node.AgentConfig{
+		Common: d.common(id, zone), Service: service, BackendURL: s.URL, Certificate: selfSigned(d.t),
+	})
+	assert.NilError(d.t, err)
+	d.run(a.Run)
+	return a
+}
+
+func (d *deployment) apply(service string) {
+	d.t.Helper()
+	text := fmt.Sprintf(`{"service":%q,"addresses":["127.0.0.1:%d"],"zones":["a","b"],
+		"backend":{"slots":4},"cold_start":{"slots":4}}`, service, d.port)
+	c, findings := contract.Decode("test", []byte(text))
+	assert.NilError(d.t, findings.Err())
+	var v configvalue.Contract
+	value, err := configvalue.EncodeContract(v.Next(0, "op", "test", time.Unix(1, 0), c))
+	assert.NilError(d.t, err)
+	_, err = d.store.Swap(d.ctx, configvalue.ContractKey(service), value, 0, 0)
+	assert.NilError(d.t, err)
+}
+
+// get returns the status, the stated outcome and the body.
+func get(t *testing.T, at netip.AddrPort, path string) (status int, outcome, body string) {
+	t.Helper()
+	tr := &http3.Transport{
+		TLSClientConfig: &tls.Config{InsecureSkipVerify: true},
+		QUICConfig:      &quic.Config{DisablePathMTUDiscovery: true, InitialPacketSize: 1252},
+	}
+	defer tr.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), waitTime)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+at.String()+path, http.NoBody)
+	assert.NilError(t, err)
+	resp, err := tr.RoundTrip(r)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, resp.Header.Get("Bramleymast-Outcome"), string(b)
+}
+
+// Guards against parts that work alone and not together: a contract in the store must bring a request from a
+// caller through any balancer to the backend server of its service.
+func TestRequestIsServedThroughEveryBalancer(t *testing.T) {
+	d := newDeployment(t)
+	d.apply("order-portal")
+	zones := []string{"a", "b", "a"}
+	fronts := make([]netip.AddrPort, 0, len(zones))
+	for _, zone := range zones {
+		_, front := d.addBalancer(zone)
+		fronts = append(fronts, front)
+	}
+	hello := func(name string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, name) })
+	}
+	agents := []*node.Agent{
+		d.addAgent("one", "order-portal", "a", hello("one")),
+		d.addAgent("two", "order-portal", "b", hello("two")),
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, b := range d.balancers {
+			v := b.Board().View("order-portal", func(string) bool { return false })
+			if len(v.Members()) != len(agents) || !b.Ready() {
+				return poll.Continue("a balancer does not know the agents yet")
+			}
+		}
+		for _, a := range agents {
+			if !a.Ready() {
+				return poll.Continue("an agent is not ready yet")
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(waitTime))
+	for _, front := range fronts {
+		status, outcome, body := get(t, front, "/")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, outcome, "answered")
+		assert.Assert(t, body == "one" || body == "two", body)
+	}
+}
