feat: make the views of all services in one pass

Cause: Board.View sorted all agents for each service. Change: View filters before it copies and does not sort by key, since NewView sorts by short id; Views makes the views of all services from one reading of the agents.

--- a/pkg/board/view.go
+++ b/pkg/board/view.go
@@ -14,20 +14,75 @@
 func (b *Board) View(service string, closed func(zone string) bool) *flow.View {
 	c, _, known := b.Contract(service)
 	var members []flow.Member
-	for _, r := range b.Records(KindAgent) {
-		a, ok := r.Value.(Agent)
-		if !ok || a.Service != service || a.Phase == PhaseLeft || closed(a.Zone) {
-			continue
+	for _, r := range b.agents(service) {
+		if m, ok := b.member(r, known && c.RunsIn(r.agent.Zone), closed); ok {
+			members = append(members, m)
 		}
-		zoneOut, _ := b.ZoneOut(a.Zone)
-		takesFlows := a.Phase == PhaseCold || a.Phase == PhaseReady
-		opens := known && c.RunsIn(a.Zone) && takesFlows && r.Version.Verdict == Alive && !zoneOut && !b.BackendOut(r.ID.Key)
-		holds := r.Version.Verdict != Dead
-		members = append(members, flow.NewMember(r.ID.Key, a.Data, a.Zone, opens, holds))
 	}
 	return flow.NewView(flow.ServiceIDOf(service), members)
 }
 
+// Views returns the view of each service that has a contract. It reads the agents once, where View for each
+// service would read all of them each time.
+func (b *Board) Views(closed func(service, zone string) bool) map[string]*flow.View {
+	byService := make(map[string][]agentRecord)
+	for _, r := range b.agents("") {
+		byService[r.agent.Service] = append(byService[r.agent.Service], r)
+	}
+	views := make(map[string]*flow.View)
+	for _, contract := range b.Records(KindContract) {
+		service := contract.ID.Key
+		c, ok := contract.Value.(Contract)
+		if !ok {
+			continue
+		}
+		var members []flow.Member
+		for _, r := range byService[service] {
+			in := func(zone string) bool { return closed(service, zone) }
+			if m, ok := b.member(r, c.RunsIn(r.agent.Zone), in); ok {
+				members = append(members, m)
+			}
+		}
+		views[service] = flow.NewView(flow.ServiceIDOf(service), members)
+	}
+	return views
+}
+
+type agentRecord struct {
+	id      string
+	agent   Agent
+	version Version
+}
+
+// agents returns the agents of a service in any order; "" means of all services.
+func (b *Board) agents(service string) []agentRecord {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var rs []agentRecord
+	for id, r := range b.records {
+		if id.Kind != KindAgent {
+			continue
+		}
+		if a, ok := r.Value.(Agent); ok && (service == "" || a.Service == service) {
+			rs = append(rs, agentRecord{id: id.Key, agent: a, version: r.Version})
+		}
+	}
+	return rs
+}
+
+// member returns the member that a view shows for an agent, or false when it is not in the view.
+func (b *Board) member(r agentRecord, inContract bool, closed func(zone string) bool) (flow.Member, bool) {
+	a := r.agent
+	if a.Phase == PhaseLeft || closed(a.Zone) {
+		return flow.Member{}, false
+	}
+	zoneOut, _ := b.ZoneOut(a.Zone)
+	takesFlows := a.Phase == PhaseCold || a.Phase == PhaseReady
+	opens := inContract && takesFlows && r.version.Verdict == Alive && !zoneOut && !b.BackendOut(r.id)
+	holds := r.version.Verdict != Dead
+	return flow.NewMember(r.id, a.Data, a.Zone, opens, holds), true
+}
+
 // ZoneGate remembers since when each zone has been out; the zero value is empty and ready to use.
 type ZoneGate struct {
 	mu    sync.Mutex
