feat: complete the balancer's views, bounds and failure handling

Cause: the first version made all views again on each change of the board, did not know when the grace of a zone ends, and told nobody of zone states that a peer lacks. Change: only the services that a change concerns are made again, all of them after a zone change; the table says when a grace ends, and the data path makes a new table first when that time has passed, so a process that was paused sends nothing by old views. OnRevisionGap reports agents that are behind or ahead, at most once a second each. Keys of senders that the board does not know are derived at most 200 times a second. An address that two contracts name stays with the service that holds its socket. Run ends the readers of service addresses before those of the data socket and closes sockets last, so what was read is sent. Tests: any of 3 balancers with different views, duplicates and late answers of a former owner, forged datagrams, a missed zone change, the stop.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -59,7 +59,9 @@
 	zones        board.ZoneGate
 	zoneRevision atomic.Uint64
 	services     atomic.Pointer[table]
-	dirty        chan struct{}
+	pending      pending
+	members      *members
+	gaps         gaps
 	stopping     atomic.Bool
 
 	// mu is held while the table is rebuilt.
@@ -94,11 +96,13 @@
 		metrics: m,
 		data:    conn,
 		address: localAddress(conn),
-		dirty:   make(chan struct{}, 1),
+		members: newMembers(),
+		pending: pending{wake: make(chan struct{}, 1)},
 		sockets: make(map[netip.AddrPort]*socket),
 		faults:  make(map[netip.AddrPort]string),
 	}
 	b.services.Store(&table{})
+	sealer.SetAdmission(b.members.admit)
 	b.growBuffer(conn)
 	cfg.Board.OnChange(b.onChange)
 	return b, nil
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -6,7 +6,11 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -36,28 +40,18 @@
 func mergeContract(tb testing.TB, b *board.Board, service string, revision uint64, addresses ...string) {
 	tb.Helper()
 	text := fmt.Sprintf(`{"service":%q,"addresses":["%s"],"zones":["a","b"],"backend":{"slots":2},"cold_start":{"slots":1},
-		"change":{"min_backends_in_service":1,"zone_out_grace_ms":0}}`, service, joinAddresses(addresses))
+		"change":{"min_backends_in_service":1,"zone_out_grace_ms":500}}`, service, strings.Join(addresses, `","`))
 	c, findings := contract.Decode("test.json", []byte(text))
 	assert.Equal(tb, findings.Len(), 0)
 	mergeRecord(tb, b, board.KindContract, service, board.Version{Seq: revision}, board.Contract{Contract: c})
 }
 
-func joinAddresses(addresses []string) string {
-	var b bytes.Buffer
-	for i, a := range addresses {
-		if i > 0 {
-			b.WriteString(`","`)
-		}
-		b.WriteString(a)
-	}
-	return b.String()
-}
-
 // fakeAgent is the data socket of an agent.
 type fakeAgent struct {
 	id     string
 	conn   *net.UDPConn
 	sealer *wire.Sealer
+	served atomic.Int64
 }
 
 func newFakeAgent(tb testing.TB, id string) *fakeAgent {
@@ -81,6 +75,22 @@
 	return d
 }
 
+// serve handles datagrams until the socket is closed.
+func (a *fakeAgent) serve(handle func(wire.Datagram)) {
+	buf := make([]byte, 4096)
+	for {
+		n, _, err := a.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		var d wire.Datagram
+		if a.sealer.Open(&d, buf[:n]) == nil {
+			a.served.Add(1)
+			handle(d)
+		}
+	}
+}
+
 // answer returns the datagram that answers a forwarded one.
 func (a *fakeAgent) answer(d wire.Datagram, payload string) wire.Datagram {
 	d.Kind = wire.KindReturn
@@ -93,10 +103,25 @@
 
 func (a *fakeAgent) send(tb testing.TB, to netip.AddrPort, d wire.Datagram) {
 	tb.Helper()
+	assert.NilError(tb, a.post(to, d))
+}
+
+// post sends a datagram; goroutines that outlive the test ignore its error.
+func (a *fakeAgent) post(to netip.AddrPort, d wire.Datagram) error {
 	b, err := a.sealer.Append(nil, &d)
+	if err == nil {
+		_, err = a.conn.WriteToUDPAddrPort(b, to)
+	}
+	return err
+}
+
+// freeAddress returns a service address that no socket uses; contracts do not allow port 0.
+func freeAddress(tb testing.TB) string {
+	tb.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 1, 1)})
 	assert.NilError(tb, err)
-	_, err = a.conn.WriteToUDPAddrPort(b, to)
-	assert.NilError(tb, err)
+	assert.NilError(tb, conn.Close())
+	return conn.LocalAddr().String()
 }
 
 func listen(tb testing.TB) *net.UDPConn {
@@ -129,7 +154,7 @@
 	return p
 }
 
-func startBalancer(tb testing.TB, brd *board.Board) (*Balancer, *prometheus.Registry) {
+func newBalancer(tb testing.TB, brd *board.Board) (*Balancer, *prometheus.Registry) {
 	tb.Helper()
 	registry := prometheus.NewRegistry()
 	b, err := New(Config{
@@ -137,13 +162,27 @@
 		Incarnation: 1, Board: brd, Registerer: registry,
 	})
 	assert.NilError(tb, err)
+	return b, registry
+}
+
+// run runs a balancer and returns a function that stops it and waits for its end.
+func run(tb testing.TB, b *Balancer) (stop func()) {
+	tb.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- b.Run(ctx) }()
-	tb.Cleanup(func() {
+	stop = sync.OnceFunc(func() {
 		cancel()
 		assert.NilError(tb, <-done)
 	})
+	tb.Cleanup(stop)
+	return stop
+}
+
+func startBalancer(tb testing.TB, brd *board.Board) (*Balancer, *prometheus.Registry) {
+	tb.Helper()
+	b, registry := newBalancer(tb, brd)
+	run(tb, b)
 	return b, registry
 }
 
@@ -172,16 +211,17 @@
 	first, second := newFakeAgent(t, "first"), newFakeAgent(t, "second")
 	first.join(t, &brd, "orders", "a", 1, board.PhaseReady)
 	second.join(t, &brd, "catalogue", "a", 1, board.PhaseReady)
-	mergeContract(t, &brd, "orders", 1, "127.0.1.1:0", "127.0.1.2:0")
-	mergeContract(t, &brd, "catalogue", 2, "127.0.1.3:0")
+	addresses := []string{freeAddress(t), freeAddress(t), freeAddress(t)}
+	mergeContract(t, &brd, "orders", 1, addresses[:2]...)
+	mergeContract(t, &brd, "catalogue", 2, addresses[2])
 	b, _ := startBalancer(t, &brd)
 	cases := []struct {
 		service, listed string
 		agent           *fakeAgent
 	}{
-		{"orders", "127.0.1.1:0", first},
-		{"orders", "127.0.1.2:0", first},
-		{"catalogue", "127.0.1.3:0", second},
+		{"orders", addresses[0], first},
+		{"orders", addresses[1], first},
+		{"catalogue", addresses[2], second},
 	}
 	for _, c := range cases {
 		at := serviceAddress(t, b, c.service, c.listed)
@@ -204,27 +244,32 @@
 func TestSocketsFollowContracts(t *testing.T) {
 	var brd board.Board
 	b, _ := startBalancer(t, &brd)
-	mergeContract(t, &brd, "orders", 1, "127.0.1.1:0")
-	serviceAddress(t, b, "orders", "127.0.1.1:0")
-	mergeContract(t, &brd, "orders", 2, "127.0.1.2:0")
-	serviceAddress(t, b, "orders", "127.0.1.2:0")
+	before, after := freeAddress(t), freeAddress(t)
+	mergeContract(t, &brd, "orders", 1, before)
+	serviceAddress(t, b, "orders", before)
+	mergeContract(t, &brd, "orders", 2, after)
+	serviceAddress(t, b, "orders", after)
 	s := b.services.Load().services[flow.ServiceIDOf("orders")]
 	assert.Equal(t, len(s.sockets), 1)
 }
 
-// dropped returns the drop counters that are not zero, as "direction reason" and count.
-func dropped(tb testing.TB, r *prometheus.Registry) map[string]int {
+// counters returns the counters of a metric that are not zero, by their label values joined with spaces.
+func counters(tb testing.TB, r *prometheus.Registry, metric string) map[string]int {
 	tb.Helper()
 	families, err := r.Gather()
 	assert.NilError(tb, err)
 	counts := make(map[string]int)
 	for _, f := range families {
-		if f.GetName() != "bramleymast_balancer_dropped_total" {
+		if f.GetName() != "bramleymast_balancer_"+metric {
 			continue
 		}
 		for _, m := range f.GetMetric() {
+			labels := make([]string, 0, len(m.GetLabel()))
+			for _, l := range m.GetLabel() {
+				labels = append(labels, l.GetValue())
+			}
 			if n := int(m.GetCounter().GetValue()); n > 0 {
-				counts[m.GetLabel()[0].GetValue()+" "+m.GetLabel()[1].GetValue()] = n
+				counts[strings.Join(labels, " ")] = n
 			}
 		}
 	}
@@ -235,9 +280,10 @@
 func TestDropsAreCountedByReason(t *testing.T) {
 	var brd board.Board
 	a := newFakeAgent(t, "first")
-	mergeContract(t, &brd, "orders", 1, "127.0.1.1:0", "127.0.1.2:0")
+	listed := freeAddress(t)
+	mergeContract(t, &brd, "orders", 1, listed, freeAddress(t))
 	b, registry := startBalancer(t, &brd)
-	at := serviceAddress(t, b, "orders", "127.0.1.1:0")
+	at := serviceAddress(t, b, "orders", listed)
 	caller := listen(t)
 	send(t, caller, at, initial())
 	send(t, caller, at, nil)
@@ -245,11 +291,11 @@
 
 	good := wire.Datagram{
 		Kind: wire.KindReturn, Service: flow.ServiceIDOf("orders"), Caller: localAddress(caller),
-		Address: netip.MustParseAddrPort("127.0.1.1:0"), Payload: []byte("x"),
+		Address: at, Payload: []byte("x"),
 	}
 	unknownService, unknownAddress, forward := good, good, good
 	unknownService.Service = flow.ServiceIDOf("catalogue")
-	unknownAddress.Address = netip.MustParseAddrPort("127.0.1.9:0")
+	unknownAddress.Address = netip.MustParseAddrPort("127.0.1.9:9")
 	forward.Kind = wire.KindForward
 	a.send(t, b.DataAddress(), unknownService)
 	a.send(t, b.DataAddress(), unknownAddress)
@@ -266,6 +312,108 @@
 		"return unauthentic": 1, "return oversized": 1,
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		return poll.Compare(gocmp.DeepEqual(dropped(t, registry), want))
+		return poll.Compare(gocmp.DeepEqual(counters(t, registry, "dropped_total"), want))
 	}, poll.WithTimeout(testWait))
 }
+
+// Guards against a stop that loses packets which the balancer had already read.
+func TestStopDropsNothingThatWasRead(t *testing.T) {
+	var brd board.Board
+	a := newFakeAgent(t, "first")
+	a.join(t, &brd, "orders", "a", 1, board.PhaseReady)
+	listed := freeAddress(t)
+	mergeContract(t, &brd, "orders", 1, listed)
+	b, registry := newBalancer(t, &brd)
+	stop := run(t, b)
+	at := serviceAddress(t, b, "orders", listed)
+	go a.serve(func(d wire.Datagram) { a.post(d.Balancer, a.answer(d, "x")) })
+	answered := make(chan struct{}, 1)
+	for range 8 {
+		caller := listen(t)
+		go func() {
+			buf := make([]byte, 100)
+			for {
+				if _, err := caller.WriteToUDPAddrPort(initial(), at); err != nil {
+					return
+				}
+				if _, _, err := caller.ReadFromUDPAddrPort(buf); err != nil {
+					return
+				}
+				select {
+				case answered <- struct{}{}:
+				default:
+				}
+			}
+		}()
+	}
+	for range 500 {
+		<-answered
+	}
+	stop()
+	received, sent := counters(t, registry, "received_total"), counters(t, registry, "packets_total")
+	assert.DeepEqual(t, sent, received)
+	assert.Assert(t, sent["forward"] >= 500)
+	assert.Equal(t, len(counters(t, registry, "dropped_total")), 0)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		return poll.Compare(gocmp.Equal(int(a.served.Load()), sent["forward"]))
+	}, poll.WithTimeout(testWait))
+}
+
+// Guards against packets that still go to a zone when the contract's grace has ended, also in a process that was
+// paused meanwhile and has not made its table again.
+func TestZoneIsClosedAfterTheGrace(t *testing.T) {
+	var brd board.Board
+	near, far := newFakeAgent(t, "near"), newFakeAgent(t, "far")
+	near.join(t, &brd, "orders", "a", 1, board.PhaseReady)
+	far.join(t, &brd, "orders", "b", 1, board.PhaseReady)
+	mergeContract(t, &brd, "orders", 1, freeAddress(t))
+	c, _, _ := brd.Contract("orders")
+	b, _ := newBalancer(t, &brd)
+	defer b.closeAll()
+	now := time.Unix(1_000_000, 0)
+	mergeRecord(t, &brd, board.KindZone, "b", board.Version{Seq: 2}, board.Zone{Availability: contract.NewAvailability(true, "", "")})
+	b.services.Store(b.nextTable(now, work{all: true}))
+	member := func(now time.Time) (*flow.Member, bool) {
+		return b.current(now).services[flow.ServiceIDOf("orders")].view.Member(flow.ShortIDOf("far"))
+	}
+	m, ok := member(now.Add(c.ZoneOutGrace() - 1))
+	assert.Assert(t, ok && m.Holds() && !m.Opens())
+	_, ok = member(now.Add(c.ZoneOutGrace()))
+	assert.Assert(t, !ok)
+	mergeRecord(t, &brd, board.KindZone, "b", board.Version{Seq: 3}, board.Zone{})
+	b.services.Store(b.nextTable(now.Add(time.Minute), b.pending.take()))
+	m, ok = member(now.Add(time.Minute))
+	assert.Assert(t, ok && m.Opens())
+}
+
+// Guards against invented senders that cost a key derivation each, and against known agents that are refused with them.
+func TestInventedSendersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMembers()
+		m.add("first", "orders", agentIncarnation)
+		admitted := 0
+		for i := range 10 * unknownSenderBurst {
+			if m.admit(uint64(1000 + i)) {
+				admitted++
+			}
+		}
+		assert.Equal(t, admitted, unknownSenderBurst)
+		assert.Assert(t, m.admit(agentIncarnation))
+		time.Sleep(time.Second)
+		assert.Assert(t, m.admit(1))
+	})
+}
+
+// Guards against a contract that takes an address which another contract holds.
+func TestAddressStaysWithItsService(t *testing.T) {
+	var brd board.Board
+	b, _ := startBalancer(t, &brd)
+	shared, own := freeAddress(t), freeAddress(t)
+	mergeContract(t, &brd, "orders", 1, shared)
+	at := serviceAddress(t, b, "orders", shared)
+	mergeContract(t, &brd, "catalogue", 2, shared, own)
+	serviceAddress(t, b, "catalogue", own)
+	services := b.services.Load().services
+	assert.Assert(t, services[flow.ServiceIDOf("orders")].find(at) != nil)
+	assert.Assert(t, services[flow.ServiceIDOf("catalogue")].find(at) == nil)
+}
--- /dev/null
+++ b/internal/balancer/failure_test.go
@@ -0,0 +1,211 @@
+package balancer
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	gocmp "gotest.tools/v3/assert/cmp"
+	"gotest.tools/v3/poll"
+
+	"github.com/bramleymast/bramleymast/internal/wire"
+	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/flow"
+)
+
+// continuing returns a packet that does not open a flow.
+func continuing() []byte { return []byte{0x43, 1, 2, 3, 4, 5, 6, 7, 8} }
+
+// passOn answers the packets of the flows that the agent owns and passes the others on by the rule of section 5.
+func (a *fakeAgent) passOn(view *flow.View, owns func(netip.AddrPort) bool) {
+	a.serve(func(d wire.Datagram) {
+		if owns(d.Caller) {
+			_ = a.post(d.Balancer, a.answer(d, fmt.Sprintf("%s after %d", a.id, d.Tried.Len())))
+			return
+		}
+		d.Tried.Add(flow.ShortIDOf(a.id))
+		if next := view.First(flow.NewKey(d.Caller, d.Service).Hash(), false, d.Tried); next != nil {
+			_ = a.post(next.Data(), d)
+		}
+	})
+}
+
+// Guards against a packet that does not reach the owner of its flow because the balancers' views differ: one knows
+// only some agents, one knows verdicts that the others do not know, one sees agents drain. A second packet must
+// reach the owner without extra hops, since its balancer has learned the owner.
+func TestPacketsReachTheOwnerFromAnyBalancer(t *testing.T) {
+	const agents, flows = 5, 40
+	var boards [3]board.Board
+	var full board.Board
+	all := make([]*fakeAgent, agents)
+	for i := range all {
+		a := newFakeAgent(t, fmt.Sprintf("agent%d", i))
+		all[i] = a
+		a.join(t, &full, "orders", "a", 1, board.PhaseReady)
+		if i >= 2 {
+			a.join(t, &boards[0], "orders", "a", 1, board.PhaseReady)
+		}
+		verdict := board.Verdict(i % 3)
+		a.join(t, &boards[1], "orders", "a", 1, board.PhaseReady)
+		r, _ := boards[1].Get(board.ID{Kind: board.KindAgent, Key: a.id})
+		mergeRecord(t, &boards[1], board.KindAgent, a.id, board.Version{Epoch: agentIncarnation, Seq: 1, Verdict: verdict}, r.Value)
+		a.join(t, &boards[2], "orders", "a", 1, board.PhaseReady)
+		if i%2 == 0 {
+			a.join(t, &boards[2], "orders", "a", 2, board.PhaseDraining)
+		}
+	}
+	owner := func(caller netip.AddrPort) *fakeAgent { return all[int(caller.Port())%agents] }
+	view := full.View("orders", func(string) bool { return false })
+	for _, a := range all {
+		go a.passOn(view, func(caller netip.AddrPort) bool { return owner(caller) == a })
+	}
+	for i := range boards {
+		listed := freeAddress(t)
+		mergeContract(t, &boards[i], "orders", 1, listed)
+		b, _ := startBalancer(t, &boards[i])
+		at := serviceAddress(t, b, "orders", listed)
+		for range flows {
+			caller := listen(t)
+			want := owner(localAddress(caller)).id
+			send(t, caller, at, continuing())
+			answer, from := receive(t, caller)
+			assert.Assert(t, bytes.HasPrefix(answer, []byte(want+" after ")), "balancer %d: %s, want %s", i, answer, want)
+			assert.Equal(t, from, at)
+			if _, ok := b.services.Load().services[flow.ServiceIDOf("orders")].view.Member(flow.ShortIDOf(want)); !ok {
+				continue
+			}
+			send(t, caller, at, continuing())
+			answer, _ = receive(t, caller)
+			assert.Equal(t, string(answer), want+" after 0", "balancer %d", i)
+		}
+	}
+}
+
+// Guards against answers that are lost, or given to another caller, when datagrams arrive twice and out of order,
+// and against a late answer of a former owner that parts a flow from its owner for good.
+func TestDuplicatedAndReorderedDatagrams(t *testing.T) {
+	const flows = 10
+	var brd board.Board
+	first, second := newFakeAgent(t, "first"), newFakeAgent(t, "second")
+	first.join(t, &brd, "orders", "a", 1, board.PhaseReady)
+	listed := freeAddress(t)
+	mergeContract(t, &brd, "orders", 1, listed)
+	b, registry := startBalancer(t, &brd)
+	at := serviceAddress(t, b, "orders", listed)
+	forwarded := make([]wire.Datagram, 0, flows)
+	for range flows {
+		caller := listen(t)
+		send(t, caller, at, initial())
+		send(t, caller, at, initial())
+		d := first.receive(t)
+		assert.Equal(t, first.receive(t).Caller, d.Caller)
+		forwarded = append(forwarded, d)
+		defer func() {
+			for range 2 {
+				answer, _ := receive(t, caller)
+				assert.Equal(t, string(answer), localAddress(caller).String())
+			}
+		}()
+	}
+	for i := range forwarded {
+		d := forwarded[len(forwarded)-1-i]
+		first.send(t, d.Balancer, first.answer(d, d.Caller.String()))
+		first.send(t, d.Balancer, first.answer(d, d.Caller.String()))
+	}
+
+	second.join(t, &brd, "orders", "a", 1, board.PhaseReady)
+	caller := listen(t)
+	d := forwarded[0]
+	d.Caller = localAddress(caller)
+	learned := func(a *fakeAgent) {
+		a.send(t, b.DataAddress(), a.answer(d, "x"))
+		receive(t, caller)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			view := b.services.Load().services[flow.ServiceIDOf("orders")].view
+			choice, ok := b.steerer.Steer(time.Now(), view, d.Caller, false)
+			return poll.Compare(gocmp.Equal(ok && choice.Cached && choice.Member.ID() == a.id, true))
+		}, poll.WithTimeout(testWait))
+	}
+	learned(first)
+	learned(second)
+	learned(first)
+	assert.Equal(t, len(counters(t, registry, "dropped_total")), 0)
+}
+
+// Guards against a forged datagram that reaches a caller or teaches the cache.
+func TestForgedDatagramChangesNothing(t *testing.T) {
+	var brd board.Board
+	owner, other := newFakeAgent(t, "owner"), newFakeAgent(t, "other")
+	owner.join(t, &brd, "orders", "a", 1, board.PhaseReady)
+	other.join(t, &brd, "orders", "a", 1, board.PhaseReady)
+	listed := freeAddress(t)
+	mergeContract(t, &brd, "orders", 1, listed)
+	b, registry := startBalancer(t, &brd)
+	serviceAddress(t, b, "orders", listed)
+	caller := listen(t)
+	d := wire.Datagram{
+		Kind: wire.KindReturn, Service: flow.ServiceIDOf("orders"), Caller: localAddress(caller),
+		Owner: flow.ShortIDOf("other"), Established: true, Payload: []byte("forged"),
+	}
+	foreign, err := wire.NewSealer(bytes.Repeat([]byte{8}, wire.KeySize), wire.PurposeData, agentIncarnation)
+	assert.NilError(t, err)
+	forged, err := foreign.Append(nil, &d)
+	assert.NilError(t, err)
+	send(t, other.conn, b.DataAddress(), forged)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		return poll.Compare(gocmp.Equal(counters(t, registry, "dropped_total")["return unauthentic"], 1))
+	}, poll.WithTimeout(testWait))
+	view := b.services.Load().services[flow.ServiceIDOf("orders")].view
+	choice, ok := b.steerer.Steer(time.Now(), view, d.Caller, false)
+	assert.Assert(t, ok && !choice.Cached)
+	// The first packet that the caller gets is the genuine one.
+	owner.send(t, b.DataAddress(), owner.answer(d, "genuine"))
+	answer, _ := receive(t, caller)
+	assert.Equal(t, string(answer), "genuine")
+}
+
+// Guards against a balancer that missed a zone change and does not learn of it from the agents' datagrams,
+// and against one that does not notice that an agent missed it.
+func TestMissedZoneChange(t *testing.T) {
+	var brd board.Board
+	near, far := newFakeAgent(t, "near"), newFakeAgent(t, "far")
+	near.join(t, &brd, "orders", "a", 1, board.PhaseReady)
+	far.join(t, &brd, "orders", "b", 1, board.PhaseReady)
+	listed := freeAddress(t)
+	mergeContract(t, &brd, "orders", 1, listed)
+	b, _ := newBalancer(t, &brd)
+	found := make(chan RevisionGap, 10)
+	b.OnRevisionGap(func(g RevisionGap) { found <- g })
+	run(t, b)
+	at := serviceAddress(t, b, "orders", listed)
+	caller := listen(t)
+	d := wire.Datagram{
+		Kind: wire.KindReturn, Service: flow.ServiceIDOf("orders"), Caller: localAddress(caller), ZoneRevision: 9,
+	}
+	far.send(t, b.DataAddress(), far.answer(d, "x"))
+	g := <-found
+	assert.Equal(t, g, RevisionGap{
+		Agent: "far", Service: flow.ServiceIDOf("orders"), Data: localAddress(far.conn), Theirs: 9, Ours: 0,
+	})
+	assert.Assert(t, !g.Behind())
+
+	// The composition fetches the zone state; no packet goes to the zone after the grace, although the cache names it.
+	mergeRecord(t, &brd, board.KindZone, "b", board.Version{Seq: 9}, board.Zone{Availability: contract.NewAvailability(true, "", "")})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, ok := b.services.Load().services[flow.ServiceIDOf("orders")].view.Member(flow.ShortIDOf("far"))
+		return poll.Compare(gocmp.Equal(ok, false))
+	}, poll.WithTimeout(testWait))
+	for range 20 {
+		send(t, caller, at, continuing())
+		assert.Equal(t, near.receive(t).ZoneRevision, uint64(9))
+	}
+	d.ZoneRevision = 8
+	near.send(t, b.DataAddress(), near.answer(d, "x"))
+	g = <-found
+	assert.Equal(t, g.Agent, "near")
+	assert.Assert(t, g.Behind())
+}
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -27,6 +27,7 @@
 		n, caller, err := k.conn.ReadFromUDPAddrPort(t.in[:wire.MaxPayload+1])
 		switch {
 		case err == nil:
+			b.metrics.fromCallers.Inc()
 			err = b.forward(t, k, caller, t.in[:n])
 		case k.closing.Load():
 			return
@@ -52,12 +53,13 @@
 	case len(packet) > wire.MaxPayload:
 		return wire.ErrOversized
 	}
-	s, ok := b.services.Load().services[k.id]
+	now := time.Now()
+	s, ok := b.current(now).services[k.id]
 	if !ok {
 		return errUnknownService
 	}
 	opening := wire.Opens(packet)
-	choice, ok := b.steerer.Steer(time.Now(), s.view, caller, opening)
+	choice, ok := b.steerer.Steer(now, s.view, caller, opening)
 	if !ok {
 		return errNoMember
 	}
@@ -91,10 +93,11 @@
 func (b *Balancer) serveReturns(context.Context) error {
 	t := newThread()
 	for {
-		n, _, err := b.data.ReadFromUDPAddrPort(t.in)
+		n, from, err := b.data.ReadFromUDPAddrPort(t.in)
 		switch {
 		case err == nil:
-			err = b.giveBack(t, t.in[:n])
+			b.metrics.fromAgents.Inc()
+			err = b.giveBack(t, from, t.in[:n])
 		case b.stopping.Load():
 			return nil
 		default:
@@ -107,7 +110,7 @@
 }
 
 // giveBack sends the payload of a return datagram to the caller and learns the owner of the flow.
-func (b *Balancer) giveBack(t *thread, packet []byte) error {
+func (b *Balancer) giveBack(t *thread, from netip.AddrPort, packet []byte) error {
 	d := &t.datagram
 	if err := b.sealer.Open(d, packet); err != nil {
 		return err
@@ -119,8 +122,10 @@
 	if !ok {
 		return errUnknownService
 	}
+	now := time.Now()
+	b.compareRevision(now, d, from)
 	if d.Established {
-		b.steerer.Learn(time.Now(), flow.NewKey(d.Caller, d.Service), d.Owner)
+		b.steerer.Learn(now, flow.NewKey(d.Caller, d.Service), d.Owner)
 	}
 	k := s.find(b.bound(d.Address))
 	if k == nil {
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -69,6 +69,7 @@
 }
 
 type metrics struct {
+	fromCallers, fromAgents   prometheus.Counter
 	forwarded, returned       prometheus.Counter
 	cached, ranked            prometheus.Counter
 	bindFailures              prometheus.Counter
@@ -80,6 +81,10 @@
 		Name: "bramleymast_balancer_packets_total",
 		Help: "Packets sent on, by direction.",
 	}, []string{"direction"})
+	received := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bramleymast_balancer_received_total",
+		Help: "Packets read, by direction; each is then sent on or dropped.",
+	}, []string{"direction"})
 	steered := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "bramleymast_balancer_steered_total",
 		Help: "Packets of callers by how their member was chosen: from the cache or by the ranking.",
@@ -89,10 +94,12 @@
 		Help: "Packets dropped, by direction and reason.",
 	}, []string{"direction", "reason"})
 	m := &metrics{
-		forwarded: packets.WithLabelValues(directionForward),
-		returned:  packets.WithLabelValues(directionReturn),
-		cached:    steered.WithLabelValues("cache"),
-		ranked:    steered.WithLabelValues("ranking"),
+		fromCallers: received.WithLabelValues(directionForward),
+		fromAgents:  received.WithLabelValues(directionReturn),
+		forwarded:   packets.WithLabelValues(directionForward),
+		returned:    packets.WithLabelValues(directionReturn),
+		cached:      steered.WithLabelValues("cache"),
+		ranked:      steered.WithLabelValues("ranking"),
 		bindFailures: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "bramleymast_balancer_bind_failures_total",
 			Help: "Failed attempts to bind a service address.",
@@ -103,7 +110,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{packets, steered, dropped, m.bindFailures} {
+	for _, c := range []prometheus.Collector{received, packets, steered, dropped, m.bindFailures} {
 		if err := r.Register(c); err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/internal/balancer/services.go
+++ b/internal/balancer/services.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -12,21 +13,13 @@
 	"github.com/bramleymast/bramleymast/pkg/flow"
 )
 
-// bindRetry is how often addresses that could not be bound are tried again, and records that were
-// forgotten without a notice are looked for.
-const bindRetry = 2 * time.Second
-
-// table holds the services by id; it is replaced as a whole when the set of services or addresses changes.
-type table struct{ services map[flow.ServiceID]*service }
-
-// service is what the data path needs of one customer service.
-type service struct {
-	name    string
-	sockets []*socket
-	view    *flow.View
-	// expires is when the grace of a zone that is out ends, so the view must be made again; zero means never.
-	expires time.Time
-}
+// Intervals at which the table is compared with the board without a notice.
+const (
+	// bindRetry is how often addresses that could not be bound are tried again.
+	bindRetry = 2 * time.Second
+	// fullRebuild is how often all views are made again, because the board gives no notice of forgotten records.
+	fullRebuild = 10 * time.Second
+)
 
 // socket receives the packets of callers for one service address.
 type socket struct {
@@ -38,35 +31,30 @@
 	closing        atomic.Bool
 }
 
-// find returns the socket bound to an address; an invalid address means the only one of the service.
-func (s *service) find(bound netip.AddrPort) *socket {
-	if !bound.IsValid() && len(s.sockets) == 1 {
-		return s.sockets[0]
-	}
-	for _, k := range s.sockets {
-		if k.bound == bound {
-			return k
+func raise(v *atomic.Uint64, to uint64) {
+	for {
+		old := v.Load()
+		if old >= to || v.CompareAndSwap(old, to) {
+			return
 		}
 	}
-	return nil
 }
 
 // onChange is called by the board; it must not block.
 func (b *Balancer) onChange(r board.Record) {
-	if r.ID.Kind == board.KindZone {
+	switch v := r.Value.(type) {
+	case board.Zone:
 		raise(&b.zoneRevision, r.Version.Seq)
-	}
-	select {
-	case b.dirty <- struct{}{}:
-	default:
-	}
-}
-
-func raise(v *atomic.Uint64, to uint64) {
-	for {
-		old := v.Load()
-		if old >= to || v.CompareAndSwap(old, to) {
-			return
+		b.pending.addAll()
+	case board.Contract:
+		b.pending.add(r.ID.Key)
+		b.pending.addSockets()
+	case board.Agent:
+		b.members.add(r.ID.Key, v.Service, r.Version.Epoch)
+		b.pending.add(v.Service)
+	case board.Backend:
+		if a, ok := b.cfg.Board.Get(board.ID{Kind: board.KindAgent, Key: r.ID.Key}); ok {
+			b.onChange(a)
 		}
 	}
 }
@@ -74,6 +62,10 @@
 // follow keeps the table equal to the board until the context ends.
 func (b *Balancer) follow(ctx context.Context, g *rungroup.Group) error {
 	raise(&b.zoneRevision, b.cfg.Board.ZoneRevision())
+	b.pending.addAll()
+	b.pending.addSockets()
+	full := time.NewTicker(fullRebuild)
+	defer full.Stop()
 	for {
 		b.rebuild(time.Now(), g)
 		timer := time.NewTimer(b.untilExpiry(time.Now()))
@@ -82,24 +74,41 @@
 			timer.Stop()
 			b.interruptAll()
 			return nil
-		case <-b.dirty:
-			timer.Stop()
+		case <-b.pending.wake:
 		case <-timer.C:
+			b.expire(time.Now())
+			b.pending.addSockets()
+		case <-full.C:
+			b.pending.addAll()
 		}
+		timer.Stop()
 	}
 }
 
 // untilExpiry returns how long the table stays valid.
 func (b *Balancer) untilExpiry(now time.Time) time.Duration {
 	d := bindRetry
-	for _, s := range b.services.Load().services {
-		if !s.expires.IsZero() {
-			d = min(d, s.expires.Sub(now))
-		}
+	if end := b.services.Load().expires; !end.IsZero() {
+		d = min(d, end.Sub(now))
 	}
 	return max(d, 0)
 }
 
+// expire makes all views again when the grace of a zone has ended.
+func (b *Balancer) expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if end := b.services.Load().expires; end.IsZero() || now.Before(end) {
+		return
+	}
+	w := b.pending.take()
+	if w.sockets {
+		b.pending.addSockets()
+	}
+	w.all = true
+	b.services.Store(b.nextTable(now, w))
+}
+
 func (b *Balancer) interruptAll() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -109,38 +118,62 @@
 	}
 }
 
-// rebuild makes the table from the board; g runs the readers of new sockets.
+// rebuild makes the pending parts of the table from the board; g runs the readers of new sockets.
 func (b *Balancer) rebuild(now time.Time, g *rungroup.Group) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, r := range b.cfg.Board.Records(board.KindZone) {
-		if z, ok := r.Value.(board.Zone); ok {
-			b.zones.Update(now, r.ID.Key, z.Out())
-		}
+	w := b.pending.take()
+	next := b.nextTable(now, w)
+	if w.sockets {
+		b.reconcile(next, g)
 	}
+	b.services.Store(next)
+	if w.sockets {
+		b.closeUnused(next)
+	}
+}
+
+// reconcile binds the addresses of the contracts on the board and gives them to the services of a table.
+func (b *Balancer) reconcile(next *table, g *rungroup.Group) {
 	contracts := b.cfg.Board.Records(board.KindContract)
-	next := &table{services: make(map[flow.ServiceID]*service)}
 	wanted := make(map[netip.AddrPort]string)
 	for _, r := range contracts {
 		if c, ok := r.Value.(board.Contract); ok {
-			s := &service{name: r.ID.Key}
-			s.view = b.view(now, s, c)
-			next.services[s.view.Service()] = s
-			b.claim(wanted, s.name, c)
+			b.claim(wanted, r.ID.Key, c)
 		}
 	}
 	b.openSockets(contracts, wanted, g)
-	for a, k := range b.sockets {
-		if s, ok := next.services[k.id]; ok && wanted[a] == k.name {
-			s.sockets = append(s.sockets, k)
+	b.attach(next, wanted)
+}
+
+// closeUnused closes the sockets that no service of the table in use has.
+func (b *Balancer) closeUnused(t *table) {
+	for _, k := range b.sockets {
+		if s, ok := t.services[k.id]; !ok || !slices.Contains(s.sockets, k) {
+			b.closeSocket(k)
 		}
 	}
-	b.services.Store(next)
+}
+
+// attach gives each service its sockets. Services are shared with the table in use, so a changed one is copied.
+func (b *Balancer) attach(t *table, wanted map[netip.AddrPort]string) {
+	sockets := make(map[flow.ServiceID][]*socket)
 	for a, k := range b.sockets {
-		if wanted[a] != k.name {
-			b.closeSocket(k)
+		if wanted[a] == k.name {
+			sockets[k.id] = append(sockets[k.id], k)
 		}
 	}
+	for id, s := range t.services {
+		if !sameSockets(s.sockets, sockets[id]) {
+			changed := *s
+			changed.sockets = sockets[id]
+			t.services[id] = &changed
+		}
+	}
+}
+
+func sameSockets(a, b []*socket) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(k *socket) bool { return !slices.Contains(b, k) })
 }
 
 func (b *Balancer) openSockets(contracts []board.Record, wanted map[netip.AddrPort]string, g *rungroup.Group) {
@@ -157,24 +190,6 @@
 	}
 }
 
-// view returns the view of a service and notes when it must be made again.
-func (b *Balancer) view(now time.Time, s *service, c board.Contract) *flow.View {
-	grace := c.ZoneOutGrace()
-	return b.cfg.Board.View(s.name, func(zone string) bool {
-		since, out := b.zones.Since(zone)
-		if !out {
-			return false
-		}
-		if end := since.Add(grace); now.Before(end) {
-			if s.expires.IsZero() || end.Before(s.expires) {
-				s.expires = end
-			}
-			return false
-		}
-		return true
-	})
-}
-
 // claim notes which service gets an address. When two contracts name the same one, the service that holds
 // its socket keeps it, else the first by name, so that no packet changes its service by a mistaken contract.
 func (b *Balancer) claim(wanted map[netip.AddrPort]string, name string, c board.Contract) {
