fix: call a process synchronised only after a peer that is

Ruled out: waiting for the relay role alone; a balancer with peers need not take it.

Change: the answer to a pull says whether its sender has caught up, and a process that has not caught up asks the first balancer it hears of within 250 ms.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -38,6 +38,13 @@
 	Want    []uint64
 }
 
+// wirePulled answers a pull.
+type wirePulled struct {
+	_        struct{} `cbor:",toarray"`
+	Records  [][]byte
+	Complete bool
+}
+
 type wireItem struct {
 	_                struct{} `cbor:",toarray"`
 	Hash, Epoch, Seq uint64
@@ -48,20 +55,22 @@
 func (p *Process) pull(ctx context.Context, a membership.Pull) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTime)
 	defer cancel()
-	records, err := p.callPull(ctx, a)
+	answer, err := p.callPull(ctx, a)
 	if err != nil {
 		p.cfg.Logger.Debug("cannot pull records", "from", a.To.String(), "error", err)
+		answer = membership.Pulled{From: a.To, Request: a.Request, Err: err}
 	}
-	p.post(membership.Pulled{From: a.To, Request: a.Request, Records: records, Err: err})
+	p.post(answer)
 	return nil
 }
 
-func (p *Process) callPull(ctx context.Context, a membership.Pull) ([]board.Record, error) {
+func (p *Process) callPull(ctx context.Context, a membership.Pull) (membership.Pulled, error) {
+	answer := membership.Pulled{From: a.To, Request: a.Request}
 	w := wirePull{Service: a.Request.Service, Want: a.Request.Want}
 	if a.Request.Member.Value != nil {
 		b, err := membership.EncodeRecord(a.Request.Member)
 		if err != nil {
-			return nil, errors.Trace(err)
+			return answer, errors.Trace(err)
 		}
 		w.Member = b
 	}
@@ -70,26 +79,26 @@
 	}
 	args, err := cbor.Marshal(w)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return answer, errors.Trace(err)
 	}
 	var reply []byte
 	if err := p.Call(ctx, a.To, "Control.Pull", args, &reply); err != nil {
-		return nil, errors.Trace(err)
+		return answer, errors.Trace(err)
 	}
-	var encoded [][]byte
-	if err := cbor.Unmarshal(reply, &encoded); err != nil {
-		return nil, errors.Trace(err)
+	var pulled wirePulled
+	if err := cbor.Unmarshal(reply, &pulled); err != nil {
+		return answer, errors.Trace(err)
 	}
-	records := make([]board.Record, 0, len(encoded))
-	for _, b := range encoded {
+	answer.Complete = pulled.Complete
+	for _, b := range pulled.Records {
 		r, err := membership.DecodeRecord(b)
 		if err != nil {
 			p.metrics.refused.WithLabelValues(errMalformed.Error()).Inc()
 			continue
 		}
-		records = append(records, r)
+		answer.Records = append(answer.Records, r)
 	}
-	return records, nil
+	return answer, nil
 }
 
 // accept serves net/rpc on sealed connections.
@@ -151,7 +160,8 @@
 		s.p.post(membership.Received{Message: membership.Push{Records: []board.Record{req.Member}}})
 	}
 	var records []board.Record
-	if err := s.p.ask(ctx, func(n *membership.Node) { records = n.Snapshot(req) }); err != nil {
+	var complete bool
+	if err := s.p.ask(ctx, func(n *membership.Node) { records, complete = n.Snapshot(req), n.Synchronised() }); err != nil {
 		return err
 	}
 	encoded := make([][]byte, 0, len(records))
@@ -162,7 +172,7 @@
 		}
 		encoded = append(encoded, b)
 	}
-	*reply, err = cbor.Marshal(encoded)
+	*reply, err = cbor.Marshal(wirePulled{Records: encoded, Complete: complete})
 	return err
 }
 
--- a/pkg/membership/catchup.go
+++ b/pkg/membership/catchup.go
@@ -82,6 +82,12 @@
 	if len(e.Request.Want) > 0 {
 		return
 	}
+	if !e.Complete && !n.catchUp.done {
+		// After a restart of the whole system every peer is as empty as this process.
+		n.note(ReasonIncomplete, board.ID{}, board.Version{})
+		n.pullFailed()
+		return
+	}
 	n.synchronised()
 	n.catchUp.next = time.Time{}
 	if own, ok := n.board.Get(n.self); ok && n.stated {
@@ -106,6 +112,16 @@
 	}
 }
 
+// pullSoon brings the next pull forward when a process that has not caught up hears of a balancer.
+func (n *Node) pullSoon() {
+	c := &n.catchUp
+	soon := n.now.Add(firstPullWait)
+	if c.done || len(c.order) > 0 || !c.next.After(soon) {
+		return
+	}
+	c.next = n.now.Add(n.jitter(firstPullWait))
+}
+
 // checkIsolation starts to pull again when nobody answers any more, or when a balancer knows no peer.
 func (n *Node) checkIsolation() {
 	c := &n.catchUp
--- a/pkg/membership/event.go
+++ b/pkg/membership/event.go
@@ -34,7 +34,9 @@
 	From    netip.AddrPort
 	Request PullRequest
 	Records []board.Record
-	Err     error
+	// Complete is true when the answering process had itself caught up.
+	Complete bool
+	Err      error
 }
 
 // LeaseAnswer is the answer to AcquireLease; Fencing is the store revision of the lease's key.
@@ -132,6 +134,7 @@
 	ReasonQueueFull    Reason = "queue_full"
 	ReasonOversized    Reason = "oversized_record_pulled"
 	ReasonPullFailed   Reason = "pull_failed"
+	ReasonIncomplete   Reason = "pulled_from_unsynchronised"
 	ReasonSynchronised Reason = "synchronised"
 	ReasonForgotten    Reason = "tombstone_forgotten"
 	ReasonRelayTaken   Reason = "relay_taken"
--- a/pkg/membership/node.go
+++ b/pkg/membership/node.go
@@ -254,6 +254,9 @@
 	case board.KindBalancer:
 		n.peers.dirty = true
 		n.liveness.dirty = true
+		if r.ID != n.self {
+			n.pullSoon()
+		}
 	case board.KindAgent:
 		n.liveness.changed(n, old, had, r)
 	case board.KindContract, board.KindZone, board.KindBackend, board.KindRelay:
