feat: add the core of the operator commands

Cause: operators must learn the true outcome of a change, also when the store fails in the middle of it, and must not lose a service by mistake.

Change: internal/operator applies contracts and states by one compare-and-swap that is repeated at the same base until the operation id or another winner is seen. A change that leaves a service without a place, or below min_backends_in_service, is refused without confirmation.

Ruled out: undoing the later of two concurrent zone changes. It would revert an accepted change that nobody asked to revert.

--- /dev/null
+++ b/internal/operator/contracts.go
@@ -0,0 +1,245 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/internal/configvalue"
+	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// Stored is a contract with what the store knows about it.
+type Stored struct {
+	revision store.Revision
+	value    configvalue.Contract
+}
+
+// Revision returns the revision at which the contract is in the store; 0 means that there is none.
+func (s Stored) Revision() store.Revision { return s.revision }
+
+// Contract returns the contract.
+func (s Stored) Contract() contract.Contract { return s.value.Contract }
+
+// Value returns the contract with its author, time, operation id and history.
+func (s Stored) Value() configvalue.Contract { return s.value }
+
+// chain returns the known revisions, newest first.
+func (s Stored) chain() []configvalue.Revision {
+	if s.revision == 0 {
+		return nil
+	}
+	v := s.value
+	current := configvalue.Revision{
+		Revision: s.revision, OperationID: v.OperationID, Author: v.Author, Time: v.Time, Contract: v.Contract,
+	}
+	return append([]configvalue.Revision{current}, v.History...)
+}
+
+// At returns the contract that was in force at a revision; the zero contract stands for revision 0.
+func (s Stored) At(revision store.Revision) (contract.Contract, bool) {
+	for _, r := range s.chain() {
+		if r.Revision == revision {
+			return r.Contract, true
+		}
+	}
+	return contract.Contract{}, revision == 0
+}
+
+// Revisions returns the contract in force and its earlier revisions, newest first.
+func (s Stored) Revisions() []configvalue.Revision { return s.chain() }
+
+// winner returns the revision that replaced a base, if the chain still tells.
+func (s Stored) winner(base store.Revision) (configvalue.Revision, bool) {
+	chain := s.chain()
+	for i, r := range chain {
+		if r.Revision == base {
+			return chain[max(i-1, 0)], i > 0
+		}
+	}
+	complete := len(s.value.History) < configvalue.MaxHistory
+	if base != 0 || !complete || len(chain) == 0 {
+		return configvalue.Revision{}, false
+	}
+	return chain[len(chain)-1], true
+}
+
+// Contract returns the contract of a service; its revision is 0 when there is none.
+func (o *Operator) Contract(ctx context.Context, service string) (Stored, error) {
+	e, err := o.cfg.Store.Get(ctx, configvalue.ContractKey(service))
+	if errors.Is(err, store.ErrNotFound) {
+		return Stored{}, nil
+	}
+	if err != nil {
+		return Stored{}, errors.Trace(err)
+	}
+	return storedContract(e)
+}
+
+func storedContract(e store.Entry) (Stored, error) {
+	if e.Deleted {
+		return Stored{}, nil
+	}
+	v, err := configvalue.DecodeContract(e.Value)
+	if err != nil {
+		return Stored{}, errors.Annotatef(err, "the store's value of %s", e.Key)
+	}
+	return Stored{revision: e.Revision, value: v}, nil
+}
+
+// Contracts returns the contracts of all services, sorted by service.
+func (o *Operator) Contracts(ctx context.Context) ([]Stored, error) {
+	page, err := o.cfg.Store.List(ctx, configvalue.ContractsPrefix)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	all := make([]Stored, 0, len(page.Entries))
+	for _, e := range page.Entries {
+		s, err := storedContract(e)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+// Applied is the outcome of Apply.
+type Applied struct {
+	verdict     Verdict
+	service     string
+	operationID string
+	revision    store.Revision
+	base        store.Revision
+	cause       error
+	asked       contract.Contract
+	ours        []contract.Change
+	theirs      []contract.Change
+	baseKnown   bool
+	winner      configvalue.Revision
+	losses      []Loss
+}
+
+// Verdict returns how the change ended.
+func (a Applied) Verdict() Verdict { return a.verdict }
+
+// Service returns the service of the contract.
+func (a Applied) Service() string { return a.service }
+
+// OperationID returns the id under which the history lists the change.
+func (a Applied) OperationID() string { return a.operationID }
+
+// Revision returns the revision that holds the asked contract, or 0.
+func (a Applied) Revision() store.Revision { return a.revision }
+
+// Base returns the revision from which the contract was made.
+func (a Applied) Base() store.Revision { return a.base }
+
+// Cause returns why the change was not accepted or its outcome is unknown.
+func (a Applied) Cause() error { return a.cause }
+
+// BaseKnown reports whether the history still holds the base, without which it cannot be told who changed what.
+func (a Applied) BaseKnown() bool { return a.baseKnown }
+
+// Ours returns what the contract changes in its base, or in the contract in force when the base is not known.
+func (a Applied) Ours() []contract.Change { return a.ours }
+
+// Theirs returns what changed since the base in a conflict.
+func (a Applied) Theirs() []contract.Change { return a.theirs }
+
+// Winner returns the newest revision in a conflict; it is 0 when the store could not be read.
+func (a Applied) Winner() configvalue.Revision { return a.winner }
+
+// Losses returns what the change would take out, which needs a confirmation.
+func (a Applied) Losses() []Loss { return a.losses }
+
+// Apply replaces the contract of a service if the store still has the one from which it was made.
+func (o *Operator) Apply(ctx context.Context, c contract.Contract, base store.Revision, confirmed bool) Applied {
+	a := Applied{service: c.Service(), asked: c, base: base, operationID: o.cfg.NewOperationID()}
+	world, current, err := o.readFor(ctx, c.Service())
+	if err != nil {
+		a.verdict, a.cause = NotAccepted, err
+		return a
+	}
+	a = a.compare(current)
+	if current.revision != 0 && len(contract.Diff(current.Contract(), c)) == 0 {
+		a.verdict, a.revision = Unchanged, current.revision
+		return a
+	}
+	if current.revision != base {
+		return a.lost(current)
+	}
+	if a.losses = world.losses(world.withContract(c)); len(a.losses) > 0 && !confirmed {
+		a.verdict = Refused
+		return a
+	}
+	value, err := configvalue.EncodeContract(o.next(current, a.operationID, c))
+	if err != nil {
+		a.verdict, a.cause = NotAccepted, err
+		return a
+	}
+	w := o.write(ctx, change{
+		key: configvalue.ContractKey(a.service), value: value, base: base, judge: judgeContract(a.operationID, base),
+	})
+	a.verdict, a.revision, a.cause = w.verdict, w.revision, w.cause
+	if w.verdict != Conflict {
+		return a
+	}
+	now, err := o.Contract(ctx, a.service)
+	if err != nil {
+		a.cause = err
+		return a
+	}
+	return a.lost(now)
+}
+
+func (o *Operator) next(current Stored, operationID string, c contract.Contract) configvalue.Contract {
+	if current.revision == 0 {
+		return configvalue.Contract{OperationID: operationID, Author: o.cfg.Author, Time: o.cfg.Now(), Contract: c}
+	}
+	return current.value.Next(current.revision, operationID, o.cfg.Author, o.cfg.Now(), c)
+}
+
+// lost returns the conflict with the contract that the store has instead.
+func (a Applied) lost(now Stored) Applied {
+	a.verdict = Conflict
+	if chain := now.chain(); len(chain) > 0 {
+		a.winner = chain[0]
+	}
+	return a.compare(now)
+}
+
+// compare notes both changes since the base.
+func (a Applied) compare(now Stored) Applied {
+	before, known := now.At(a.base)
+	a.baseKnown = known
+	if !known {
+		before = now.Contract()
+	}
+	a.ours = contract.Diff(before, a.asked)
+	a.theirs = contract.Diff(before, now.Contract())
+	return a
+}
+
+// judgeContract looks for the operation in the contract's history.
+func judgeContract(operationID string, base store.Revision) judge {
+	return func(e store.Entry) (evidence, store.Revision) {
+		s, err := storedContract(e)
+		if err != nil || s.revision == 0 {
+			return evidenceGone, 0
+		}
+		for _, r := range s.chain() {
+			if r.OperationID == operationID {
+				return evidenceOurs, r.Revision
+			}
+		}
+		if s.revision == base {
+			return evidenceNone, 0
+		}
+		if _, known := s.winner(base); !known {
+			return evidenceGone, 0
+		}
+		return evidenceOther, 0
+	}
+}
--- /dev/null
+++ b/internal/operator/fake_test.go
@@ -0,0 +1,183 @@
+package operator_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bramleymast/bramleymast/internal/configvalue"
+	"github.com/bramleymast/bramleymast/internal/operator"
+	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// fault is what happens to one write.
+type fault int
+
+const (
+	none fault = iota
+	lostAfter
+	lostBefore
+	delayed
+	down
+)
+
+// effect is a write that took effect, with the revision that it replaced.
+type effect struct {
+	operation string
+	replaced  store.Revision
+}
+
+// fakeStore is a store whose writes fail by plan; it records the operation of every write that takes effect.
+type fakeStore struct {
+	store.Store
+	revision store.Revision
+	entries  map[string]store.Entry
+	effects  []effect
+	late     []func()
+	faults   []fault
+	// next returns the fault of a write, and before is called ahead of every call.
+	next   func() fault
+	before func()
+	reads  func() error
+}
+
+func newFake() *fakeStore {
+	return &fakeStore{
+		entries: map[string]store.Entry{},
+		next:    func() fault { return none },
+		before:  func() {},
+		reads:   func() error { return nil },
+	}
+}
+
+func (f *fakeStore) swap(key string, value []byte, expected store.Revision) (store.Revision, error) {
+	if f.entries[key].Revision != expected {
+		return 0, store.ErrConflict
+	}
+	f.revision++
+	f.entries[key] = store.Entry{Key: key, Value: value, Revision: f.revision}
+	f.effects = append(f.effects, effect{operationOf(key, value), expected})
+	return f.revision, nil
+}
+
+func operationOf(key string, value []byte) string {
+	if strings.HasPrefix(key, configvalue.ContractsPrefix) {
+		v, _ := configvalue.DecodeContract(value)
+		return v.OperationID
+	}
+	v, _ := configvalue.DecodeState(value)
+	return v.OperationID
+}
+
+func (f *fakeStore) Swap(_ context.Context, key string, value []byte, expected store.Revision, _ store.LeaseID) (store.Revision, error) {
+	f.before()
+	next := f.next()
+	f.faults = append(f.faults, next)
+	switch next {
+	case lostAfter:
+		_, _ = f.swap(key, value, expected)
+		return 0, store.ErrUnknownOutcome
+	case lostBefore:
+		return 0, store.ErrUnknownOutcome
+	case delayed:
+		f.late = append(f.late, func() { _, _ = f.swap(key, value, expected) })
+		return 0, store.ErrUnknownOutcome
+	case down:
+		return 0, store.ErrUnavailable
+	default:
+		return f.swap(key, value, expected)
+	}
+}
+
+// land lets the delayed writes reach the store.
+func (f *fakeStore) land() {
+	for _, late := range f.late {
+		late()
+	}
+	f.late = nil
+}
+
+func (f *fakeStore) Get(_ context.Context, key string) (store.Entry, error) {
+	f.before()
+	if err := f.reads(); err != nil {
+		return store.Entry{}, err
+	}
+	e, ok := f.entries[key]
+	if !ok {
+		return store.Entry{}, store.ErrNotFound
+	}
+	return e, nil
+}
+
+func (f *fakeStore) List(_ context.Context, prefix string) (store.Page, error) {
+	f.before()
+	if err := f.reads(); err != nil {
+		return store.Page{}, err
+	}
+	page := store.Page{Revision: f.revision}
+	for key, e := range f.entries {
+		if strings.HasPrefix(key, prefix) {
+			page.Entries = append(page.Entries, e)
+		}
+	}
+	return page, nil
+}
+
+// fakeStatus is a fleet whose progress the test sets.
+type fakeStatus struct {
+	processes []operator.Process
+	progress  func() []operator.Progress
+	err       error
+}
+
+func (s *fakeStatus) Processes(context.Context) ([]operator.Process, error) {
+	return slices.Clone(s.processes), s.err
+}
+
+func (s *fakeStatus) Progress(context.Context, netip.AddrPort, string) ([]operator.Progress, error) {
+	return s.progress(), nil
+}
+
+// clock is a clock that moves only when an operator pauses.
+type clock struct{ now time.Time }
+
+func (c *clock) pause(ctx context.Context, d time.Duration) error {
+	c.now = c.now.Add(d)
+	return ctx.Err()
+}
+
+// newOperator returns an operator whose operation ids are its author and a number.
+func newOperator(author string, s store.Store, status operator.StatusSource) *operator.Operator {
+	c := &clock{now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)}
+	n := 0
+	return operator.New(operator.Config{
+		Store: s, Status: status, Author: author, Pause: c.pause,
+		Now:            func() time.Time { return c.now },
+		NewOperationID: func() string { n++; return fmt.Sprintf("%s-%d", author, n) },
+	})
+}
+
+func orders(t *testing.T, slots int, zones ...string) contract.Contract {
+	t.Helper()
+	c, list := contract.Decode("", fmt.Appendf(nil, `{"service": "orders", "addresses": ["10.0.0.1:443"], "zones": ["%s"],
+  "backend": {"slots": %d}, "cold_start": {"slots": 1}, "change": {"min_backends_in_service": 2}}`, strings.Join(zones, `", "`), slots))
+	assert.NilError(t, list.Err())
+	return c
+}
+
+// TestMain fixes the seed of rapid, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20260102"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/operator/write_test.go
@@ -0,0 +1,166 @@
+package operator_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/bramleymast/bramleymast/internal/configvalue"
+	"github.com/bramleymast/bramleymast/internal/operator"
+	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// plan returns the given faults in order and repeats the last.
+func plan(faults ...fault) func() fault {
+	return func() fault {
+		next := faults[0]
+		if len(faults) > 1 {
+			faults = faults[1:]
+		}
+		return next
+	}
+}
+
+// Guards against a verdict that does not tell what the store holds, one fault at a time.
+func TestApplyUnderEachFault(t *testing.T) {
+	for name, c := range map[string]struct {
+		next    func() fault
+		verdict operator.Verdict
+		effects int
+	}{
+		"no fault":                       {plan(none), operator.Accepted, 1},
+		"answer lost after the effect":   {plan(lostAfter, none), operator.Accepted, 1},
+		"answer lost before the effect":  {plan(lostBefore, none), operator.Accepted, 1},
+		"delayed write after the retry":  {plan(delayed, none), operator.Accepted, 1},
+		"store down from the start":      {plan(down), operator.NotAccepted, 0},
+		"store down after a lost answer": {plan(lostBefore, down), operator.Unknown, 0},
+		"no write is ever answered":      {plan(lostAfter), operator.Accepted, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFake()
+			f.next = c.next
+			a := newOperator("ann", f, nil).Apply(context.Background(), orders(t, 2, "a"), 0, false)
+			f.land()
+			assert.Equal(t, a.Verdict(), c.verdict)
+			assert.Equal(t, len(f.effects), c.effects)
+		})
+	}
+}
+
+// Guards against two operators of whom both are told that their contract is in force,
+// whether the other change comes before the second operator reads the store or between the read and the write.
+func TestApplyByTwoOperatorsAtOnce(t *testing.T) {
+	for name, call := range map[string]int{"before the read": 1, "between read and write": 2} {
+		t.Run(name, func(t *testing.T) {
+			f := newFake()
+			ann, ben := newOperator("ann", f, nil), newOperator("ben", f, nil)
+			first := ann.Apply(context.Background(), orders(t, 2, "a"), 0, false)
+			assert.Equal(t, first.Verdict(), operator.Accepted)
+			calls := 0
+			f.before = func() {
+				if calls++; calls == call {
+					f.before = func() {}
+					a := ann.Apply(context.Background(), orders(t, 3, "a"), first.Revision(), false)
+					assert.Equal(t, a.Verdict(), operator.Accepted)
+				}
+			}
+			b := ben.Apply(context.Background(), orders(t, 2, "a", "b"), first.Revision(), false)
+			assert.Equal(t, b.Verdict(), operator.Conflict)
+			assert.Equal(t, b.Winner().Author, "ann")
+			assert.DeepEqual(t, texts(b.Theirs()), []string{"backend.slots: 2 -> 3"})
+			assert.DeepEqual(t, texts(b.Ours()), []string{"zones: a -> a, b"})
+		})
+	}
+}
+
+func texts(changes []contract.Change) []string {
+	all := make([]string, 0, len(changes))
+	for _, c := range changes {
+		all = append(all, c.String())
+	}
+	return all
+}
+
+// Guards against a lost change that is reported as a conflict, because later changes have pushed it out of the history.
+func TestApplyThatTheHistoryNoLongerShows(t *testing.T) {
+	f := newFake()
+	other := newOperator("other", f, nil)
+	base := other.Apply(context.Background(), orders(t, 1, "a"), 0, false).Revision()
+	f.next = plan(lostAfter, none)
+	f.reads = func() error {
+		f.reads = func() error { return nil }
+		f.before = func() {
+			if len(f.effects) < 2 {
+				return
+			}
+			f.before = func() {}
+			for i := range configvalue.MaxHistory + 2 {
+				other.Apply(context.Background(), orders(t, i+3, "a"), f.revision, false)
+			}
+		}
+		return nil
+	}
+	a := newOperator("ann", f, nil).Apply(context.Background(), orders(t, 2, "a"), base, false)
+	assert.Equal(t, f.effects[1].operation, a.OperationID())
+	assert.Equal(t, a.Verdict(), operator.Unknown)
+}
+
+// Guards against wrong verdicts under any interleaving of faults, delayed writes and other operators' changes.
+func TestApplyNeverReportsAWrongOutcome(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFake()
+		other := newOperator("other", f, nil)
+		base := other.Apply(context.Background(), orders(t, 1, "a"), 0, false).Revision()
+		if rapid.Bool().Draw(rt, "new service") {
+			base, f.entries, f.effects = 0, map[string]store.Entry{}, nil
+		}
+		slots := 2
+		disturb := func() {
+			next, reads := f.next, f.reads
+			f.before, f.next, f.reads = func() {}, plan(none), func() error { return nil }
+			for range rapid.SampledFrom([]int{0, 0, 1, configvalue.MaxHistory + 2}).Draw(rt, "changes of others") {
+				slots++
+				now, err := other.Contract(context.Background(), "orders")
+				assert.NilError(t, err)
+				other.Apply(context.Background(), orders(t, slots, "a"), now.Revision(), false)
+			}
+			if rapid.Bool().Draw(rt, "late writes land") {
+				f.land()
+			}
+			f.next, f.reads = next, reads
+		}
+		var before func()
+		before = func() { disturb(); f.before = before }
+		f.before = before
+		faults := rapid.SampledFrom([]fault{none, lostAfter, lostBefore, delayed, down})
+		f.next = func() fault { return faults.Draw(rt, "fault") }
+		f.reads = func() error {
+			return rapid.SampledFrom([]error{nil, nil, store.ErrUnavailable, store.ErrUnknownOutcome}).Draw(rt, "read")
+		}
+		a := newOperator("ann", f, nil).Apply(context.Background(), orders(t, 100, "a", "b"), base, false)
+		f.land()
+		effects := 0
+		for _, e := range f.effects {
+			if e.operation == a.OperationID() {
+				effects++
+				assert.Equal(rt, e.replaced, base, "the change replaced one that its author had not seen")
+			}
+		}
+		assert.Assert(rt, effects <= 1, "the change took effect %d times", effects)
+		switch a.Verdict() {
+		case operator.Accepted:
+			assert.Equal(rt, effects, 1)
+		case operator.Conflict, operator.NotAccepted:
+			assert.Equal(rt, effects, 0, "reported as %s", a.Verdict())
+		case operator.Unknown:
+			assert.Assert(rt, slices.Contains(f.faults, lostAfter) || slices.Contains(f.faults, lostBefore) || slices.Contains(f.faults, delayed),
+				"unknown although no answer was lost")
+		default:
+			rt.Fatalf("verdict %s", a.Verdict())
+		}
+	})
+}
