--- a/internal/wire/sealer.go
+++ b/internal/wire/sealer.go
@@ -49,8 +49,8 @@
 	return aead, errors.Trace(err)
 }
 
-// maxSenders bounds the cache of sender keys against datagrams with invented senders.
-const maxSenders = 8192
+// maxSenders bounds the cache of sender keys; it is above the design size of 22,000 agents.
+const maxSenders = 32768
 
 // Sealer authenticates datagrams with a key derived from the shared key and the sender's incarnation.
 type Sealer struct {
@@ -60,6 +60,8 @@
 	own     cipher.AEAD
 	counter atomic.Uint64
 
+	admit func(sender uint64) bool
+
 	mu      sync.RWMutex
 	senders map[uint64]cipher.AEAD
 }
@@ -75,6 +77,10 @@
 	return s, nil
 }
 
+// SetAdmission sets a function that is asked before a key is derived for a sender that has not been heard yet,
+// so that datagrams with invented senders cost little. It must be called before the first Open.
+func (s *Sealer) SetAdmission(f func(sender uint64) bool) { s.admit = f }
+
 func (s *Sealer) derive(sender uint64) (cipher.AEAD, error) {
 	return NewAEAD(s.shared, s.purpose, binary.BigEndian.AppendUint64(nil, sender))
 }
@@ -86,7 +92,14 @@
 	if ok {
 		return a, nil
 	}
-	return s.derive(sender)
+	if s.admit != nil && !s.admit(sender) {
+		return nil, ErrUnknownSender
+	}
+	a, err := s.derive(sender)
+	if err != nil {
+		return nil, ErrUnauthentic
+	}
+	return a, nil
 }
 
 // remember caches the key of a sender after one of its datagrams was authentic.
@@ -105,11 +118,9 @@
 	s.senders[sender] = a
 }
 
-func nonce(counter uint64) [12]byte {
-	var n [12]byte
-	binary.BigEndian.PutUint64(n[4:], counter)
-	return n
-}
+// nonce returns the nonce of an encoded datagram: the last 4 bytes of the sender, which are the same for all uses of
+// a key, and the counter. It is a part of the datagram, because an array of its own would be allocated each time.
+func nonce(b []byte) []byte { return b[16:28] }
 
 // Append encodes and authenticates a datagram behind b.
 func (s *Sealer) Append(b []byte, d *Datagram) ([]byte, error) {
@@ -119,8 +130,7 @@
 	start := len(b)
 	c := s.counter.Add(1)
 	b = d.appendBody(b, s.sender, c)
-	n := nonce(c)
-	return s.own.Seal(b, n[:], nil, b[start:]), nil
+	return s.own.Seal(b, nonce(b[start:]), nil, b[start:]), nil
 }
 
 // Open checks and decodes a datagram; the payload of d aliases b.
@@ -132,14 +142,12 @@
 		return ErrMalformed
 	}
 	sender := binary.BigEndian.Uint64(b[12:])
-	counter := binary.BigEndian.Uint64(b[20:])
 	a, err := s.aead(sender)
 	if err != nil {
-		return ErrUnauthentic
+		return err
 	}
 	body, tag := b[:len(b)-tagSize], b[len(b)-tagSize:]
-	n := nonce(counter)
-	if _, err := a.Open(nil, n[:], tag, body); err != nil {
+	if _, err := a.Open(nil, nonce(b), tag, body); err != nil {
 		return ErrUnauthentic
 	}
 	s.remember(sender, a)
