fix: end the verdicts that cut regions pass on each other

Cause, seen in the golden log of TestPartitionedRegionsJoinAgain: after a cut each side's peers are the live ones, so only the 1 in 8 digests to a seed crossed over; home balancers took the other side's verdict on members that they heard themselves; and balancers whose views differed judged members that sent their heartbeats elsewhere, so suspicion and refutation went on for ever (one balancer was at sequence 278) and used the budget of the repairs.

Change: 2 in 8 digests go to balancers that count as dead; a verdict on a member that is heard here is withheld and the member asked to refute it; a silent member is asked itself before it is suspected; 4 instead of 2 buckets are repaired in one exchange.

Seen failing without their mechanism: VerdictsEnd without asking the member and without digests to the dead, Partitioned without withholding.

--- a/internal/controlsim/world.go
+++ b/internal/controlsim/world.go
@@ -422,7 +422,9 @@
 			}
 		}
 		w.log("%s pulls %d records from %s", p.ID, len(records), to.ID)
-		answer(w.delay(back), membership.Pulled{From: a.To, Request: a.Request, Records: records})
+		answer(w.delay(back), membership.Pulled{
+			From: a.To, Request: a.Request, Records: records, Complete: to.Node.Synchronised(),
+		})
 	})
 }
 
--- a/pkg/membership/digest.go
+++ b/pkg/membership/digest.go
@@ -9,12 +9,15 @@
 
 const (
 	// bucketsPerExchange bounds what one exchange of digests repairs; the next one goes on.
-	bucketsPerExchange = 2
+	bucketsPerExchange = 4
 	// itemsPerMessage keeps a Versions message within one datagram.
 	itemsPerMessage = 32
-	// seedShare is the share of exchanges that go to a seed, so that parts of the system
-	// that have never heard of each other meet.
-	seedShare = 8
+	// seedShare of exchangeShares go to a seed, so that parts of the system that have never heard
+	// of each other meet, and deadShare to a balancer that counts as dead, so that parts that
+	// were cut off from each other notice the end of the cut.
+	exchangeShares = 8
+	seedShare      = 1
+	deadShare      = 2
 )
 
 // exchange sends the digest of the board to one random peer.
@@ -27,11 +30,15 @@
 
 func (n *Node) exchangePeer() (netip.AddrPort, bool) {
 	all := n.peers.all(n)
-	if len(all) == 0 || n.rand.IntN(seedShare) == 0 {
+	share := n.rand.IntN(exchangeShares)
+	if share < seedShare || len(all) == 0 {
 		if a, ok := n.randomSeed(); ok {
 			return a, true
 		}
 	}
+	if dead := n.peers.dead; len(dead) > 0 && share < seedShare+deadShare {
+		return dead[n.rand.IntN(len(dead))], true
+	}
 	if len(all) == 0 {
 		return netip.AddrPort{}, false
 	}
--- a/pkg/membership/event.go
+++ b/pkg/membership/event.go
@@ -126,6 +126,7 @@
 	ReasonTaken        Reason = "taken"
 	ReasonSuspected    Reason = "suspected_no_heartbeat"
 	ReasonDead         Reason = "dead_no_refutation"
+	ReasonWithheld     Reason = "verdict_withheld_member_heard"
 	ReasonRefuted      Reason = "refuted"
 	ReasonSuperseded   Reason = "superseded_by_newer_incarnation"
 	ReasonZoneSilent   Reason = "dead_zone_silent"
--- a/pkg/membership/failure_test.go
+++ b/pkg/membership/failure_test.go
@@ -256,7 +256,9 @@
 
 // Guards against regions that differ for ever, or go back, after they were partitioned.
 func TestPartitionedRegionsJoinAgain(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 12})
+	// The home balancers of a1 in its own region must not believe the other region's verdict.
+	counts := map[string]int{"b1 decides taken agent a1 0.1 dead": 0, "b5 decides taken agent a1 0.1 dead": 0}
+	w := counting(12, counts)
 	populate(w, 4, 8, 8)
 	noReverts(t, w)
 	w.Run(20 * time.Second)
@@ -275,6 +277,34 @@
 	for _, id := range []string{"a1", "a2", "a4", "a5"} {
 		must(t, w, time.Minute, allSay(w, board.KindAgent, id, "alive"))
 	}
+	for text, count := range counts {
+		assert.Equal(t, count, 0, text)
+	}
+}
+
+// Guards against regions of many members that go on condemning each other after the cut has ended.
+func TestVerdictsEndAfterACut(t *testing.T) {
+	for seed := range uint64(3) {
+		w := controlsim.New(controlsim.Config{Seed: seed})
+		populate(w, 4, 16, 40)
+		w.Run(20 * time.Second)
+		w.SetLink(cut(func(p *controlsim.Process) bool { return p.Zone < "c" }))
+		w.Run(2 * time.Minute)
+		find(w, "b1").Stop() // The seeds of the settings no longer lead to the other side.
+		find(w, "b2").Stop()
+		w.SetLink(nil)
+		must(t, w, time.Minute, func() bool {
+			return w.Everywhere(func(p *controlsim.Process) bool {
+				alive := 0
+				for _, r := range p.Board.Records(board.KindAgent, board.KindBalancer) {
+					if r.Version.Verdict == board.Alive {
+						alive++
+					}
+				}
+				return alive >= 14+40
+			})
+		})
+	}
 }
 
 // Guards against members of a lost zone that stay alive because their home balancers died with them.
--- a/pkg/membership/liveness.go
+++ b/pkg/membership/liveness.go
@@ -41,6 +41,7 @@
 
 type heard struct {
 	at       time.Time
+	epoch    uint64
 	contract uint64
 	scope    Sums
 }
@@ -180,7 +181,7 @@
 }
 
 func (n *Node) hear(r board.Record, m Heartbeat) {
-	n.liveness.heard[m.Member] = heard{at: n.now, contract: m.Contract, scope: m.Scope}
+	n.liveness.heard[m.Member] = heard{at: n.now, epoch: m.Version.Epoch, contract: m.Contract, scope: m.Scope}
 	if service := agentService(r); service != "" {
 		set := n.liveness.byScope[service]
 		if set == nil {
@@ -392,8 +393,11 @@
 	}
 }
 
-// askOthers asks the other home balancer, which may hear the member when the path to this one is broken.
+// askOthers asks the other home balancer, which may hear the member when the path to this one is broken,
+// and the member itself, which sends its heartbeats elsewhere while its view of the balancers differs.
+// Without the latter, views that differ after a cut keep suspicions and refutations going for ever.
 func (n *Node) askOthers(r board.Record) {
+	n.send(controlOf(r), Query{Member: r.ID})
 	for _, p := range rank(xxhash.Sum64String(r.ID.Key), n.otherHomeCandidates(r), homeCount, nil) {
 		n.send(p.control, Query{Member: r.ID})
 	}
--- a/pkg/membership/node.go
+++ b/pkg/membership/node.go
@@ -270,7 +270,10 @@
 // A record that comes from its origin is also sent to the other zones.
 func (n *Node) take(r board.Record, from netip.AddrPort, relayed bool) {
 	if r.ID == n.self {
-		n.takeOwn(r)
+		n.takeOwn(r, from)
+		return
+	}
+	if n.withhold(r) {
 		return
 	}
 	if n.merge(r) {
@@ -283,7 +286,7 @@
 }
 
 // takeOwn refutes what others say of this process.
-func (n *Node) takeOwn(r board.Record) {
+func (n *Node) takeOwn(r board.Record, from netip.AddrPort) {
 	own, ok := n.board.Get(n.self)
 	if !ok || r.Version.Compare(own.Version) <= 0 {
 		return
@@ -293,6 +296,22 @@
 		return
 	}
 	n.refute(r.Version.Seq, own.Value)
+	n.enqueue(from, n.self, false)
+}
+
+// withhold lets a member whose heartbeats come here refute a verdict of others before it is taken and spread.
+func (n *Node) withhold(r board.Record) bool {
+	h, ok := n.liveness.heard[r.ID]
+	if r.Version.Verdict == board.Alive || !ok || n.now.Sub(h.at) > n.silence() || h.epoch != r.Version.Epoch {
+		return false
+	}
+	have, ok := n.board.Get(r.ID)
+	if !ok || have.Version.Compare(r.Version) >= 0 {
+		return false
+	}
+	n.note(ReasonWithheld, r.ID, r.Version)
+	n.sendSpare(controlOf(have), Push{Records: []board.Record{r}, Relayed: true})
+	return true
 }
 
 func (n *Node) refute(seq uint64, v board.Value) {
--- a/pkg/membership/peers.go
+++ b/pkg/membership/peers.go
@@ -28,10 +28,12 @@
 
 // peers caches the live balancers of the board.
 type peers struct {
-	dirty   bool
-	byZone  map[string][]peer
-	names   []string
-	zoneOf  map[netip.AddrPort]string
+	dirty  bool
+	byZone map[string][]peer
+	names  []string
+	zoneOf map[netip.AddrPort]string
+	// dead holds the balancers that count as dead.
+	dead    []netip.AddrPort
 	heardAt map[string]time.Time
 }
 
@@ -43,13 +45,16 @@
 	p.dirty = false
 	p.byZone = make(map[string][]peer)
 	p.zoneOf = make(map[netip.AddrPort]string)
-	p.names = nil
+	p.names, p.dead = nil, nil
 	for _, r := range n.board.Records(board.KindBalancer) {
 		b, ok := r.Value.(board.Balancer)
 		if !ok || r.ID == n.self {
 			continue
 		}
 		p.zoneOf[b.Control] = b.Zone
+		if r.Version.Verdict == board.Dead {
+			p.dead = append(p.dead, b.Control)
+		}
 		if r.Version.Verdict == board.Dead || b.Leaving {
 			continue
 		}
