feat: shorten the acks and heartbeats of control, and measure slopes

An ack that agrees is now one byte of payload, and a heartbeat carries two sums instead of three.

Ruled out: dropping the incarnation from the heartbeat (9 bytes), because one process could then answer for another of the same id.

--- /dev/null
+++ b/internal/capacity/compute.go
@@ -0,0 +1,3 @@
+package capacity
+
+var needed = []string{}
--- /dev/null
+++ b/internal/capacity/slopes/main.go
@@ -0,0 +1,464 @@
+// Command slopes measures what control costs and prints the slopes as JSON for internal/capacity.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/bramleymast/bramleymast/internal/capacity"
+	"github.com/bramleymast/bramleymast/internal/controlsim"
+	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/membership"
+)
+
+const command = "go run ./internal/capacity/slopes"
+
+// heartbeat is the interval at the large size.
+const heartbeat = 2 * time.Second
+
+// measured is how long a steady state is observed, and settle how long a world takes to get there.
+const (
+	settle   = 30 * time.Second
+	measured = 60 * time.Second
+)
+
+const sampleContract = `{"service":%q,"addresses":["10.0.0.1:443","10.0.0.2:443"],"zones":["a","b","c"],` +
+	`"backend":{"slots":7},"cold_start":{"slots":2}}`
+
+func main() {
+	var all []capacity.Slope
+	for _, measure := range []func() []capacity.Slope{
+		byAgents, byBalancers, byServices, byChanges, byZones, byRecords, byPullRecords, processor,
+	} {
+		all = append(all, measure()...)
+	}
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", " ")
+	if err := out.Encode(all); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// size describes a simulated system.
+type size struct{ zones, balancers, agents, services int }
+
+func seeds() []netip.AddrPort {
+	return []netip.AddrPort{controlsim.AddressOf(1), controlsim.AddressOf(2)}
+}
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i) }
+
+func serviceName(i int) string { return fmt.Sprintf("service-%04d", i) }
+
+func build(s size) *controlsim.World {
+	w := controlsim.New(controlsim.Config{Seed: 7, Heartbeat: heartbeat})
+	for i := range s.balancers {
+		w.Balancer(fmt.Sprintf("balancer-%04d", i), zoneName(i%s.zones), seeds()...)
+		w.Run(100 * time.Millisecond)
+	}
+	w.Run(settle)
+	for i := range s.services {
+		w.Store.Put(serviceName(i), sample(serviceName(i)))
+	}
+	for i := range s.agents {
+		w.Agent(fmt.Sprintf("agent-%05d", i), zoneName(i%s.zones), serviceName(i%max(s.services, 1)), seeds()...)
+		w.Run(100 * time.Millisecond)
+	}
+	w.Run(2 * settle)
+	return w
+}
+
+func sample(service string) board.Value {
+	c, _ := contract.Decode("", fmt.Appendf(nil, sampleContract, service))
+	return board.Contract{Contract: c}
+}
+
+// rates are means for each process and second.
+type rates struct{ bytes, messages, events float64 }
+
+// observe returns the mean rates of balancers and agents while d passes.
+func observe(w *controlsim.World, d time.Duration, during func()) (balancer, agent rates) {
+	before := make(map[*controlsim.Process]controlsim.Usage)
+	for _, p := range w.Processes() {
+		before[p] = p.Usage
+	}
+	start := w.Now()
+	during()
+	w.Run(d - (w.Now() - start))
+	var balancers, agents float64
+	for _, p := range w.Processes() {
+		u, b := p.Usage, before[p]
+		r := rates{
+			bytes:    float64(u.SentBytes - b.SentBytes + u.ReceivedBytes - b.ReceivedBytes),
+			messages: float64(u.SentMessages - b.SentMessages + u.ReceivedMessages - b.ReceivedMessages),
+			events:   float64(u.Events - b.Events),
+		}
+		if p.Service == "" {
+			balancers++
+			balancer.add(r)
+			continue
+		}
+		agents++
+		agent.add(r)
+	}
+	balancer.divide(balancers * d.Seconds())
+	agent.divide(agents * d.Seconds())
+	return balancer, agent
+}
+
+func (r *rates) add(o rates) {
+	r.bytes += o.bytes
+	r.messages += o.messages
+	r.events += o.events
+}
+
+func (r *rates) divide(by float64) {
+	if by == 0 {
+		return
+	}
+	r.bytes /= by
+	r.messages /= by
+	r.events /= by
+}
+
+func idle() {}
+
+// series collects slopes that are measured at the same sizes.
+type series struct {
+	against, fixed string
+	slopes         []capacity.Slope
+}
+
+func (s *series) point(name, unit string, x, y float64) {
+	for i := range s.slopes {
+		if s.slopes[i].Name == name {
+			s.slopes[i].Points = append(s.slopes[i].Points, capacity.Point{X: x, Y: y})
+			return
+		}
+	}
+	s.slopes = append(s.slopes, capacity.Slope{
+		Name: name, Unit: unit, Against: s.against, Fixed: s.fixed, Command: command, Points: []capacity.Point{{X: x, Y: y}},
+	})
+}
+
+func (s *series) fit() []capacity.Slope {
+	for i := range s.slopes {
+		s.slopes[i] = s.slopes[i].Fit()
+	}
+	return s.slopes
+}
+
+func byAgents() []capacity.Slope {
+	s := series{against: "agents for each balancer", fixed: "6 balancers, 1 zone, 3 services, heartbeat 2 s"}
+	for _, agents := range []int{6, 18, 60, 180} {
+		w := build(size{zones: 1, balancers: 6, agents: agents, services: 3})
+		b, a := observe(w, measured, idle)
+		x := float64(agents) / 6
+		s.point("balancer_bytes_by_agents", "sent and received bytes a second", x, b.bytes)
+		s.point("balancer_messages_by_agents", "sent and received messages a second", x, b.messages)
+		s.point("balancer_events_by_agents", "events a second", x, b.events)
+		s.point("agent_bytes_by_agents", "sent and received bytes a second", x, a.bytes)
+	}
+	return s.fit()
+}
+
+func byBalancers() []capacity.Slope {
+	s := series{against: "balancers", fixed: "4 zones, 24 agents, 3 services, heartbeat 2 s, contract of 2 addresses"}
+	for _, balancers := range []int{8, 24, 80, 240} {
+		w := build(size{zones: 4, balancers: balancers, agents: 24, services: 3})
+		reads, writes := w.Store.Reads, w.Store.Writes
+		b, a := observe(w, measured, idle)
+		x := float64(balancers)
+		s.point("balancer_bytes_by_balancers", "sent and received bytes a second", x, b.bytes)
+		s.point("agent_bytes_by_balancers", "sent and received bytes a second", x, a.bytes)
+		s.point("store_writes_by_balancers", "writes a second", x, float64(w.Store.Writes-writes)/measured.Seconds())
+		s.point("store_reads_by_balancers", "reads a second", x, float64(w.Store.Reads-reads)/measured.Seconds())
+		changed, _ := observe(w, measured, func() { changeContracts(w, 20, 3) })
+		s.point("balancer_bytes_for_contract_by_balancers", "sent and received bytes for each change", x, (changed.bytes-b.bytes)*measured.Seconds()/20)
+		member, _ := observe(w, measured, func() { changeMembers(w, 20) })
+		s.point("balancer_bytes_for_member_by_balancers", "sent and received bytes for each change", x, (member.bytes-b.bytes)*measured.Seconds()/20)
+		s.point("spread_seconds_by_balancers", "seconds until a zone state is everywhere, worst of 10, 1% loss", x, worstSpread(w))
+	}
+	return s.fit()
+}
+
+func changeContracts(w *controlsim.World, count, services int) {
+	for i := range count {
+		w.Store.Put(serviceName(i%services), sample(serviceName(i%services)))
+		w.Run(time.Second)
+	}
+}
+
+// changeMembers makes the first agent state its record again and again.
+func changeMembers(w *controlsim.World, count int) {
+	for _, p := range w.Processes() {
+		if p.Service == "" {
+			continue
+		}
+		for i := range count {
+			phase := board.PhaseReady
+			if i%2 == 0 {
+				phase = board.PhaseCold
+			}
+			p.SetPhase(phase)
+			w.Run(time.Second)
+		}
+		return
+	}
+}
+
+func worstSpread(w *controlsim.World) float64 {
+	w.SetLink(func(_, _ *controlsim.Process) controlsim.Link {
+		return controlsim.Link{Delay: 3 * time.Millisecond, Jitter: 4 * time.Millisecond, Loss: 0.01}
+	})
+	defer w.SetLink(nil)
+	var worst time.Duration
+	for i := range 10 {
+		rev := w.Store.PutZone(zoneName(0), i%2 == 0)
+		id := board.ID{Kind: board.KindZone, Key: zoneName(0)}
+		took, _ := w.RunUntil(time.Minute, func() bool {
+			return w.Everywhere(func(p *controlsim.Process) bool { return p.Revision(id) >= rev })
+		})
+		worst = max(worst, took)
+		w.Run(5 * time.Second)
+	}
+	return worst.Seconds()
+}
+
+func byServices() []capacity.Slope {
+	s := series{against: "services", fixed: "6 balancers, 2 zones, 24 agents, heartbeat 2 s"}
+	for _, services := range []int{10, 30, 100, 300} {
+		w := build(size{zones: 2, balancers: 6, agents: 24, services: services})
+		b, a := observe(w, measured, idle)
+		s.point("balancer_bytes_by_services", "sent and received bytes a second", float64(services), b.bytes)
+		s.point("agent_bytes_by_services", "sent and received bytes a second", float64(services), a.bytes)
+	}
+	return s.fit()
+}
+
+func byChanges() []capacity.Slope {
+	s := series{against: "contract changes a minute", fixed: "24 balancers, 4 zones, 24 agents, 3 services, heartbeat 2 s"}
+	w := build(size{zones: 4, balancers: 24, agents: 24, services: 3})
+	for _, changes := range []int{1, 4, 12, 30} {
+		reads := w.Store.Reads
+		b, a := observe(w, measured, func() { changeContracts(w, changes, 3) })
+		x := float64(changes)
+		s.point("balancer_bytes_by_changes", "sent and received bytes a second", x, b.bytes)
+		s.point("agent_bytes_by_changes", "sent and received bytes a second", x, a.bytes)
+		s.point("store_reads_by_changes", "reads a second", x, float64(w.Store.Reads-reads)/measured.Seconds())
+	}
+	return s.fit()
+}
+
+func byZones() []capacity.Slope {
+	s := series{against: "zones", fixed: "4 balancers for each zone, no agents, heartbeat 2 s"}
+	for _, zones := range []int{1, 3, 10, 30} {
+		w := build(size{zones: zones, balancers: 4 * zones})
+		reads, writes := w.Store.Reads, w.Store.Writes
+		w.Run(measured)
+		x := float64(zones)
+		s.point("store_writes_by_zones", "writes a second", x, float64(w.Store.Writes-writes)/measured.Seconds())
+		s.point("store_reads_by_zones", "reads a second", x, float64(w.Store.Reads-reads)/measured.Seconds())
+		w.Store.SetDown(true)
+		reads, writes = w.Store.Reads, w.Store.Writes
+		w.Run(measured)
+		s.point("store_writes_in_outage_by_zones", "attempted writes a second", x, float64(w.Store.Writes-writes)/measured.Seconds())
+		s.point("store_reads_in_outage_by_zones", "attempted reads a second", x, float64(w.Store.Reads-reads)/measured.Seconds())
+		w.Store.SetDown(false)
+		reads, writes = w.Store.Reads, w.Store.Writes
+		w.Run(10 * time.Second)
+		s.point("store_writes_after_outage_by_zones", "writes in the 10 s after an outage", x, float64(w.Store.Writes-writes))
+		s.point("store_reads_after_outage_by_zones", "reads in the 10 s after an outage", x, float64(w.Store.Reads-reads))
+	}
+	return s.fit()
+}
+
+// fill returns the core of a balancer with the records of n agents, n/8 balancers and n/4 services.
+func fill(n int) *membership.Node {
+	core := membership.New(membership.Config{
+		ID: "balancer-0", Zone: zoneName(0), Incarnation: 1, Board: &board.Board{}, Address: controlsim.AddressOf(1), Heartbeat: heartbeat,
+	})
+	now := time.Unix(1e9, 0)
+	core.Handle(now, membership.Tick{})
+	core.Handle(now, membership.SetMember{Value: board.Balancer{Zone: zoneName(0), Control: controlsim.AddressOf(1)}})
+	take := func(r board.Record) {
+		core.Handle(now, membership.Pulled{Records: []board.Record{r}, Complete: true})
+	}
+	for i := range n / 8 {
+		take(balancerRecord(i + 1))
+	}
+	for i := range n / 4 {
+		take(board.Record{ID: board.ID{Kind: board.KindContract, Key: serviceName(i)}, Version: board.Version{Seq: 1}, Value: sample(serviceName(i))})
+	}
+	for i := range n {
+		take(agentRecord(i, n, 1))
+	}
+	return core
+}
+
+func balancerRecord(i int) board.Record {
+	v := board.Balancer{Zone: zoneName(i % 8), Control: controlsim.AddressOf(i + 1), Data: controlsim.AddressOf(i + 1)}
+	return board.Record{
+		ID: board.ID{Kind: board.KindBalancer, Key: fmt.Sprintf("balancer-%04d", i)}, Version: board.Version{Epoch: 1e18, Seq: 1}, Value: v,
+	}
+}
+
+func agentRecord(i, n int, seq uint64) board.Record {
+	a := controlsim.AddressOf(1<<16 + i)
+	v := board.Agent{Service: serviceName(i % max(n/4, 1)), Zone: zoneName(i % 8), Phase: board.PhaseReady, Control: a, Data: a}
+	return board.Record{
+		ID: board.ID{Kind: board.KindAgent, Key: fmt.Sprintf("agent-%05d", i)}, Version: board.Version{Epoch: 1e18, Seq: seq}, Value: v,
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+func byRecords() []capacity.Slope {
+	s := series{against: "agents", fixed: "1 balancer for 8 agents, 1 service for 4 agents"}
+	for _, n := range []int{800, 2400, 8000, 24000} {
+		before := heap()
+		core := fill(n)
+		s.point("balancer_heap_by_agents", "bytes of heap", float64(n), heap()-before)
+		runtime.KeepAlive(core)
+	}
+	return s.fit()
+}
+
+func byPullRecords() []capacity.Slope {
+	s := series{against: "agents", fixed: "1 balancer for 8 agents, 1 service for 4 agents"}
+	for _, n := range []int{800, 2400, 8000, 24000} {
+		core := fill(n)
+		var size int
+		r := testing.Benchmark(func(b *testing.B) {
+			for b.Loop() {
+				size = encodeAll(core.Snapshot(membership.PullRequest{}))
+			}
+		})
+		s.point("pull_bytes_by_agents", "bytes of the answer to a balancer", float64(n), float64(size))
+		s.point("pull_ns_by_agents", "ns of processor time for the answer to a balancer", float64(n), float64(r.NsPerOp()))
+		scope := encodeAll(core.Snapshot(membership.PullRequest{Service: serviceName(1)}))
+		s.point("agent_pull_bytes_by_agents", "bytes of the answer to an agent", float64(n), float64(scope))
+	}
+	return s.fit()
+}
+
+func encodeAll(records []board.Record) int {
+	size := 0
+	for _, r := range records {
+		if b, err := membership.EncodeRecord(r); err == nil {
+			size += len(b)
+		}
+	}
+	return size
+}
+
+func processor() []capacity.Slope {
+	s := series{against: "agents", fixed: "1 balancer for 8 agents, 1 service for 4 agents; decoding, deciding and encoding, without sealing"}
+	for _, n := range []int{800, 2400, 8000, 24000} {
+		x := float64(n)
+		s.point("heartbeat_ns_by_agents", "ns for a heartbeat and its ack", x, benchHeartbeat(n))
+		s.point("push_ns_by_agents", "ns for a new member record", x, benchPush(n))
+		s.point("digest_ns_by_agents", "ns for an equal digest", x, benchDigest(n))
+		s.point("beat_ns_by_agents", "ns for a tick with a heartbeat", x, benchBeat(n, false))
+		s.point("balancer_change_ns_by_agents", "ns for the tick after a balancer's record has changed", x, benchBeat(n, true))
+	}
+	return s.fit()
+}
+
+func receive(core *membership.Node, now time.Time, payload []byte) {
+	m, err := membership.Decode(payload)
+	if err != nil {
+		panic(err)
+	}
+	core.Handle(now, membership.Received{From: controlsim.AddressOf(2), Message: m})
+}
+
+func encode(m membership.Message) []byte {
+	b, err := membership.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func benchHeartbeat(n int) float64 {
+	core := fill(n)
+	r := agentRecord(0, n, 1)
+	payload := encode(membership.Heartbeat{Member: r.ID, Version: r.Version})
+	now := time.Unix(1e9, 0)
+	res := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			now = now.Add(time.Millisecond)
+			receive(core, now, payload)
+		}
+	})
+	return float64(res.NsPerOp())
+}
+
+func benchPush(n int) float64 {
+	core := fill(n)
+	now := time.Unix(1e9, 0)
+	seq := uint64(1)
+	res := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			seq++
+			now = now.Add(time.Second)
+			receive(core, now, encode(membership.Push{Records: []board.Record{agentRecord(1, n, seq)}, Relayed: true}))
+		}
+	})
+	return float64(res.NsPerOp())
+}
+
+func benchDigest(n int) float64 {
+	core := fill(n)
+	now := time.Unix(1e9, 0)
+	var digest []byte
+	for digest == nil {
+		now = now.Add(100 * time.Millisecond)
+		for _, a := range core.Handle(now, membership.Tick{}) {
+			if send, ok := a.(membership.Send); ok {
+				if _, ok := send.Message.(membership.Digest); ok {
+					digest = send.Payload
+				}
+			}
+		}
+	}
+	res := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			receive(core, now, digest)
+		}
+	})
+	return float64(res.NsPerOp())
+}
+
+func benchBeat(n int, changed bool) float64 {
+	now := time.Unix(1e9, 0)
+	core := fill(n)
+	seq := uint64(1)
+	res := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			now = now.Add(heartbeat)
+			if changed {
+				seq++
+				r := balancerRecord(8)
+				r.Version.Seq = seq
+				core.Handle(now, membership.Pulled{Records: []board.Record{r}, Complete: true})
+			}
+			core.Handle(now, membership.Tick{})
+		}
+	})
+	return float64(res.NsPerOp())
+}
--- a/internal/controlsim/world.go
+++ b/internal/controlsim/world.go
@@ -437,6 +437,9 @@
 	case membership.Heartbeat:
 		return fmt.Sprintf("heartbeat seq %d contract %d", m.Version.Seq, m.Contract)
 	case membership.Ack:
+		if m.Same {
+			return "ack knows the same"
+		}
 		return "ack knows " + versionText(m.Known)
 	case membership.Push:
 		names := make([]string, 0, len(m.Records))
--- a/pkg/membership/codec.go
+++ b/pkg/membership/codec.go
@@ -28,6 +28,8 @@
 	typeQuery
 	typeHeard
 	typeLoad
+	// typeAckSame has no body: most datagrams are heartbeats and their acks.
+	typeAckSame
 )
 
 type wireRecord struct {
@@ -49,18 +51,18 @@
 }
 
 type wireHeartbeat struct {
-	_                          struct{} `cbor:",toarray"`
-	Kind                       uint8
-	Key                        string
-	Epoch, Seq, Contract       uint64
-	Config, Members, Balancers uint64
+	_                    struct{} `cbor:",toarray"`
+	Kind                 uint8
+	Key                  string
+	Epoch, Seq, Contract uint64
+	Config, Members      uint64
 }
 
 type wireAck struct {
-	_                          struct{} `cbor:",toarray"`
-	Epoch, Seq                 uint64
-	Verdict                    uint8
-	Config, Members, Balancers uint64
+	_               struct{} `cbor:",toarray"`
+	Epoch, Seq      uint64
+	Verdict         uint8
+	Config, Members uint64
 }
 
 type wirePush struct {
@@ -124,6 +126,9 @@
 
 // Encode returns the payload of a control datagram.
 func Encode(m Message) ([]byte, error) {
+	if a, ok := m.(Ack); ok && a.Same {
+		return []byte{typeAckSame}, nil
+	}
 	t, v, err := toWire(m)
 	if err != nil {
 		return nil, err
@@ -141,12 +146,12 @@
 	case Heartbeat:
 		return typeHeartbeat, wireHeartbeat{
 			Kind: uint8(m.Member.Kind), Key: m.Member.Key, Epoch: m.Version.Epoch, Seq: m.Version.Seq, Contract: m.Contract,
-			Config: m.Scope.Config, Members: m.Scope.Members, Balancers: m.Scope.Balancers,
+			Config: m.Scope.Config, Members: m.Scope.Members,
 		}, nil
 	case Ack:
 		return typeAck, wireAck{
 			Epoch: m.Known.Epoch, Seq: m.Known.Seq, Verdict: uint8(m.Known.Verdict),
-			Config: m.Scope.Config, Members: m.Scope.Members, Balancers: m.Scope.Balancers,
+			Config: m.Scope.Config, Members: m.Scope.Members,
 		}, nil
 	case Push:
 		rs, err := wireRecords(m.Records)
@@ -174,6 +179,9 @@
 	if len(b) == 0 {
 		return nil, ErrMalformed
 	}
+	if len(b) == 1 && b[0] == typeAckSame {
+		return Ack{Same: true}, nil
+	}
 	m, err := fromWire(b[0], b[1:])
 	if err != nil {
 		return nil, errors.Annotatef(ErrMalformed, "type %d: %v", b[0], err)
@@ -187,13 +195,13 @@
 		w, err := parse[wireHeartbeat](b)
 		return Heartbeat{
 			Member: board.ID{Kind: board.Kind(w.Kind), Key: w.Key}, Version: board.Version{Epoch: w.Epoch, Seq: w.Seq},
-			Contract: w.Contract, Scope: Sums{Config: w.Config, Members: w.Members, Balancers: w.Balancers},
+			Contract: w.Contract, Scope: Sums{Config: w.Config, Members: w.Members},
 		}, err
 	case typeAck:
 		w, err := parse[wireAck](b)
 		return Ack{
 			Known: board.Version{Epoch: w.Epoch, Seq: w.Seq, Verdict: board.Verdict(w.Verdict)},
-			Scope: Sums{Config: w.Config, Members: w.Members, Balancers: w.Balancers},
+			Scope: Sums{Config: w.Config, Members: w.Members},
 		}, err
 	case typePush:
 		w, err := parse[wirePush](b)
--- a/pkg/membership/index.go
+++ b/pkg/membership/index.go
@@ -160,10 +160,10 @@
 
 // scope returns the sums of an agent's scope.
 func (x *index) scope(service string) Sums {
-	sums := Sums{Config: x.zones, Balancers: x.balancers}
+	sums := Sums{Config: x.zones, Members: x.balancers}
 	if s, ok := x.services[service]; ok {
 		sums.Config ^= s.contract ^ s.backends
-		sums.Members = s.members
+		sums.Members ^= s.members
 	}
 	return sums
 }
--- a/pkg/membership/liveness.go
+++ b/pkg/membership/liveness.go
@@ -177,6 +177,9 @@
 	if m.Member.Kind == board.KindAgent {
 		ack.Scope = n.index.scope(agentService(r))
 	}
+	if ok && ack.Known == m.Version && ack.Scope == m.Scope {
+		ack = Ack{Same: true}
+	}
 	n.send(from, ack)
 }
 
@@ -216,6 +219,11 @@
 func (n *Node) ack(from netip.AddrPort, m Ack) {
 	n.liveness.lastAck = n.now
 	delete(n.liveness.unanswered, from)
+	if m.Same {
+		n.liveness.mismatches = 0
+		n.liveness.repairWait = 0
+		return
+	}
 	own, ok := n.board.Get(n.self)
 	if !ok {
 		return
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -18,10 +18,8 @@
 type Sums struct {
 	// Config covers the contract of the service, zone states and states of the service's backend servers.
 	Config uint64
-	// Members covers the agents of the service.
+	// Members covers the agents of the service and all balancers.
 	Members uint64
-	// Balancers covers all balancers.
-	Balancers uint64
 }
 
 // Heartbeat tells a home balancer that a member is alive.
@@ -35,6 +33,8 @@
 
 // Ack answers a heartbeat.
 type Ack struct {
+	// Same is true when the balancer holds what the heartbeat states; the rest is then empty.
+	Same bool
 	// Known is the version of the member on the balancer's board; an older one or a verdict makes the member announce itself.
 	Known board.Version
 	Scope Sums
