fix: keep a quarter of the budget for what waits in the queues

Cause: heartbeats and acks are sent in any case and charged to the one token bucket, so a balancer that is home to too many members stayed in debt and sent no configuration at all. A quarter of the rate now goes to a reserve that only queued records and repairs use. TestConfigurationArrivesUnderTooManyHeartbeats (40 agents, 2 balancers, 1,000 bytes a second) fails with the reserve at 0 and passes at a quarter. Ruled out: holding back heartbeats, because late ones condemn live members.

--- a/pkg/membership/failure_test.go
+++ b/pkg/membership/failure_test.go
@@ -424,6 +424,15 @@
 	assert.Assert(t, used < 1000*(seconds+4+4+2), "%d bytes", used)
 }
 
+// Guards against heartbeats that use up the whole budget of a balancer with too many members.
+func TestConfigurationArrivesUnderTooManyHeartbeats(t *testing.T) {
+	w := controlsim.New(controlsim.Config{Seed: 22, Budget: 1000})
+	populate(w, 1, 2, 40)
+	w.Run(2 * time.Minute)
+	rev := w.Store.PutZone("a", true)
+	must(t, w, 14*time.Second, zoneAt(w, "a", uint64(rev)))
+}
+
 // Guards against a rack that returns and overloads its peers or the store.
 func TestRackReturns(t *testing.T) {
 	counts := map[string]int{"pull_failed": 0}
--- a/pkg/membership/node.go
+++ b/pkg/membership/node.go
@@ -160,7 +160,7 @@
 		}
 	}
 	if !n.queueEmpty() {
-		if t := n.now.Add(n.bucket.untilPositive()); t.Before(next) {
+		if t := n.now.Add(n.bucket.untilFilled()); t.Before(next) {
 			next = t
 		}
 	}
--- a/pkg/membership/outbox.go
+++ b/pkg/membership/outbox.go
@@ -45,34 +45,52 @@
 	}
 }
 
-// bucket is a token bucket of bytes.
+// reserveShare is the part of the budget that heartbeats and acks cannot use up, so that
+// configuration still arrives when a balancer is home to too many members.
+const reserveShare = 0.25
+
+// bucket is a token bucket of bytes with a reserve for what waits in the queues.
 type bucket struct {
-	rate   float64
-	tokens float64
-	last   time.Time
+	rate            float64
+	tokens, reserve float64
+	last            time.Time
 }
 
 func (b *bucket) refill(now time.Time) {
+	shared, reserved := b.rate*(1-reserveShare), b.rate*reserveShare
+	burst := burstTime.Seconds()
 	if b.last.IsZero() {
-		b.tokens = b.rate * burstTime.Seconds()
-	} else if d := now.Sub(b.last); d > 0 {
-		b.tokens = min(b.tokens+b.rate*d.Seconds(), b.rate*burstTime.Seconds())
+		b.tokens, b.reserve = shared*burst, reserved*burst
+	} else if d := now.Sub(b.last).Seconds(); d > 0 {
+		b.tokens = min(b.tokens+shared*d, shared*burst)
+		b.reserve = min(b.reserve+reserved*d, reserved*burst)
 	}
 	b.last = now
 }
 
-// take spends tokens; a debt delays what can wait. The debt is bounded, because heartbeats and
-// acks are sent in any case and would otherwise hold up zone states for ever.
+// take spends tokens for what is sent in any case; the debt is bounded.
 func (b *bucket) take(n int) {
 	b.tokens = max(b.tokens-float64(n), -b.rate*burstTime.Seconds())
 }
 
-// untilPositive returns how long it takes until the debt is paid.
-func (b *bucket) untilPositive() time.Duration {
-	if b.tokens > 0 || b.rate <= 0 {
+// spend spends tokens for what can wait.
+func (b *bucket) spend(n int) {
+	if b.tokens > 0 {
+		b.tokens -= float64(n)
+		return
+	}
+	b.reserve -= float64(n)
+}
+
+func (b *bucket) isEmpty() bool { return b.tokens <= 0 && b.reserve <= 0 }
+
+// untilFilled returns how long it takes until something that waits can be sent.
+func (b *bucket) untilFilled() time.Duration {
+	if !b.isEmpty() || b.rate <= 0 {
 		return 0
 	}
-	return time.Duration((1-b.tokens)/b.rate*float64(time.Second)) + time.Millisecond
+	seconds := min((1-b.tokens)/(b.rate*(1-reserveShare)), (1-b.reserve)/(b.rate*reserveShare))
+	return time.Duration(seconds*float64(time.Second)) + time.Millisecond
 }
 
 // queue holds records by destination, so that those for one destination share a datagram
@@ -135,7 +153,7 @@
 func (n *Node) flush() {
 	for c := range classCount {
 		q := &n.queues[c]
-		for n.bucket.tokens > 0 {
+		for !n.bucket.isEmpty() {
 			to, es, ok := q.next()
 			if !ok {
 				break
@@ -174,35 +192,38 @@
 		count++
 	}
 	if len(push.Records) > 0 {
-		n.send(to, push)
+		n.bucket.spend(n.emitSend(to, push))
 	}
 	if len(large) > 0 {
-		n.send(to, Notice{Items: large})
+		n.bucket.spend(n.emitSend(to, Notice{Items: large}))
 	}
 	return count
 }
 
-// send emits a message at once and charges it to the budget.
-func (n *Node) send(to netip.AddrPort, m Message) {
+// emitSend emits a message and returns its size on the wire.
+func (n *Node) emitSend(to netip.AddrPort, m Message) int {
 	if !to.IsValid() || to == n.cfg.Address {
-		return
+		return 0
 	}
 	payload, err := Encode(m)
 	if err != nil {
 		n.note(ReasonInvalid, board.ID{}, board.Version{})
-		return
+		return 0
 	}
-	n.bucket.take(len(payload) + datagramOverhead)
 	n.emit(Send{To: to, Message: m, Payload: payload})
+	return len(payload) + datagramOverhead
 }
 
+// send emits a message that cannot wait, such as a heartbeat.
+func (n *Node) send(to netip.AddrPort, m Message) { n.bucket.take(n.emitSend(to, m)) }
+
 // sendSpare sends a message of a repair if the budget has anything left; a later exchange repeats it.
 func (n *Node) sendSpare(to netip.AddrPort, m Message) {
-	if n.bucket.tokens <= 0 {
+	if n.bucket.isEmpty() {
 		n.note(ReasonOverBudget, board.ID{}, board.Version{})
 		return
 	}
-	n.send(to, m)
+	n.bucket.spend(n.emitSend(to, m))
 }
 
 // enqueue puts a record in line for a destination.
