fix: find the members that a balancer judges without sorting the board

Cause: each changed balancer record made the next tick copy and sort the board twice and count the balancers of its zone for every member. In a rack loss every tick has such a change. Change: the index holds the zone of each member, members of other zones are left out at once, and balancers are read by id. It still grows with members of the zone times balancers of the zone.

--- a/pkg/membership/index.go
+++ b/pkg/membership/index.go
@@ -58,8 +58,8 @@
 	version board.Version
 	// counted is false for tombstones, which processes forget at different times.
 	counted bool
-	// service is the service of an agent.
-	service string
+	// service is the service of an agent, and zone the zone of a member.
+	service, zone string
 }
 
 type scopeSums struct{ contract, backends, members uint64 }
@@ -88,7 +88,7 @@
 func (x *index) put(r board.Record) {
 	hash := HashOf(r.ID)
 	x.remove(hash)
-	item := indexed{id: r.ID, version: r.Version, counted: !isTombstone(r)}
+	item := indexed{id: r.ID, version: r.Version, counted: !isTombstone(r), zone: zoneOf(r)}
 	if a, ok := r.Value.(board.Agent); ok {
 		item.service = a.Service
 	}
@@ -158,6 +158,18 @@
 	}
 }
 
+// balancerIDs returns the ids of all balancers, sorted.
+func (x *index) balancerIDs() []board.ID {
+	var out []board.ID
+	for _, item := range x.items {
+		if item.id.Kind == board.KindBalancer {
+			out = append(out, item.id)
+		}
+	}
+	slices.SortFunc(out, compareIDs)
+	return out
+}
+
 // scope returns the sums of an agent's scope.
 func (x *index) scope(service string) Sums {
 	sums := Sums{Config: x.zones, Members: x.balancers}
--- a/pkg/membership/liveness.go
+++ b/pkg/membership/liveness.go
@@ -321,12 +321,26 @@
 	}
 	n.liveness.dirty = false
 	n.peers.refresh(n)
-	for _, r := range n.board.Records(board.KindAgent, board.KindBalancer) {
-		n.setDuty(r)
+	for _, item := range n.index.items {
+		if !n.mayJudge(item) {
+			delete(n.liveness.duties, item.id)
+			continue
+		}
+		if r, ok := n.board.Get(item.id); ok {
+			n.setDuty(r)
+		}
 	}
 	n.refreshGuard()
 }
 
+// mayJudge excludes most members without ranking the balancers: those of other zones that have balancers of their own.
+func (n *Node) mayJudge(item indexed) bool {
+	if item.id.Kind != board.KindAgent && item.id.Kind != board.KindBalancer {
+		return false
+	}
+	return item.zone == n.cfg.Zone || len(n.peers.byZone[item.zone]) <= 1
+}
+
 func (n *Node) setDuty(r board.Record) {
 	d, has := n.liveness.duties[r.ID]
 	switch judged := n.isJudged(r); {
--- a/pkg/membership/peers.go
+++ b/pkg/membership/peers.go
@@ -46,7 +46,8 @@
 	p.byZone = make(map[string][]peer)
 	p.zoneOf = make(map[netip.AddrPort]string)
 	p.names, p.dead = nil, nil
-	for _, r := range n.board.Records(board.KindBalancer) {
+	for _, id := range n.index.balancerIDs() {
+		r, _ := n.board.Get(id)
 		b, ok := r.Value.(board.Balancer)
 		if !ok || r.ID == n.self {
 			continue
