--- a/internal/capacity/slopes/main.go
+++ b/internal/capacity/slopes/main.go
@@ -2,6 +2,8 @@
 package main
 
 import (
+	"bytes"
+	"encoding/gob"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -11,7 +13,9 @@
 	"time"
 
 	"github.com/bramleymast/bramleymast/internal/capacity"
+	"github.com/bramleymast/bramleymast/internal/control"
 	"github.com/bramleymast/bramleymast/internal/controlsim"
+	"github.com/bramleymast/bramleymast/internal/wire"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/contract"
 	"github.com/bramleymast/bramleymast/pkg/membership"
@@ -32,9 +36,9 @@
 	`"backend":{"slots":7},"cold_start":{"slots":2}}`
 
 func main() {
-	var all []capacity.Slope
+	all := make([]capacity.Slope, 0, 32)
 	for _, measure := range []func() []capacity.Slope{
-		byAgents, byBalancers, byServices, byChanges, byZones, byRecords, byPullRecords, processor,
+		byAgents, byBalancers, byServices, byChanges, byZones, byRecords, byPullRecords, processor, sealing, operator,
 	} {
 		all = append(all, measure()...)
 	}
@@ -71,7 +75,8 @@
 		w.Agent(fmt.Sprintf("agent-%05d", i), zoneName(i%s.zones), serviceName(i%max(s.services, 1)), seeds()...)
 		w.Run(100 * time.Millisecond)
 	}
-	w.Run(2 * settle)
+	// Contracts spread within the byte budget, at about one a second.
+	w.Run(2*settle + time.Duration(2*s.services)*time.Second)
 	return w
 }
 
@@ -83,15 +88,15 @@
 // rates are means for each process and second.
 type rates struct{ bytes, messages, events float64 }
 
-// observe returns the mean rates of balancers and agents while d passes.
-func observe(w *controlsim.World, d time.Duration, during func()) (balancer, agent rates) {
+// observe returns the mean rates of balancers and agents over the measured time.
+func observe(w *controlsim.World, during func()) (balancer, agent rates) {
 	before := make(map[*controlsim.Process]controlsim.Usage)
 	for _, p := range w.Processes() {
 		before[p] = p.Usage
 	}
 	start := w.Now()
 	during()
-	w.Run(d - (w.Now() - start))
+	w.Run(measured - (w.Now() - start))
 	var balancers, agents float64
 	for _, p := range w.Processes() {
 		u, b := p.Usage, before[p]
@@ -108,8 +113,8 @@
 		agents++
 		agent.add(r)
 	}
-	balancer.divide(balancers * d.Seconds())
-	agent.divide(agents * d.Seconds())
+	balancer.divide(balancers * measured.Seconds())
+	agent.divide(agents * measured.Seconds())
 	return balancer, agent
 }
 
@@ -157,9 +162,9 @@
 
 func byAgents() []capacity.Slope {
 	s := series{against: "agents for each balancer", fixed: "6 balancers, 1 zone, 3 services, heartbeat 2 s"}
-	for _, agents := range []int{6, 18, 60, 180} {
+	for _, agents := range []int{3, 9, 30, 90} {
 		w := build(size{zones: 1, balancers: 6, agents: agents, services: 3})
-		b, a := observe(w, measured, idle)
+		b, a := observe(w, idle)
 		x := float64(agents) / 6
 		s.point("balancer_bytes_by_agents", "sent and received bytes a second", x, b.bytes)
 		s.point("balancer_messages_by_agents", "sent and received messages a second", x, b.messages)
@@ -174,15 +179,15 @@
 	for _, balancers := range []int{8, 24, 80, 240} {
 		w := build(size{zones: 4, balancers: balancers, agents: 24, services: 3})
 		reads, writes := w.Store.Reads, w.Store.Writes
-		b, a := observe(w, measured, idle)
+		b, a := observe(w, idle)
 		x := float64(balancers)
 		s.point("balancer_bytes_by_balancers", "sent and received bytes a second", x, b.bytes)
 		s.point("agent_bytes_by_balancers", "sent and received bytes a second", x, a.bytes)
 		s.point("store_writes_by_balancers", "writes a second", x, float64(w.Store.Writes-writes)/measured.Seconds())
 		s.point("store_reads_by_balancers", "reads a second", x, float64(w.Store.Reads-reads)/measured.Seconds())
-		changed, _ := observe(w, measured, func() { changeContracts(w, 20, 3) })
+		changed, _ := observe(w, func() { changeContracts(w, 20, 3) })
 		s.point("balancer_bytes_for_contract_by_balancers", "sent and received bytes for each change", x, (changed.bytes-b.bytes)*measured.Seconds()/20)
-		member, _ := observe(w, measured, func() { changeMembers(w, 20) })
+		member, _ := observe(w, func() { changeMembers(w, 20) })
 		s.point("balancer_bytes_for_member_by_balancers", "sent and received bytes for each change", x, (member.bytes-b.bytes)*measured.Seconds()/20)
 		s.point("spread_seconds_by_balancers", "seconds until a zone state is everywhere, worst of 10, 1% loss", x, worstSpread(w))
 	}
@@ -236,7 +241,7 @@
 	s := series{against: "services", fixed: "6 balancers, 2 zones, 24 agents, heartbeat 2 s"}
 	for _, services := range []int{10, 30, 100, 300} {
 		w := build(size{zones: 2, balancers: 6, agents: 24, services: services})
-		b, a := observe(w, measured, idle)
+		b, a := observe(w, idle)
 		s.point("balancer_bytes_by_services", "sent and received bytes a second", float64(services), b.bytes)
 		s.point("agent_bytes_by_services", "sent and received bytes a second", float64(services), a.bytes)
 	}
@@ -248,7 +253,7 @@
 	w := build(size{zones: 4, balancers: 24, agents: 24, services: 3})
 	for _, changes := range []int{1, 4, 12, 30} {
 		reads := w.Store.Reads
-		b, a := observe(w, measured, func() { changeContracts(w, changes, 3) })
+		b, a := observe(w, func() { changeContracts(w, changes, 3) })
 		x := float64(changes)
 		s.point("balancer_bytes_by_changes", "sent and received bytes a second", x, b.bytes)
 		s.point("agent_bytes_by_changes", "sent and received bytes a second", x, a.bytes)
@@ -342,7 +347,7 @@
 	for _, n := range []int{800, 2400, 8000, 24000} {
 		core := fill(n)
 		var size int
-		r := testing.Benchmark(func(b *testing.B) {
+		r := testing.Benchmark(func(b *testing.B) { //nolint:thelper // This is the benchmark itself.
 			for b.Loop() {
 				size = encodeAll(core.Snapshot(membership.PullRequest{}))
 			}
@@ -378,6 +383,54 @@
 	return s.fit()
 }
 
+// sealing measures the frame of control datagrams: a datagram of another key is refused only after its tag was checked.
+func sealing() []capacity.Slope {
+	s := series{against: "bytes of payload", fixed: "AES-256-GCM tag over the whole datagram, as in internal/control"}
+	aead, err := wire.NewAEAD(make([]byte, wire.KeySize), wire.PurposeControl, nil)
+	if err != nil {
+		panic(err)
+	}
+	nonce := make([]byte, aead.NonceSize())
+	for _, n := range []int{40, 120, 400, 1200} {
+		payload := make([]byte, n)
+		res := testing.Benchmark(func(b *testing.B) { //nolint:thelper // This is the benchmark itself.
+			for b.Loop() {
+				tag := aead.Seal(nil, nonce, nil, payload)
+				if _, err := aead.Open(nil, nonce, tag, payload); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		s.point("seal_ns_by_payload", "ns to seal and to open a datagram", float64(n), float64(res.NsPerOp()))
+	}
+	return s.fit()
+}
+
+// operator measures the answers that apply --wait gathers from each balancer.
+func operator() []capacity.Slope {
+	s := series{against: "services", fixed: "15 agents at home, 8 zones"}
+	for _, services := range []int{300, 900, 3000, 9000} {
+		s.point("applied_bytes_by_services", "bytes of Control.Applied without a key", float64(services), appliedSize(services))
+		s.point("applied_key_bytes_by_services", "bytes of Control.Applied for one key", float64(services), appliedSize(1))
+	}
+	return s.fit()
+}
+
+func appliedSize(contracts int) float64 {
+	reply := control.AppliedReply{ID: "balancer-0000"}
+	for i := range contracts {
+		reply.Records = append(reply.Records, control.RecordStatus{Kind: "contract", Key: serviceName(i), Revision: 1 << 20})
+	}
+	for i := range 15 {
+		reply.Agents = append(reply.Agents, control.AgentApplied{ID: fmt.Sprintf("agent-%05d", i), Service: serviceName(i), Contract: 1 << 20, InStep: true})
+	}
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(reply); err != nil {
+		panic(err)
+	}
+	return float64(b.Len())
+}
+
 func receive(core *membership.Node, now time.Time, payload []byte) {
 	m, err := membership.Decode(payload)
 	if err != nil {
@@ -399,7 +452,7 @@
 	r := agentRecord(0, n, 1)
 	payload := encode(membership.Heartbeat{Member: r.ID, Version: r.Version})
 	now := time.Unix(1e9, 0)
-	res := testing.Benchmark(func(b *testing.B) {
+	res := testing.Benchmark(func(b *testing.B) { //nolint:thelper // This is the benchmark itself.
 		for b.Loop() {
 			now = now.Add(time.Millisecond)
 			receive(core, now, payload)
@@ -412,7 +465,7 @@
 	core := fill(n)
 	now := time.Unix(1e9, 0)
 	seq := uint64(1)
-	res := testing.Benchmark(func(b *testing.B) {
+	res := testing.Benchmark(func(b *testing.B) { //nolint:thelper // This is the benchmark itself.
 		for b.Loop() {
 			seq++
 			now = now.Add(time.Second)
@@ -436,7 +489,7 @@
 			}
 		}
 	}
-	res := testing.Benchmark(func(b *testing.B) {
+	res := testing.Benchmark(func(b *testing.B) { //nolint:thelper // This is the benchmark itself.
 		for b.Loop() {
 			receive(core, now, digest)
 		}
@@ -448,7 +501,7 @@
 	now := time.Unix(1e9, 0)
 	core := fill(n)
 	seq := uint64(1)
-	res := testing.Benchmark(func(b *testing.B) {
+	res := testing.Benchmark(func(b *testing.B) { //nolint:thelper // This is the benchmark itself.
 		for b.Loop() {
 			now = now.Add(heartbeat)
 			if changed {
