feat: turn signals into a graceful shutdown

Cause: the daemons drain on SIGTERM and end at once on a second one.

Change: signals.Run calls drain on the first signal and returns ErrSecond on the second without waiting for the task.

--- /dev/null
+++ b/internal/signals/signals_test.go
@@ -0,0 +1,36 @@
+package signals_test
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bramleymast/bramleymast/internal/signals"
+)
+
+// Guards against a shutdown that cuts off work on the first signal, or that ignores the second.
+func TestRunDrainsOnceAndEndsOnTheSecondSignal(t *testing.T) {
+	received := make(chan os.Signal, 2)
+	received <- syscall.SIGTERM
+	drained := make(chan struct{})
+	err := signals.Run(context.Background(), received, func() { close(drained) }, func(context.Context) error {
+		<-drained
+		return nil
+	})
+	assert.NilError(t, err)
+
+	received <- syscall.SIGTERM
+	received <- syscall.SIGTERM
+	hung := make(chan struct{})
+	defer close(hung)
+	drains := 0
+	err = signals.Run(context.Background(), received, func() { drains++ }, func(context.Context) error {
+		<-hung
+		return nil
+	})
+	assert.ErrorIs(t, err, signals.ErrSecond)
+	assert.Equal(t, drains, 1)
+}
