feat: ask balancers for processes and applied revisions

Change: internal/statusclient adapts Control.Status and Control.Applied to the status source of the operator core. An agent that is in step with its home balancer counts with that balancer's revision for zone and backend states, because the heartbeat carries no revision for them. strictjson.Object passes an object on with the lines of its input. settings.Log builds the hclog logger.

--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"io"
 	"net/netip"
 	"net/url"
 	"slices"
@@ -189,3 +190,8 @@
 		s.Addf(path, "a URL such as http://127.0.0.1:8080", "is %q", text)
 	}
 }
+
+// NewLogger returns a logger that writes to w as the settings say.
+func (l Log) NewLogger(name string, w io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: name, Level: l.level, Output: w, JSONFormat: l.format == LogJSON})
+}
--- /dev/null
+++ b/internal/statusclient/statusclient.go
@@ -0,0 +1,118 @@
+// Package statusclient asks balancers by net/rpc what operators want to know.
+package statusclient
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/internal/configvalue"
+	"github.com/bramleymast/bramleymast/internal/control"
+	"github.com/bramleymast/bramleymast/internal/operator"
+	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// callTime bounds one question, so that a silent balancer does not hold up the others.
+const callTime = 3 * time.Second
+
+// Client asks the balancers of the operator settings.
+type Client struct {
+	balancers []netip.AddrPort
+	shared    []byte
+}
+
+var _ operator.StatusSource = (*Client)(nil)
+
+// New returns a client for the control addresses of some balancers.
+func New(balancers []netip.AddrPort, shared []byte) *Client {
+	return &Client{balancers: balancers, shared: shared}
+}
+
+// Processes returns the processes that the first answering balancer knows.
+func (c *Client) Processes(ctx context.Context) ([]operator.Process, error) {
+	last := error(operator.ErrNoStatus)
+	for _, b := range c.balancers {
+		var reply control.StatusReply
+		if last = c.call(ctx, b, "Control.Status", control.StatusArgs{}, &reply); last != nil {
+			continue
+		}
+		ps := make([]operator.Process, 0, len(reply.Members))
+		for _, m := range reply.Members {
+			ps = append(ps, process(m))
+		}
+		return ps, nil
+	}
+	return nil, last
+}
+
+// Progress returns what a balancer, and the agents for which it is a home, have applied of a configuration key.
+func (c *Client) Progress(ctx context.Context, balancer netip.AddrPort, key string) ([]operator.Progress, error) {
+	var reply control.AppliedReply
+	if err := c.call(ctx, balancer, "Control.Applied", control.AppliedArgs{}, &reply); err != nil {
+		return nil, err
+	}
+	return progress(reply, key)
+}
+
+func (c *Client) call(ctx context.Context, to netip.AddrPort, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	client, err := control.Dial(ctx, to, c.shared)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = client.Close() }()
+	return errors.Annotatef(client.Call(ctx, method, args, reply), "%s at %s", method, to)
+}
+
+func process(m control.MemberStatus) operator.Process {
+	alive := m.Verdict == board.Alive.String()
+	left := m.Phase == board.PhaseLeft.String()
+	p := operator.Process{
+		Kind: operator.Kind(m.Kind), ID: m.ID, Zone: m.Zone, Service: m.Service, State: m.Phase,
+		Member: m.Verdict != board.Dead.String() && !left,
+	}
+	switch p.Kind {
+	case operator.KindAgent:
+		p.InService = alive && (m.Phase == board.PhaseCold.String() || m.Phase == board.PhaseReady.String())
+	case operator.KindBalancer:
+		p.InService = alive && m.Phase == "serving"
+	}
+	if !alive {
+		p.State = m.Verdict
+	}
+	p.Control, _ = netip.ParseAddrPort(m.Control)
+	return p
+}
+
+// progress reads the revisions of one key; an agent that holds what its balancer holds has the balancer's revision.
+func progress(reply control.AppliedReply, key string) ([]operator.Progress, error) {
+	kind, name, err := configvalue.ParseKey(key)
+	if err != nil {
+		return nil, err
+	}
+	names := map[configvalue.Kind]board.Kind{
+		configvalue.KindContract: board.KindContract, configvalue.KindZone: board.KindZone, configvalue.KindBackend: board.KindBackend,
+	}
+	var own store.Revision
+	for _, r := range reply.Records {
+		if r.Kind == names[kind].String() && r.Key == name {
+			own = store.Revision(r.Revision)
+		}
+	}
+	all := []operator.Progress{{ID: reply.ID, Applied: own}}
+	for _, a := range reply.Agents {
+		p := operator.Progress{ID: a.ID}
+		switch {
+		case kind == configvalue.KindContract:
+			p.Applied = store.Revision(a.Contract)
+		case a.InStep:
+			p.Applied = own
+		}
+		all = append(all, p)
+	}
+	return all, nil
+}
--- a/internal/strictjson/parse.go
+++ b/internal/strictjson/parse.go
@@ -14,6 +14,8 @@
 // node is one JSON value with the line on which it ends its first token.
 type node struct {
 	line    int
+	start   int // offsets of an object
+	end     int
 	token   json.Token // json.Delim for objects and arrays, otherwise the scalar
 	members []member   // of an object, in input order
 	items   []*node    // of an array
@@ -96,7 +98,9 @@
 	n := &node{line: p.line, token: t}
 	switch {
 	case n.isObject():
+		n.start = p.counted - 1
 		err = p.object(n, depth)
+		n.end = p.counted
 	case n.isArray():
 		err = p.array(n, depth)
 	}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -24,9 +24,14 @@
 	Allowed() string
 }
 
+// Object is an object that another package decodes: the input in which all around the object is blank,
+// so that findings in it have the lines of the input.
+type Object []byte
+
 // Source is the input of one decoding: its file name, the lines of its fields and the findings so far.
 type Source struct {
 	file     string
+	data     []byte
 	lines    map[string]int
 	findings finding.List
 	unread   bool // the input is not a JSON object, so nothing is known of its fields
@@ -35,7 +40,7 @@
 // Decode reads one JSON object into a value of type T; the value is complete only when the source has no findings.
 func Decode[T any](file string, data []byte) (T, *Source) {
 	var v T
-	s := &Source{file: file, lines: make(map[string]int)}
+	s := &Source{file: file, data: data, lines: make(map[string]int)}
 	n := s.parse(data)
 	s.unread = n == nil || !n.isObject()
 	if n != nil {
@@ -100,6 +105,10 @@
 		s.text(path, n, text)
 		return
 	}
+	if raw, ok := v.Addr().Interface().(*Object); ok {
+		*raw = s.cut(path, n)
+		return
+	}
 	switch v.Kind() {
 	case reflect.Pointer:
 		v.Set(reflect.New(v.Type().Elem()))
@@ -123,6 +132,24 @@
 	}
 }
 
+// cut returns the input with blanks around an object.
+func (s *Source) cut(path string, n *node) Object {
+	if !n.isObject() {
+		s.wrongType(path, n, "an object")
+		return nil
+	}
+	raw := make(Object, len(s.data))
+	for i, c := range s.data {
+		switch {
+		case i >= n.start && i < n.end, c == '\n':
+			raw[i] = c
+		default:
+			raw[i] = ' '
+		}
+	}
+	return raw
+}
+
 func (s *Source) wrongType(path string, n *node, allowed string) {
 	s.add(n.line, path, "is "+n.kind(), allowed)
 }
