--- /dev/null
+++ b/internal/cmd/availability.go
@@ -0,0 +1,177 @@
+package cmd
+
+import (
+	"context"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/bramleymast/bramleymast/internal/operator"
+	"github.com/bramleymast/bramleymast/pkg/finding"
+)
+
+// targetKind is what an availability command is about.
+type targetKind struct {
+	noun     string
+	argument string
+	title    string
+	target   func(name string) operator.Target
+}
+
+var (
+	zoneTarget    = targetKind{"zone", "ZONE", "an availability zone", operator.Zone}
+	backendTarget = targetKind{"backend", "BACKEND", "a backend server", operator.Backend}
+)
+
+// availability is "zone out", "zone in", "backend out" and "backend in".
+type availability struct {
+	changeOptions
+	kind   targetKind
+	out    bool
+	name   string
+	reason string
+}
+
+func (c *availability) verb() string {
+	if c.out {
+		return "out"
+	}
+	return "in"
+}
+
+func (c *availability) declare() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand(c.verb())
+	sc.Description = "brings " + c.kind.title + " back into service"
+	example := strings.ToLower(c.kind.argument) + "-a"
+	extra := " --wait"
+	if c.out {
+		sc.Description = "takes " + c.kind.title + " out of service"
+		extra = " --reason \"power work\" --wait"
+	}
+	sc.AddPositionalValue(&c.name, c.kind.argument, 1, true, "name of "+c.kind.title)
+	sc.String(&c.reason, "r", "reason", "why, for the operators who read it later")
+	c.changeOptions.declare(sc)
+	sc.AdditionalHelpAppend = "\nExamples:\n  bramleymast " + c.kind.noun + " " + c.verb() + " " + example + extra +
+		"\n  bramleymast " + c.kind.noun + " " + c.verb() + " " + example + ` --dry-run
+
+Exit codes: 0 accepted, 1 not accepted or not yet everywhere, 2 bad input, 3 conflict, 4 outcome unknown, 5 refused without --confirm.`
+	return sc
+}
+
+type setJSON struct {
+	Verdict     string        `json:"verdict"`
+	DryRun      bool          `json:"dry_run"`
+	Target      string        `json:"target"`
+	Name        string        `json:"name"`
+	Out         bool          `json:"out"`
+	OperationID string        `json:"operation_id"`
+	Revision    uint64        `json:"revision"`
+	Error       string        `json:"error,omitempty"`
+	Current     stateJSON     `json:"state"`
+	Losses      []lossJSON    `json:"losses,omitempty"`
+	Concurrent  []lossJSON    `json:"concurrent_losses,omitempty"`
+	Coverage    *coverageJSON `json:"coverage,omitempty"`
+}
+
+func (c *availability) run(ctx context.Context, e environment) int {
+	var l finding.List
+	c.check(&l)
+	if e.badInput(l) {
+		return ExitBadInput
+	}
+	op, ok := c.open(e, c.dryRun)
+	if !ok {
+		return ExitBadInput
+	}
+	s := op.SetAvailability(ctx, operator.Request{
+		Target: c.kind.target(c.name), Out: c.out, Reason: c.reason, Confirmed: c.confirm,
+	})
+	if s.Verdict() == operator.Invalid {
+		e.fail(s.Cause())
+		return ExitBadInput
+	}
+	var coverage *coverageJSON
+	if s.Verdict() == operator.Accepted || s.Verdict() == operator.Unchanged {
+		coverage = c.coverage(ctx, op, s.Request().Target.Key(), s.Revision())
+	}
+	if c.json() {
+		e.json(setJSON{
+			Verdict: s.Verdict().String(), DryRun: c.dryRun, Target: c.kind.noun, Name: c.name, Out: c.out,
+			OperationID: s.OperationID(), Revision: uint64(s.Revision()), Error: errorText(s.Cause()),
+			Current: newState(s.Current()), Losses: lossesJSON(s.Losses()), Concurrent: lossesJSON(s.Concurrent()), Coverage: coverage,
+		})
+	} else {
+		c.report(e, s)
+		e.coverage(coverage)
+	}
+	if len(s.Concurrent()) > 0 {
+		return ExitConflict
+	}
+	return changeExit(s.Verdict(), coverage)
+}
+
+func (c *availability) report(e environment, s operator.Set) {
+	what := c.kind.noun + " " + c.name
+	current := s.Current()
+	switch s.Verdict() {
+	case operator.Accepted:
+		if c.dryRun {
+			e.printf("dry run: %s would be %s, nothing was written\n", what, c.verb())
+		} else {
+			e.printf("accepted: %s is %s at revision %d, operation %s\n", what, c.verb(), s.Revision(), s.OperationID())
+		}
+		if len(s.Concurrent()) > 0 {
+			e.printf("another operator made a change at the same time; with both changes\n")
+			e.losses(s.Concurrent())
+			e.printf("run \"bramleymast status\", and bring one of them back if that is not intended\n")
+		}
+	case operator.Unchanged:
+		e.printf("unchanged: %s is already %s%s\n", what, c.verb(), byWhom(current))
+	case operator.Conflict:
+		e.printf("conflict: %s is %s%s\n", what, stateWord(current.Out()), byWhom(current))
+		if s.MayHaveApplied() {
+			e.printf("your change may have been in force before that\n")
+		}
+		e.printf("run the command again to set it to %s\n", c.verb())
+	case operator.Unknown:
+		e.printf("outcome unknown: %v\n", s.Cause())
+		e.printf("run \"bramleymast %s list\" to learn it: the change is in force if operation %s is listed\n", c.kind.noun, s.OperationID())
+	case operator.Refused:
+		e.printf("refused, nothing changed: the change needs --confirm, because\n")
+		e.losses(s.Losses())
+	default:
+		e.printf("not accepted, nothing changed: %v\n", s.Cause())
+	}
+}
+
+func stateWord(out bool) string {
+	if out {
+		return "out"
+	}
+	return "in"
+}
+
+// byWhom tells who has set a state, if anyone has.
+func byWhom(s operator.State) string {
+	text := ""
+	if s.Author() != "" {
+		text += ", set by " + s.Author()
+	}
+	if s.Reason() != "" {
+		text += " (" + s.Reason() + ")"
+	}
+	return text
+}
+
+type stateJSON struct {
+	Name        string `json:"name"`
+	Out         bool   `json:"out"`
+	Revision    uint64 `json:"revision"`
+	Author      string `json:"author"`
+	Reason      string `json:"reason"`
+	OperationID string `json:"operation_id"`
+}
+
+func newState(s operator.State) stateJSON {
+	return stateJSON{s.Name(), s.Out(), uint64(s.Revision()), s.Author(), s.Reason(), s.OperationID()}
+}
--- /dev/null
+++ b/internal/cmd/contract_apply.go
@@ -0,0 +1,166 @@
+package cmd
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/bramleymast/bramleymast/internal/configvalue"
+	"github.com/bramleymast/bramleymast/internal/operator"
+	"github.com/bramleymast/bramleymast/pkg/finding"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// contractApply is "contract apply".
+type contractApply struct {
+	changeOptions
+	file string
+	base string
+}
+
+func (c *contractApply) declare() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand("apply")
+	sc.Description = "replaces the contract of a service, if the store still has the one from which the file was made"
+	sc.AddPositionalValue(&c.file, "FILE", 1, true, "contract file, bare or as \"contract show --output json\" prints it")
+	sc.String(&c.base, "b", "base", "revision from which a bare file was made; 0 for a new service")
+	c.changeOptions.declare(sc)
+	sc.AdditionalHelpAppend = `
+Examples:
+  bramleymast contract apply orders.json --base 0 --wait
+  bramleymast contract show orders --output json > orders.json
+  bramleymast contract apply orders.json --dry-run
+  bramleymast contract apply orders.json --wait
+
+Exit codes: 0 accepted, 1 not accepted or not yet everywhere, 2 bad input, 3 conflict, 4 outcome unknown, 5 refused without --confirm.`
+	return sc
+}
+
+type appliedJSON struct {
+	Verdict     string        `json:"verdict"`
+	DryRun      bool          `json:"dry_run"`
+	Service     string        `json:"service"`
+	OperationID string        `json:"operation_id"`
+	Base        uint64        `json:"base"`
+	Revision    uint64        `json:"revision"`
+	Error       string        `json:"error,omitempty"`
+	Ours        []changeJSON  `json:"our_changes"`
+	Theirs      []changeJSON  `json:"their_changes"`
+	Winner      *winnerJSON   `json:"winner,omitempty"`
+	Losses      []lossJSON    `json:"losses,omitempty"`
+	Coverage    *coverageJSON `json:"coverage,omitempty"`
+}
+
+type winnerJSON struct {
+	Revision    uint64 `json:"revision"`
+	Author      string `json:"author"`
+	Time        string `json:"time"`
+	OperationID string `json:"operation_id"`
+}
+
+func (c *contractApply) run(ctx context.Context, e environment) int {
+	var l finding.List
+	c.check(&l)
+	f, err := readContract(c.file)
+	if err != nil {
+		e.badInput(l)
+		e.fail(err)
+		return ExitBadInput
+	}
+	base := c.baseOf(f, &l)
+	if e.badInput(l) {
+		return ExitBadInput
+	}
+	op, ok := c.open(e, c.dryRun)
+	if !ok {
+		return ExitBadInput
+	}
+	a := op.Apply(ctx, f.contract, base, c.confirm)
+	var coverage *coverageJSON
+	if a.Verdict() == operator.Accepted || a.Verdict() == operator.Unchanged {
+		coverage = c.coverage(ctx, op, configvalue.ContractKey(a.Service()), a.Revision())
+	}
+	if c.json() {
+		e.json(c.applied(a, coverage))
+	} else {
+		c.report(e, a)
+		e.coverage(coverage)
+	}
+	return changeExit(a.Verdict(), coverage)
+}
+
+// baseOf returns the revision from which the contract was made, by the flag or by the file.
+func (c *contractApply) baseOf(f contractFile, l *finding.List) store.Revision {
+	if c.base == "" {
+		if !f.hasBase {
+			l.Addf("--base", "the revision that \"contract show\" prints, 0 for a new service", "is missing, and the file names no revision")
+		}
+		return f.base
+	}
+	n, err := strconv.ParseUint(c.base, 10, 64)
+	if err != nil {
+		l.Addf("--base", "a revision, 0 for a new service", "is %q", c.base)
+	}
+	if err == nil && f.hasBase && f.base != store.Revision(n) {
+		l.Addf("--base", "the revision in the file, or a file without one", "is %d, but the file was made from %d", n, f.base)
+	}
+	return store.Revision(n)
+}
+
+func (c *contractApply) applied(a operator.Applied, coverage *coverageJSON) appliedJSON {
+	j := appliedJSON{
+		Verdict: a.Verdict().String(), DryRun: c.dryRun, Service: a.Service(), OperationID: a.OperationID(),
+		Base: uint64(a.Base()), Revision: uint64(a.Revision()), Error: errorText(a.Cause()),
+		Ours: changesJSON(a.Ours()), Theirs: changesJSON(a.Theirs()), Losses: lossesJSON(a.Losses()), Coverage: coverage,
+	}
+	if w := a.Winner(); w.Revision != 0 {
+		j.Winner = &winnerJSON{uint64(w.Revision), w.Author, timeText(w.Time), w.OperationID}
+	}
+	return j
+}
+
+func (c *contractApply) report(e environment, a operator.Applied) {
+	switch a.Verdict() {
+	case operator.Accepted:
+		if c.dryRun {
+			e.printf("dry run: the contract of %s would be accepted, nothing was written\n", a.Service())
+		} else {
+			e.printf("accepted: the contract of %s is at revision %d, operation %s\n", a.Service(), a.Revision(), a.OperationID())
+		}
+		e.changes(a.Ours())
+	case operator.Unchanged:
+		e.printf("unchanged: the contract of %s already says so at revision %d\n", a.Service(), a.Revision())
+	case operator.Conflict:
+		reportConflict(e, a)
+	case operator.Unknown:
+		e.printf("outcome unknown: %v\n", a.Cause())
+		e.printf("run \"bramleymast contract history %s\" to learn it: the change is in force if operation %s is listed\n", a.Service(), a.OperationID())
+	case operator.Refused:
+		e.printf("refused, nothing changed: the change needs --confirm, because\n")
+		e.losses(a.Losses())
+	default:
+		e.printf("not accepted, nothing changed: %v\n", a.Cause())
+	}
+}
+
+func reportConflict(e environment, a operator.Applied) {
+	w := a.Winner()
+	if w.Revision == 0 {
+		e.printf("conflict, nothing changed: the contract of %s is not at revision %d\n", a.Service(), a.Base())
+		if a.Cause() != nil {
+			e.printf("the other change cannot be read: %v\n", a.Cause())
+		}
+		return
+	}
+	e.printf("conflict, nothing changed: the contract of %s is at revision %d by %s at %s, not at %d\n",
+		a.Service(), w.Revision, w.Author, timeText(w.Time), a.Base())
+	if a.BaseKnown() {
+		e.printf("changed since revision %d by others:\n", a.Base())
+		e.changes(a.Theirs())
+		e.printf("changed since revision %d by your file:\n", a.Base())
+	} else {
+		e.printf("revision %d is not in the history; your file differs from revision %d by:\n", a.Base(), w.Revision)
+	}
+	e.changes(a.Ours())
+	e.printf("make your change again in the output of \"bramleymast contract show %s --output json\"\n", a.Service())
+}
--- /dev/null
+++ b/internal/cmd/contract_diff.go
@@ -0,0 +1,110 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/bramleymast/bramleymast/internal/operator"
+	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/finding"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// contractDiff is "contract diff".
+type contractDiff struct {
+	operatorOptions
+	service string
+	from    string
+	to      string
+	file    string
+}
+
+func (c *contractDiff) declare() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand("diff")
+	sc.Description = "shows the fields in which two revisions of a contract, or a revision and a file, differ"
+	sc.AddPositionalValue(&c.service, "SERVICE", 1, true, "customer service")
+	sc.String(&c.from, "", "from", "older revision; the one before the newest, or the newest with --file")
+	sc.String(&c.to, "", "to", "newer revision; the newest")
+	sc.String(&c.file, "f", "file", "contract file to compare with instead of --to")
+	c.operatorOptions.declare(sc)
+	sc.AdditionalHelpAppend = `
+Examples:
+  bramleymast contract diff orders
+  bramleymast contract diff orders --from 12 --to 15
+  bramleymast contract diff orders --file orders.json`
+	return sc
+}
+
+type diffJSON struct {
+	Service string       `json:"service"`
+	From    string       `json:"from"`
+	To      string       `json:"to"`
+	Changes []changeJSON `json:"changes"`
+}
+
+// side is one of the two contracts that are compared.
+type side struct {
+	name     string
+	contract contract.Contract
+}
+
+func (c *contractDiff) run(ctx context.Context, e environment) int {
+	var file contractFile
+	if c.file != "" {
+		f, err := readContract(c.file)
+		if err != nil {
+			e.fail(err)
+			return ExitBadInput
+		}
+		file = f
+	}
+	s, code := c.stored(ctx, e, c.service)
+	if code != ExitSuccess {
+		return code
+	}
+	var l finding.List
+	from, to := c.sides(s, file, &l)
+	if e.badInput(l) {
+		return ExitBadInput
+	}
+	changes := contract.Diff(from.contract, to.contract)
+	if c.json() {
+		e.json(diffJSON{c.service, from.name, to.name, changesJSON(changes)})
+		return ExitSuccess
+	}
+	e.printf("from %s to %s:\n", from.name, to.name)
+	e.changes(changes)
+	return ExitSuccess
+}
+
+func (c *contractDiff) sides(s operator.Stored, file contractFile, l *finding.List) (from, to side) {
+	revisions := s.Revisions()
+	newest, before := revisions[0].Revision, revisions[min(1, len(revisions)-1)].Revision
+	if c.file != "" {
+		if c.to != "" {
+			l.Addf("--to", "--to or --file", "is given together with --file")
+		}
+		return atRevision(s, "--from", c.from, newest, l), side{c.file, file.contract}
+	}
+	return atRevision(s, "--from", c.from, before, l), atRevision(s, "--to", c.to, newest, l)
+}
+
+func atRevision(s operator.Stored, flag, text string, fallback store.Revision, l *finding.List) side {
+	revision := fallback
+	if text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || n == 0 {
+			l.Addf(flag, "a revision", "is %q", text)
+			return side{}
+		}
+		revision = store.Revision(n)
+	}
+	found, ok := s.At(revision)
+	if !ok {
+		l.Addf(flag, "a revision of \"bramleymast contract history\"", "%d is not in the history", revision)
+	}
+	return side{fmt.Sprintf("revision %d", revision), found}
+}
--- /dev/null
+++ b/internal/cmd/contract_show.go
@@ -0,0 +1,85 @@
+package cmd
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/bramleymast/bramleymast/internal/operator"
+	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/finding"
+)
+
+// contractShow is "contract show".
+type contractShow struct {
+	operatorOptions
+	service string
+}
+
+func (c *contractShow) declare() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand("show")
+	sc.Description = "shows the contract of a service and its revision"
+	sc.AddPositionalValue(&c.service, "SERVICE", 1, true, "customer service")
+	c.operatorOptions.declare(sc)
+	sc.AdditionalHelpAppend = `
+Examples:
+  bramleymast contract show orders
+  bramleymast contract show orders --output json > orders.json`
+	return sc
+}
+
+func (c *contractShow) run(ctx context.Context, e environment) int {
+	s, code := c.stored(ctx, e, c.service)
+	if code != ExitSuccess {
+		return code
+	}
+	if c.json() {
+		shown, err := newShown(s)
+		if err != nil {
+			e.fail(err)
+			return ExitFailure
+		}
+		e.json(shown)
+		return ExitSuccess
+	}
+	v := s.Value()
+	e.table([][]string{
+		{"FIELD", "VALUE"},
+		{"revision", strconv.FormatUint(uint64(s.Revision()), 10)},
+		{"author", v.Author},
+		{"time", timeText(v.Time)},
+		{"operation", v.OperationID},
+	})
+	e.printf("\n")
+	rows := [][]string{{"FIELD", "VALUE"}}
+	for _, f := range contract.Diff(contract.Contract{}, s.Contract()) {
+		rows = append(rows, []string{f.Path(), f.After()})
+	}
+	e.table(rows)
+	return ExitSuccess
+}
+
+// stored reads the contract of a service, or reports why that is not possible.
+func (o *operatorOptions) stored(ctx context.Context, e environment, service string) (operator.Stored, int) {
+	var l finding.List
+	o.check(&l)
+	if e.badInput(l) {
+		return operator.Stored{}, ExitBadInput
+	}
+	op, ok := o.open(e, false)
+	if !ok {
+		return operator.Stored{}, ExitBadInput
+	}
+	s, err := op.Contract(ctx, service)
+	if err != nil {
+		e.fail(err)
+		return operator.Stored{}, ExitFailure
+	}
+	if s.Revision() == 0 {
+		l.Addf("SERVICE", "a service of \"bramleymast contract list\"", "%q has no contract", service)
+		e.fail(l.Err())
+		return operator.Stored{}, ExitBadInput
+	}
+	return s, ExitSuccess
+}
--- /dev/null
+++ b/internal/cmd/session_test.go
@@ -0,0 +1,143 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/bramleymast/bramleymast/internal/operator"
+	"github.com/bramleymast/bramleymast/internal/settings"
+	standin "github.com/bramleymast/bramleymast/internal/standin/store"
+	"github.com/bramleymast/bramleymast/internal/storeclient"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// session runs commands one after another against a stand-in store over HTTP and records what they print.
+type session struct {
+	t         *testing.T
+	env       environment
+	store     *standin.Server
+	wrap      func(store.Store) store.Store
+	processes []operator.Process
+	lag       map[string]store.Revision
+	operation int
+	dir       string
+	text      bytes.Buffer
+}
+
+const ordersFile = `{
+  "service": "orders",
+  "addresses": ["10.0.0.1:443"],
+  "zones": ["zone-a", "zone-b"],
+  "backend": {"slots": 2},
+  "cold_start": {"slots": 1},
+  "change": {"min_backends_in_service": 2},
+  "non_idempotent": "ticket"
+}
+`
+
+func newSession(t *testing.T) *session {
+	t.Helper()
+	dir, err := os.Getwd()
+	assert.NilError(t, err)
+	t.Chdir(t.TempDir())
+	s := &session{t: t, dir: dir, store: &standin.Server{}, wrap: func(st store.Store) store.Store { return st }}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	client := storeclient.New(server.URL)
+	t.Cleanup(client.Close)
+	s.env = environment{
+		out: &s.text, errOut: &s.text,
+		now: func() time.Time { return now },
+		pause: func(ctx context.Context, d time.Duration) error {
+			now = now.Add(d)
+			return ctx.Err()
+		},
+		newOperationID: func() string { s.operation++; return fmt.Sprintf("op-%d", s.operation) },
+		openStore:      func(settings.Operator) store.Store { return s.wrap(client) },
+		openStatus: func(settings.Operator) (operator.StatusSource, error) {
+			if s.processes == nil {
+				return nil, nil
+			}
+			return s, nil
+		},
+	}
+	for _, author := range []string{"ann", "ben"} {
+		s.file(author+".json", fmt.Sprintf(`{"store_url": %q, "author": %q}`, server.URL, author))
+	}
+	s.file("orders.json", ordersFile)
+	return s
+}
+
+func (s *session) file(name, text string) {
+	assert.NilError(s.t, os.WriteFile(name, []byte(text), 0o600))
+}
+
+// run runs a command line and records the output and the exit code.
+func (s *session) run(line string, more ...string) string {
+	fmt.Fprintf(&s.text, "$ bramleymast %s\n", strings.Join(append([]string{line}, more...), " "))
+	before := s.text.Len()
+	code := execute(context.Background(), append(strings.Fields(line), more...), s.env)
+	output := string(s.text.Bytes()[before:])
+	fmt.Fprintf(&s.text, "exit code %d\n\n", code)
+	return output
+}
+
+func (s *session) assert() {
+	golden.Assert(s.t, s.text.String(), filepath.Join(s.dir, "testdata", s.t.Name()+".golden"))
+}
+
+// Processes is the fleet of the session.
+func (s *session) Processes(context.Context) ([]operator.Process, error) { return s.processes, nil }
+
+// Progress says that every process has applied everything, but for those that lag.
+func (s *session) Progress(ctx context.Context, _ netip.AddrPort, key string) ([]operator.Progress, error) {
+	e, err := s.store.Get(ctx, key)
+	all := make([]operator.Progress, 0, len(s.processes))
+	for _, p := range s.processes {
+		applied := e.Revision
+		if old, ok := s.lag[p.ID]; ok {
+			applied = old
+		}
+		all = append(all, operator.Progress{ID: p.ID, Applied: applied})
+	}
+	return all, err
+}
+
+func (s *session) fleet() {
+	s.processes = []operator.Process{{Kind: operator.KindBalancer, ID: "lb-1", Zone: "zone-a", State: "serving", Member: true, InService: true}}
+	for _, id := range []string{"orders-a1", "orders-a2", "orders-b1"} {
+		s.processes = append(s.processes, operator.Process{
+			Kind: operator.KindAgent, ID: id, Zone: "zone-" + id[7:8], Service: "orders", State: "ready", Member: true, InService: true,
+		})
+	}
+}
+
+// cutOff is a store that loses every answer after the first write was sent.
+type cutOff struct {
+	store.Store
+	sent bool
+}
+
+func (c *cutOff) Swap(context.Context, string, []byte, store.Revision, store.LeaseID) (store.Revision, error) {
+	c.sent = true
+	return 0, store.ErrUnknownOutcome
+}
+
+func (c *cutOff) Get(ctx context.Context, key string) (store.Entry, error) {
+	if c.sent {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return c.Store.Get(ctx, key)
+}
--- /dev/null
+++ b/internal/cmd/status.go
@@ -0,0 +1,147 @@
+package cmd
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/bramleymast/bramleymast/internal/operator"
+	"github.com/bramleymast/bramleymast/pkg/finding"
+)
+
+// status is "status".
+type status struct {
+	operatorOptions
+}
+
+func (c *status) declare() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand("status")
+	sc.Description = "shows services, availability zones, balancers and agents"
+	c.operatorOptions.declare(sc)
+	sc.AdditionalHelpAppend = `
+Examples:
+  bramleymast status
+  bramleymast status --output json
+
+Exit codes: 0 everything was read, 1 the store or the balancers did not answer; what is known is shown.`
+	return sc
+}
+
+type serviceStatusJSON struct {
+	Service      string   `json:"service"`
+	Revision     uint64   `json:"revision"`
+	Zones        []string `json:"zones"`
+	Backends     []string `json:"backends_in_service"`
+	MinInService int      `json:"min_backends_in_service"`
+	Short        bool     `json:"short"`
+}
+
+type processJSON struct {
+	Kind      string `json:"kind"`
+	ID        string `json:"id"`
+	Zone      string `json:"zone"`
+	Service   string `json:"service"`
+	State     string `json:"state"`
+	InService bool   `json:"in_service"`
+}
+
+type statusJSON struct {
+	Services    []serviceStatusJSON `json:"services"`
+	Zones       []stateJSON         `json:"zones"`
+	Processes   []processJSON       `json:"processes"`
+	StoreError  string              `json:"store_error,omitempty"`
+	StatusError string              `json:"status_error,omitempty"`
+}
+
+func (c *status) run(ctx context.Context, e environment) int {
+	var l finding.List
+	c.check(&l)
+	if e.badInput(l) {
+		return ExitBadInput
+	}
+	op, ok := c.open(e, false)
+	if !ok {
+		return ExitBadInput
+	}
+	v := op.Overview(ctx)
+	if c.json() {
+		e.json(newStatus(v))
+	} else {
+		e.overview(v)
+	}
+	code := ExitSuccess
+	for _, err := range []error{v.StoreErr(), v.StatusErr()} {
+		if err != nil {
+			e.fail(err)
+			code = ExitFailure
+		}
+	}
+	return code
+}
+
+func newStatus(v operator.Overview) statusJSON {
+	j := statusJSON{
+		Services: []serviceStatusJSON{}, Zones: []stateJSON{}, Processes: []processJSON{},
+		StoreError: errorText(v.StoreErr()), StatusError: errorText(v.StatusErr()),
+	}
+	for _, s := range v.Services() {
+		j.Services = append(j.Services, serviceStatusJSON{
+			s.Contract().Service(), uint64(s.Revision()), orEmpty(s.Zones()), orEmpty(s.Backends()), s.Contract().MinInService(),
+			v.StatusErr() == nil && s.Short(),
+		})
+	}
+	for _, z := range v.Zones() {
+		j.Zones = append(j.Zones, newState(z))
+	}
+	for _, p := range v.Processes() {
+		j.Processes = append(j.Processes, processJSON{string(p.Kind), p.ID, p.Zone, p.Service, p.State, p.InService})
+	}
+	return j
+}
+
+func orEmpty(s []string) []string {
+	if s == nil {
+		return []string{}
+	}
+	return s
+}
+
+func (e environment) overview(v operator.Overview) {
+	if v.StoreErr() == nil {
+		e.services(v)
+		e.printf("\n")
+		e.table(zoneRows(v.Zones()))
+	}
+	if v.StatusErr() != nil {
+		return
+	}
+	e.printf("\n")
+	rows := [][]string{{"PROCESS", "ID", "ZONE", serviceHeader, "STATE"}}
+	for _, p := range v.Processes() {
+		rows = append(rows, []string{string(p.Kind), p.ID, p.Zone, cell(p.Service), p.State})
+	}
+	e.table(rows)
+}
+
+func (e environment) services(v operator.Overview) {
+	rows := make([][]string, 0, len(v.Services())+1)
+	rows = append(rows, []string{serviceHeader, revisionHeader, "RUNS IN", "BACKENDS", "LEAST", "NOTE"})
+	for _, s := range v.Services() {
+		backends, note := strconv.Itoa(len(s.Backends())), ""
+		switch {
+		case v.StatusErr() != nil:
+			backends = "?"
+		case len(s.Zones()) == 0:
+			note = "runs nowhere"
+		case s.Short():
+			note = "too few backend servers"
+		}
+		rows = append(rows, []string{
+			s.Contract().Service(), revisionCell(s.Revision()), cell(strings.Join(s.Zones(), ",")),
+			backends, strconv.Itoa(s.Contract().MinInService()), cell(note),
+		})
+	}
+	e.table(rows)
+}
