feat: tell the zone states to an agent whose datagrams show it lacks them

Cause: a process that missed a zone change learned of it only by its next heartbeat or digest, up to 10 s later, over the 5 s after which a zone must receive no packets.

Ruled out: carrying the states in each datagram; the revision is enough to see the gap, and the states travel once.

Change: balancer.OnRevisionGap posts membership.PeerBehind, which queues the zone states in the highest priority.

--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -172,6 +172,9 @@
 	p.onLoad = f
 }
 
+// TellZones sends the zone states to a process whose datagrams show that it lacks the newest one.
+func (p *Process) TellZones(to netip.AddrPort) { p.post(membership.PeerBehind{Control: to}) }
+
 // Register adds a net/rpc service; it must be called before Run.
 func (p *Process) Register(name string, receiver any) error {
 	return errors.Annotatef(p.rpc.RegisterName(name, receiver), "cannot register the service %s", name)
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
+	lb.OnRevisionGap(p.closeGap)
 	b := &Balancer{parts: p, balancer: lb, settle: cfg.Settle, drain: make(chan struct{})}
 	if b.settle <= 0 {
 		b.settle = defaultSettle
@@ -93,6 +94,21 @@
 	})
 }
 
+// closeGap tells the zone states to an agent that lacks the newest one.
+// An agent that knows a newer one tells the balancer by itself.
+func (p *parts) closeGap(g balancer.RevisionGap) {
+	if !g.Behind() {
+		return
+	}
+	r, ok := p.board.Get(board.ID{Kind: board.KindAgent, Key: g.Agent})
+	if !ok {
+		return
+	}
+	if a, ok := r.Value.(board.Agent); ok {
+		p.control.TellZones(a.Control)
+	}
+}
+
 func (b *Balancer) announce() {
 	b.parts.control.SetMember(board.Balancer{
 		Zone:    b.parts.common.Zone,
--- a/pkg/membership/event.go
+++ b/pkg/membership/event.go
@@ -11,7 +11,8 @@
 	"github.com/bramleymast/bramleymast/pkg/store"
 )
 
-// Event is something that happened: Tick, Received, SetMember, SendLoad, Pulled, LeaseAnswer, RenewAnswer or StoreRead.
+// Event is something that happened: Tick, Received, SetMember, SendLoad, Pulled, LeaseAnswer, RenewAnswer,
+// StoreRead or PeerBehind.
 type Event interface{ event() }
 
 // Tick says that the time that Node.Next returned has come.
--- a/pkg/membership/node.go
+++ b/pkg/membership/node.go
@@ -146,6 +146,8 @@
 		n.renewAnswer(e)
 	case StoreRead:
 		n.storeRead(e)
+	case PeerBehind:
+		n.tellZones(e.Control)
 	}
 	n.flush()
 	return n.actions
