--- a/pkg/membership/node.go
+++ b/pkg/membership/node.go
@@ -146,6 +146,8 @@
 		n.renewAnswer(e)
 	case StoreRead:
 		n.storeRead(e)
+	case PeerBehind:
+		n.tellZones(e.Control)
 	}
 	n.flush()
 	return n.actions
@@ -254,6 +256,9 @@
 	case board.KindBalancer:
 		n.peers.dirty = true
 		n.liveness.dirty = true
+		if r.ID != n.self {
+			n.pullSoon()
+		}
 	case board.KindAgent:
 		n.liveness.changed(n, old, had, r)
 	case board.KindContract, board.KindZone, board.KindBackend, board.KindRelay:
