feat: run whole sessions of the program as scripts

Cause: exit codes, help and signals, and the answers of real balancers and agents, show only in processes.

Ruled out: heartbeats of 200 ms in the script.

--- /dev/null
+++ b/main_test.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/bramleymast/bramleymast/internal/cmd"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"bramleymast": func() { os.Exit(cmd.Run(context.Background())) },
+	})
+}
+
+// Guards against commands that differ as processes from what the session tests of internal/cmd show:
+// exit codes, help, signals, and the answers of real balancers and agents.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/scripts",
+		RequireExplicitExec: true,
+		Setup:               setup,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"expand":  expand,
+			"waitfor": waitFor,
+			"exits":   exits,
+			"sigterm": sigterm,
+		},
+	})
+}
+
+// ports is how many free ports a script gets, as $P1, $P2 and so on.
+const ports = 12
+
+// setup gives a script free ports, a shared key and a certificate.
+func setup(e *testscript.Env) error {
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		e.Setenv(fmt.Sprintf("P%d", i+1), strconv.Itoa(l.Addr().(*net.TCPAddr).Port))
+	}
+	key := make([]byte, 32)
+	_, _ = rand.Read(key)
+	if err := os.WriteFile(e.Cd+"/shared.key", []byte(hex.EncodeToString(key)+"\n"), 0o600); err != nil {
+		return err
+	}
+	return writeCertificate(e.Cd)
+}
+
+func writeCertificate(dir string) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	cert, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return err
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return err
+	}
+	err = os.WriteFile(dir+"/cert.pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert}), 0o600)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(dir+"/key.pem", pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private}), 0o600)
+}
+
+// expand replaces ${NAME} in files by the script's variables.
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		file := ts.MkAbs(name)
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(file, []byte(text), 0o600))
+	}
+}
+
+// waitTime ends a script that makes no progress; no script depends on how long a step takes.
+const waitTime = 30 * time.Second
+
+// waitFor asks a URL until it answers with the given status.
+func waitFor(ts *testscript.TestScript, _ bool, args []string) {
+	end := time.Now().Add(waitTime)
+	for time.Now().Before(end) {
+		resp, err := http.Get(args[0])
+		if err == nil {
+			_ = resp.Body.Close()
+			if strconv.Itoa(resp.StatusCode) == args[1] {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("%s does not answer with %s", args[0], args[1])
+}
+
+// sigterm sends SIGTERM to the background command that has the given argument.
+func sigterm(ts *testscript.TestScript, _ bool, args []string) {
+	for _, c := range ts.BackgroundCmds() {
+		if slices.Contains(c.Args, args[0]) {
+			ts.Check(c.Process.Signal(syscall.SIGTERM))
+			return
+		}
+	}
+	ts.Fatalf("no background command has the argument %s", args[0])
+}
+
+// exits runs the program with arguments and compares its exit code with the first one.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec("bramleymast", args[1:]...)
+	code := "0"
+	if err != nil {
+		code = err.Error()
+	}
+	if want := args[0]; code != want && code != "exit status "+want {
+		ts.Fatalf("%v: %s, not %s", args[1:], code, want)
+	}
+}
