--- /dev/null
+++ b/pkg/admission/admission_test.go
@@ -0,0 +1,168 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/bramleymast/bramleymast/pkg/admission"
+)
+
+var (
+	start  = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	limits = admission.Limits{
+		Slots: 7, ColdSlots: 1, Connections: 3, Ramp: 6 * time.Second, Wait: 200 * time.Millisecond, Trust: time.Hour,
+	}
+)
+
+// warm returns a limiter at its full limit and the time at which it is.
+func warm() (*admission.Limiter, time.Time) {
+	return admission.NewLimiter(start, limits), start.Add(limits.Ramp)
+}
+
+// answer runs one request alone and reports what it showed.
+func answer(t *testing.T, l *admission.Limiter, now time.Time, o admission.Observation) {
+	t.Helper()
+	d, decided := l.Enter(now, now.Add(time.Second))
+	assert.Assert(t, decided && d.Err == nil)
+	l.Leave(now, d.ID, o)
+}
+
+// Guards against more requests in progress than the ramp allows, a queue without a bound, a request that
+// waits beyond its time, and a slot that is lost, whatever the order of events.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		l := admission.NewLimiter(now, limits)
+		running, waiting := map[admission.ID]bool{}, map[admission.ID]time.Time{}
+		apply := func(ds []admission.Decision) {
+			for _, d := range ds {
+				_, known := waiting[d.ID]
+				assert.Assert(t, known, "a request was decided twice")
+				delete(waiting, d.ID)
+				if d.Err == nil {
+					running[d.ID] = true
+					assert.Assert(t, len(running) <= l.Slots(now))
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				deadline := now.Add(time.Duration(rapid.IntRange(-10, 400).Draw(t, "deadline")) * time.Millisecond)
+				for range rapid.IntRange(1, 40).Draw(t, "burst") {
+					d, decided := l.Enter(now, deadline)
+					if !decided {
+						waiting[d.ID] = deadline
+					} else if d.Err == nil {
+						running[d.ID] = true
+						assert.Assert(t, len(running) <= l.Slots(now) && now.Before(deadline))
+					}
+				}
+			},
+			"leave": func(t *rapid.T) {
+				for id := range running {
+					delete(running, id)
+					o := admission.Observation{Result: admission.Result(rapid.IntRange(0, 3).Draw(t, "result"))}
+					apply(l.Leave(now, id, o))
+					return
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "wait")) * time.Millisecond)
+				apply(l.Advance(now))
+				for _, deadline := range waiting {
+					assert.Assert(t, now.Before(deadline))
+				}
+			},
+			"": func(t *rapid.T) {
+				assert.Equal(t, l.InProgress(), len(running))
+				assert.Equal(t, l.Waiting(), len(waiting))
+				assert.Assert(t, len(waiting) <= 4*limits.Slots)
+				assert.Assert(t, len(waiting) == 0 || len(running) >= l.Slots(now), "a slot is free and a request waits")
+			},
+		})
+	})
+}
+
+// Guards against full load on a server that is cold, for each sign of coldness.
+func TestSignsOfColdness(t *testing.T) {
+	signs := map[admission.ColdReason]func(l *admission.Limiter, now time.Time) time.Time{
+		admission.ColdRestarted: func(l *admission.Limiter, now time.Time) time.Time {
+			l.MarkCold(now, admission.ColdRestarted)
+			return now
+		},
+		admission.ColdRefused: func(l *admission.Limiter, now time.Time) time.Time {
+			answer(t, l, now, admission.Observation{Result: admission.ResultRefused})
+			return now
+		},
+		admission.ColdShedding: func(l *admission.Limiter, now time.Time) time.Time {
+			for range 3 {
+				answer(t, l, now, admission.Observation{Result: admission.ResultShed})
+			}
+			return now
+		},
+		admission.ColdSlow: func(l *admission.Limiter, now time.Time) time.Time {
+			for i := range 24 {
+				d := 20 * time.Millisecond
+				if i >= 18 {
+					d = 200 * time.Millisecond
+				}
+				answer(t, l, now, admission.Observation{Result: admission.ResultAnswered, Service: d})
+			}
+			return now
+		},
+		admission.ColdIdle: func(l *admission.Limiter, now time.Time) time.Time {
+			now = now.Add(2 * time.Hour)
+			answer(t, l, now, admission.Observation{})
+			return now
+		},
+	}
+	for reason, sign := range signs {
+		l, now := warm()
+		assert.Equal(t, l.Slots(now), 7)
+		now = sign(l, now)
+		got, cold := l.Cold(now)
+		assert.Assert(t, cold, reason)
+		assert.Equal(t, got, reason)
+		assert.Equal(t, l.Slots(now), 1, reason)
+		assert.Equal(t, l.Slots(now.Add(3*time.Second)), 4)
+		assert.Equal(t, l.Slots(now.Add(6*time.Second)), 7)
+	}
+}
+
+// Guards against a single slow answer, or one 503, that counts as a cold start.
+func TestOneOutlierIsNoColdStart(t *testing.T) {
+	l, now := warm()
+	for i := range 40 {
+		d := 20 * time.Millisecond
+		if i%10 == 9 {
+			d = 5 * time.Second
+		}
+		answer(t, l, now, admission.Observation{Result: admission.ResultAnswered, Service: d})
+	}
+	assert.Equal(t, l.Slots(now), 7)
+	answer(t, l, now, admission.Observation{Result: admission.ResultShed})
+	assert.Equal(t, l.Slots(now), 3)
+}
+
+// Guards against retries beyond their share of the successes.
+func TestRetryBudget(t *testing.T) {
+	b := admission.NewRetryBudget(10)
+	retries := 0
+	for range 200 {
+		b.Succeed()
+		for b.Take() {
+			retries++
+		}
+	}
+	assert.Equal(t, retries, 20)
+	for range 1000 {
+		b.Succeed()
+	}
+	for b.Take() {
+		retries++
+	}
+	assert.Equal(t, retries, 30)
+}
