feat: pass opening packets to the agent that placement chooses

Cause: an agent accepted every opening packet that reached it, so two packets of one ClientHello could open flows at two agents, and a loaded agent took as many flows as an idle one. Ruled out: a tried entry with the own id on the way up to a higher-ranked member, because the flow is dropped when only the agent that received it has room; passing up without a redirect entry after another agent has passed the flow on, because reports of load change between two opening packets (found by rapid). Change: the decision is a core without I/O: own connection ids, flow table, redirect entries, ranking, bounded load, connection limit, drain and closed zone. The way back rotates after 200 ms of sending without an answer and leaves balancers that the board knows to be dead, leaving or in a closed zone. Seen failing without the mechanism, by changing one line at a time: redirects, the empty entry, the zone gate, the drain check, the connection limit, the opening id of a known caller, rotation after silence and after a loss.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/bramleymast/bramleymast/internal/wire"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/flow"
+	"github.com/bramleymast/bramleymast/pkg/membership"
 )
 
 // QUIC parameters.
@@ -35,9 +37,7 @@
 )
 
 // Load is what an agent tells its co-members about itself.
-type Load struct {
-	InProgress, Flows, Slots uint32
-}
+type Load = membership.Load
 
 // Control is the part of the control process that an agent uses.
 type Control interface {
@@ -74,15 +74,15 @@
 	cfg     Config
 	service flow.ServiceID
 	short   flow.ShortID
-	tag     connTag
 	sealer  *wire.Sealer
 	conn    *packetConn
 	backend *backend
 	metrics *metrics
-	flows   flowTable
-	gate    board.ZoneGate
+	zones   board.ZoneGate
 
+	steering     steering
 	view         atomic.Pointer[flow.View]
+	ways         atomic.Pointer[ways]
 	zoneRevision atomic.Uint64
 	changed      chan struct{}
 	drain        chan struct{}
@@ -112,9 +112,10 @@
 	}
 	a := &Agent{
 		cfg: cfg, service: flow.ServiceIDOf(cfg.Service), short: flow.ShortIDOf(cfg.ID),
-		tag: newConnTag(cfg.ID, cfg.Incarnation), sealer: sealer, metrics: m, backend: newBackend(target),
+		sealer: sealer, metrics: m, backend: newBackend(target),
 		changed: make(chan struct{}, 1), drain: make(chan struct{}),
 	}
+	a.steering.tag, a.steering.self = newConnTag(cfg.ID, cfg.Incarnation), a.short
 	a.conn = newPacketConn(socket, a)
 	a.refresh(time.Now())
 	cfg.Board.OnChange(func(board.Record) { a.notify() })
@@ -144,7 +145,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	transport := &quic.Transport{Conn: a.conn, ConnectionIDGenerator: a.tag, ConnContext: a.connContext}
+	transport := &quic.Transport{Conn: a.conn, ConnectionIDGenerator: a.steering.tag, ConnContext: a.connContext}
 	listener, err := transport.Listen(a.tlsConfig(), quicConfig())
 	if err != nil {
 		return errors.Annotate(err, "cannot listen for QUIC")
@@ -152,7 +153,7 @@
 	server := &http3.Server{Handler: http.HandlerFunc(a.serve)}
 	a.announce()
 	g.Go(func(context.Context) error {
-		err := server.ServeListener(&flowListener{listener: listener, flows: &a.flows})
+		err := server.ServeListener(&flowListener{listener: listener, flows: &a.steering.flows})
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -195,8 +196,8 @@
 // connContext counts a connection from its first packet until its end.
 func (a *Agent) connContext(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
 	caller := addrPort(info.RemoteAddr)
-	a.flows.connected(caller)
-	context.AfterFunc(ctx, func() { a.flows.disconnected(time.Now(), caller) })
+	a.steering.flows.connected(caller)
+	context.AfterFunc(ctx, func() { a.steering.flows.disconnected(time.Now(), caller) })
 	return ctx, nil
 }
 
@@ -261,7 +262,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		a.flows.sweep(now)
+		a.steering.flows.sweep(now)
 		a.refresh(now)
 	}
 }
@@ -272,8 +273,32 @@
 	c, _, _ := b.Contract(a.cfg.Service)
 	for _, r := range b.Records(board.KindZone) {
 		out, _ := b.ZoneOut(r.ID.Key)
-		a.gate.Update(now, r.ID.Key, out)
+		a.zones.Update(now, r.ID.Key, out)
 	}
 	a.zoneRevision.Store(b.ZoneRevision())
-	a.view.Store(b.View(a.cfg.Service, func(zone string) bool { return a.gate.Closed(now, zone, c.ZoneOutGrace()) }))
+	closed := func(zone string) bool { return a.zones.Closed(now, zone, c.ZoneOutGrace()) }
+	a.view.Store(b.View(a.cfg.Service, closed))
+	a.ways.Store(waysOf(b, closed))
+}
+
+// waysOf derives the balancers that can carry answers from the board.
+func waysOf(b *board.Board, closed func(zone string) bool) *ways {
+	w := &ways{lost: make(map[netip.AddrPort]struct{})}
+	for _, r := range b.Records(board.KindBalancer) {
+		m, ok := r.Value.(board.Balancer)
+		switch {
+		case !ok:
+		case m.Leaving || r.Version.Verdict == board.Dead || closed(m.Zone):
+			w.lost[m.Data] = struct{}{}
+		case r.Version.Verdict == board.Alive:
+			w.live = append(w.live, m.Data)
+		}
+	}
+	slices.SortFunc(w.live, netip.AddrPort.Compare)
+	return w
+}
+
+// situation returns the state that decisions on packets depend on.
+func (a *Agent) situation() situation {
+	return situation{view: a.view.Load(), opens: !a.draining.Load(), room: true}
 }
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -2,22 +2,29 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// Times that a flow record outlives its use.
 const (
 	// openTimeout ends a record whose opening packet started no connection, such as an invalid Initial.
 	openTimeout = time.Second
 	// closeLinger lets the closing packet of a connection be repeated to a caller that has not seen it.
 	closeLinger = 3 * time.Second
+	// silence is how long the agent sends without hearing from the caller before it uses another balancer.
+	// It is above the round trip between zones with the delay of an acknowledgement (25 ms each).
+	silence = 200 * time.Millisecond
 )
 
 // flowRecord is what an agent knows of a flow that it has accepted.
 type flowRecord struct {
-	// balancer is the one from which the flow's last packet came.
+	// balancer is the one from which the flow's last packet came, or to which the way back was moved.
 	balancer netip.AddrPort
+	// first identifies the packet that opened the newest connection of the flow.
+	first uint64
 	// unanswered is when the first packet was sent since the last one from the caller; zero when there is none.
 	unanswered time.Time
 	// touched is when the record was made or its last connection ended.
@@ -29,6 +36,11 @@
 	finished bool
 }
 
+func (r *flowRecord) heard(balancer netip.AddrPort) {
+	r.balancer = balancer
+	r.unanswered = time.Time{}
+}
+
 // flowTable holds the flows of one agent; the zero value is empty and ready to use.
 type flowTable struct {
 	mu      sync.Mutex
@@ -36,41 +48,54 @@
 	open    int
 }
 
-// heard notes a packet of a known flow and reports whether the flow is known and has not ended.
-func (t *flowTable) heard(caller, balancer netip.AddrPort) bool {
+// openingID identifies an opening packet by its destination connection id, which the caller keeps
+// until it has heard from the agent.
+func openingID(packet []byte) uint64 {
+	id, _ := destination(packet)
+	return xxhash.Sum64(id)
+}
+
+// opens notes an opening packet and reports whether it belongs to a flow of the table. With newConnections,
+// a caller of the table may open a further connection.
+func (t *flowTable) opens(caller, balancer netip.AddrPort, first uint64, newConnections bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[caller]
-	if !ok {
+	if !ok || r.finished || (r.first != first && !newConnections) {
 		return false
 	}
-	r.balancer = balancer
-	r.unanswered = time.Time{}
-	return !r.finished
+	r.first = first
+	r.heard(balancer)
+	return true
 }
 
 // accept makes the record of a new flow.
-func (t *flowTable) accept(now time.Time, caller, balancer netip.AddrPort) {
+func (t *flowTable) accept(now time.Time, caller, balancer netip.AddrPort, first uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.add(caller, &flowRecord{balancer: balancer, first: first, touched: now})
+}
+
+func (t *flowTable) add(caller netip.AddrPort, r *flowRecord) {
 	if t.records == nil {
 		t.records = make(map[netip.AddrPort]*flowRecord)
 	}
-	if r, ok := t.records[caller]; !ok || r.finished {
+	if old, ok := t.records[caller]; !ok || old.finished {
 		t.open++
 	}
-	t.records[caller] = &flowRecord{balancer: balancer, touched: now}
+	t.records[caller] = r
 }
 
-// adopt makes the record of a packet that carries the agent's tag but comes from an address without a
-// record, such as that of a caller whose address has changed.
+// adopt notes a packet that carries the agent's tag. Its caller is unknown when the address of a caller has
+// changed; the way back then follows the packet.
 func (t *flowTable) adopt(now time.Time, caller, balancer netip.AddrPort) {
 	t.mu.Lock()
-	_, known := t.records[caller]
-	t.mu.Unlock()
-	if !known {
-		t.accept(now, caller, balancer)
+	defer t.mu.Unlock()
+	if r, ok := t.records[caller]; ok {
+		r.heard(balancer)
+		return
 	}
+	t.add(caller, &flowRecord{balancer: balancer, touched: now})
 }
 
 // connected counts a connection of a flow.
@@ -122,3 +147,51 @@
 		}
 	}
 }
+
+// ways are the balancers through which answers can go; a value is never changed after it is made.
+type ways struct {
+	// live are the balancers to rotate over, in the same order at every agent.
+	live []netip.AddrPort
+	// lost are the balancers that the board knows not to be usable: dead, leaving or in a closed zone.
+	lost map[netip.AddrPort]struct{}
+}
+
+// after returns the live balancer that follows another one.
+func (w *ways) after(b netip.AddrPort) netip.AddrPort {
+	if len(w.live) == 0 {
+		return b
+	}
+	i, found := slices.BinarySearchFunc(w.live, b, netip.AddrPort.Compare)
+	if found {
+		i++
+	}
+	return w.live[i%len(w.live)]
+}
+
+// route is the way of a packet back to its caller.
+type route struct {
+	balancer    netip.AddrPort
+	established bool
+	rotated     bool
+}
+
+// route returns the way back to a caller. It moves on to the next live balancer when the last one is lost, or when
+// nothing was heard from the caller for a while in spite of what was sent.
+func (t *flowTable) route(now time.Time, caller netip.AddrPort, w *ways) (route, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.records[caller]
+	if !ok {
+		return route{}, false
+	}
+	if r.unanswered.IsZero() {
+		r.unanswered = now
+	}
+	_, lost := w.lost[r.balancer]
+	rotated := lost || now.Sub(r.unanswered) >= silence
+	if rotated {
+		r.balancer = w.after(r.balancer)
+		r.unanswered = now
+	}
+	return route{balancer: r.balancer, established: r.established, rotated: rotated}, true
+}
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -9,6 +9,7 @@
 type metrics struct {
 	dropped *prometheus.CounterVec
 	passed  prometheus.Counter
+	rotated prometheus.Counter
 	outcome *prometheus.CounterVec
 }
 
@@ -22,6 +23,10 @@
 			Name: "bramleymast_agent_packets_passed_total",
 			Help: "Packets that the agent passed on to another agent.",
 		}),
+		rotated: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bramleymast_agent_return_rotations_total",
+			Help: "Changes of the balancer through which a flow is answered, after silence or the loss of the balancer.",
+		}),
 		outcome: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleymast_agent_requests_total",
 			Help: "Requests by outcome and reason.",
@@ -30,7 +35,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.dropped, m.passed, m.outcome} {
+	for _, c := range []prometheus.Collector{m.dropped, m.passed, m.rotated, m.outcome} {
 		if err := r.Register(c); err != nil {
 			return nil, errors.Annotate(err, "cannot register the agent's metrics")
 		}
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -8,7 +8,6 @@
 	"github.com/juju/errors"
 
 	"github.com/bramleymast/bramleymast/internal/wire"
-	"github.com/bramleymast/bramleymast/pkg/flow"
 )
 
 // socketBuffer is the size in bytes asked for each direction of the data socket; the system may grant less.
@@ -66,6 +65,12 @@
 // LocalAddr returns the address of the socket.
 func (c *packetConn) LocalAddr() net.Addr { return c.socket.LocalAddr() }
 
+// SetReadBuffer keeps quic-go from warning; newPacketConn has set the buffers.
+func (c *packetConn) SetReadBuffer(int) error { return nil }
+
+// SetWriteBuffer keeps quic-go from warning; newPacketConn has set the buffers.
+func (c *packetConn) SetWriteBuffer(int) error { return nil }
+
 // SetDeadline sets the deadlines of the socket.
 func (c *packetConn) SetDeadline(t time.Time) error { return c.socket.SetDeadline(t) }
 
@@ -100,37 +105,39 @@
 		a.metrics.drop(errUnknownService)
 		return false
 	}
-	s := steering{view: a.view.Load(), tag: a.tag, self: a.short, flows: &a.flows}
-	v := s.decide(time.Now(), d)
+	v := a.steering.decide(time.Now(), d, a.situation())
 	switch v.action {
 	case actionDeliver:
 		return true
 	case actionPass:
-		a.pass(d, v.next)
+		a.pass(d, v)
 	case actionDrop:
 		a.metrics.drop(v.reason)
 	}
 	return false
 }
 
-func (a *Agent) pass(d *wire.Datagram, next *flow.Member) {
-	if !d.Tried.Add(a.short) {
+func (a *Agent) pass(d *wire.Datagram, v verdict) {
+	if !v.hop(a.short, &d.Tried) {
 		a.metrics.drop(errTriedAll)
 		return
 	}
 	a.metrics.passed.Inc()
-	if err := a.conn.send(d, next.Data()); err != nil {
-		a.cfg.Logger.Debug("cannot pass a packet on", "to", next.ID(), "error", err)
+	if err := a.conn.send(d, v.next.Data()); err != nil {
+		a.cfg.Logger.Debug("cannot pass a packet on", "to", v.next.ID(), "error", err)
 	}
 }
 
 // outbound sends a packet to a caller.
 func (a *Agent) outbound(caller netip.AddrPort, p []byte) {
-	r, ok := a.flows.route(time.Now(), caller)
+	r, ok := a.steering.flows.route(time.Now(), caller, a.ways.Load())
 	if !ok {
 		a.metrics.drop(errNoFlow)
 		return
 	}
+	if r.rotated {
+		a.metrics.rotated.Inc()
+	}
 	d := wire.Datagram{
 		Kind: wire.KindReturn, Service: a.service, Caller: caller, Balancer: r.balancer,
 		ZoneRevision: a.zoneRevision.Load(), Owner: a.short, Established: r.established, Payload: p,
--- a/internal/agent/steering.go
+++ b/internal/agent/steering.go
@@ -2,19 +2,23 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/bramleymast/bramleymast/internal/wire"
 	"github.com/bramleymast/bramleymast/pkg/flow"
+	"github.com/bramleymast/bramleymast/pkg/placement"
 )
 
 // Reasons for which an agent drops a packet; the text is the value of the reason label of the metric.
 const (
 	errUnknownService = errors.ConstError("unknown_service")
 	errTriedAll       = errors.ConstError("tried_all")
+	errNoCapacity     = errors.ConstError("no_capacity")
 	errNoFlow         = errors.ConstError("no_flow")
+	errZoneOut        = errors.ConstError("zone_out")
 )
 
 type action uint8
@@ -29,64 +33,188 @@
 type verdict struct {
 	action action
 	next   *flow.Member
+	// up is true when the packet goes to a higher-ranked member before this agent has decided on its flow.
+	up     bool
 	reason error
 }
 
+// hop notes in the tried list that an agent passes the packet on, and reports whether there was room.
+// A packet that goes up leaves an entry that names no agent: it counts as a hop, and the agent can still be
+// chosen when the higher-ranked member has no room.
+func (v verdict) hop(self flow.ShortID, tried *flow.Tried) bool {
+	if v.up {
+		return tried.Add(0)
+	}
+	return tried.Add(self)
+}
+
+// situation is the state of the agent that a decision depends on.
+type situation struct {
+	view *flow.View
+	// opens is false once the agent takes no new flows.
+	opens bool
+	// closed is true once the grace period of the agent's zone is over.
+	closed bool
+	// room is true while the connection limit allows another flow.
+	room bool
+	load placement.Load
+}
+
 // steering decides on forward datagrams without I/O.
 type steering struct {
-	view  *flow.View
-	tag   connTag
-	self  flow.ShortID
-	flows *flowTable
+	tag       connTag
+	self      flow.ShortID
+	flows     flowTable
+	redirects redirectTable
+	placer    placement.Placer
 }
 
 // decide returns what happens to a packet.
-func (s *steering) decide(now time.Time, d *wire.Datagram) verdict {
+func (s *steering) decide(now time.Time, d *wire.Datagram, at situation) verdict {
+	if at.closed {
+		return verdict{action: actionDrop, reason: errZoneOut}
+	}
 	if s.tag.owns(d.Payload) {
 		s.flows.adopt(now, d.Caller, d.Balancer)
-		s.flows.heard(d.Caller, d.Balancer)
 		return verdict{action: actionDeliver}
 	}
 	if !d.Opening {
-		return s.next(d, false)
+		return s.pass(d, at.view, false)
 	}
-	if s.flows.heard(d.Caller, d.Balancer) {
+	first := openingID(d.Payload)
+	if s.flows.opens(d.Caller, d.Balancer, first, at.opens) {
 		return verdict{action: actionDeliver}
 	}
-	s.flows.accept(now, d.Caller, d.Balancer)
+	return s.decideOpening(now, d, at, first)
+}
+
+// decideOpening decides on an opening packet of an unknown flow.
+func (s *steering) decideOpening(now time.Time, d *wire.Datagram, at situation, first uint64) verdict {
+	if m := s.redirected(now, d, at.view); m != nil {
+		return verdict{action: actionPass, next: m}
+	}
+	if !at.opens {
+		return s.pass(d, at.view, true)
+	}
+	hash := flow.NewKey(d.Caller, d.Service).Hash()
+	tried := d.Tried
+	if m := s.higher(now, d, at, hash); m != nil && tried.Add(0) {
+		return verdict{action: actionPass, next: m, up: true}
+	}
+	if at.room && s.placer.Accepts(now, at.load, at.view, s.self) {
+		return s.accept(now, d, first)
+	}
+	tried = d.Tried
+	if tried.Add(s.self) {
+		if m := s.placer.Next(now, at.load, at.view, s.self, hash, tried); m != nil {
+			s.redirects.put(now, d.Caller, m.Short())
+			return verdict{action: actionPass, next: m}
+		}
+	}
+	if at.room {
+		return s.accept(now, d, first)
+	}
+	return verdict{action: actionDrop, reason: errNoCapacity}
+}
+
+// redirected returns the member to which earlier opening packets of the flow went.
+func (s *steering) redirected(now time.Time, d *wire.Datagram, v *flow.View) *flow.Member {
+	id, ok := s.redirects.get(now, d.Caller)
+	if !ok || d.Tried.Has(id) {
+		return nil
+	}
+	if m, ok := v.Member(id); ok && m.Opens() {
+		return m
+	}
+	return nil
+}
+
+// higher returns the higher-ranked member that should decide on a flow first. After another agent has passed
+// the flow on, a higher-ranked member is asked only when it seems to have room: the other may have left it out.
+func (s *steering) higher(now time.Time, d *wire.Datagram, at situation, hash uint64) *flow.Member {
+	m := at.view.First(hash, true, d.Tried)
+	if m == nil || m.Short() == s.self {
+		return nil
+	}
+	if !declined(d.Tried) {
+		return m
+	}
+	if !s.placer.Fits(now, at.load, at.view, s.self, m.Short()) {
+		return nil
+	}
+	s.redirects.put(now, d.Caller, m.Short())
+	return m
+}
+
+// declined reports whether an agent has decided to pass the packet on.
+func declined(tried flow.Tried) bool {
+	return slices.ContainsFunc(tried.IDs(), func(id flow.ShortID) bool { return id != 0 })
+}
+
+func (s *steering) accept(now time.Time, d *wire.Datagram, first uint64) verdict {
+	s.flows.accept(now, d.Caller, d.Balancer, first)
 	return verdict{action: actionDeliver}
 }
 
-// next passes a packet to the next member of the ranking.
-func (s *steering) next(d *wire.Datagram, opening bool) verdict {
+// pass sends a packet to the next member of the ranking that it has not visited.
+func (s *steering) pass(d *wire.Datagram, v *flow.View, opening bool) verdict {
 	tried := d.Tried
 	if !tried.Add(s.self) {
 		return verdict{action: actionDrop, reason: errTriedAll}
 	}
-	hash := flow.NewKey(d.Caller, d.Service).Hash()
-	m := s.view.First(hash, opening, tried)
+	m := v.First(flow.NewKey(d.Caller, d.Service).Hash(), opening, tried)
 	if m == nil {
 		return verdict{action: actionDrop, reason: errTriedAll}
 	}
 	return verdict{action: actionPass, next: m}
 }
 
-// route is where a packet for a caller goes.
-type route struct {
-	balancer    netip.AddrPort
-	established bool
+const (
+	// redirectLifetime is longer than a handshake with its repetitions, all packets of which must reach one agent.
+	redirectLifetime = 30 * time.Second
+	// maxRedirects bounds the memory against opening packets with invented callers.
+	maxRedirects = 4096
+)
+
+type redirect struct {
+	caller  netip.AddrPort
+	to      flow.ShortID
+	expires time.Time
+}
+
+// redirectTable remembers to which agent opening packets of a flow were passed; the zero value is ready to use.
+// It is used by the goroutine that reads the data socket.
+type redirectTable struct {
+	index map[netip.AddrPort]int
+	ring  []redirect
+	next  int
 }
 
-// route returns the way back to a caller.
-func (t *flowTable) route(now time.Time, caller netip.AddrPort) (route, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r, ok := t.records[caller]
-	if !ok {
-		return route{}, false
+func (t *redirectTable) get(now time.Time, caller netip.AddrPort) (flow.ShortID, bool) {
+	i, ok := t.index[caller]
+	if !ok || !now.Before(t.ring[i].expires) {
+		return 0, false
+	}
+	return t.ring[i].to, true
+}
+
+// put stores an entry in place of the oldest one when the table is full.
+func (t *redirectTable) put(now time.Time, caller netip.AddrPort, to flow.ShortID) {
+	r := redirect{caller: caller, to: to, expires: now.Add(redirectLifetime)}
+	if t.index == nil {
+		t.index = make(map[netip.AddrPort]int)
+	}
+	if i, ok := t.index[caller]; ok {
+		t.ring[i] = r
+		return
 	}
-	if r.unanswered.IsZero() {
-		r.unanswered = now
+	if len(t.ring) < maxRedirects {
+		t.index[caller] = len(t.ring)
+		t.ring = append(t.ring, r)
+		return
 	}
-	return route{balancer: r.balancer, established: r.established}, true
+	delete(t.index, t.ring[t.next].caller)
+	t.ring[t.next] = r
+	t.index[caller] = t.next
+	t.next = (t.next + 1) % maxRedirects
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -90,6 +90,14 @@
 	return own.Relative() <= p.limit(now, own, v, self)
 }
 
+// Fits reports whether a member's load is unknown or within the bound.
+func (p *Placer) Fits(now time.Time, own Load, v *flow.View, self, member flow.ShortID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.fresh(now, member)
+	return !ok || l.Relative() <= p.limit(now, own, v, self)
+}
+
 // Next returns the member to which an agent passes a new flow that it does not accept: the first of the
 // ranking whose load is unknown or within the bound, or else the least loaded one; nil means that there is none.
 // Tried must hold the agent itself.
