--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -51,12 +51,14 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"enter": func(t *rapid.T) {
 				deadline := now.Add(time.Duration(rapid.IntRange(-10, 400).Draw(t, "deadline")) * time.Millisecond)
-				d, decided := l.Enter(now, deadline)
-				if !decided {
-					waiting[d.ID] = deadline
-				} else if d.Err == nil {
-					running[d.ID] = true
-					assert.Assert(t, len(running) <= l.Slots(now) && now.Before(deadline))
+				for range rapid.IntRange(1, 40).Draw(t, "burst") {
+					d, decided := l.Enter(now, deadline)
+					if !decided {
+						waiting[d.ID] = deadline
+					} else if d.Err == nil {
+						running[d.ID] = true
+						assert.Assert(t, len(running) <= l.Slots(now) && now.Before(deadline))
+					}
 				}
 			},
 			"leave": func(t *rapid.T) {
