--- /dev/null
+++ b/internal/standin/caller/tally.go
@@ -0,0 +1,133 @@
+package caller
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Outcome is how a request ended for its caller.
+type Outcome uint8
+
+// Outcomes of a request.
+const (
+	Answered Outcome = iota + 1
+	// NotRun means that the request was refused and did not run.
+	NotRun
+	// Unknown means that the caller cannot tell whether the request ran.
+	Unknown
+)
+
+// String returns the name of the outcome as in the response header.
+func (o Outcome) String() string {
+	switch o {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "not_run"
+	case Unknown:
+		return "unknown"
+	}
+	return "none"
+}
+
+// Break is a flow or a download that ended before its caller wanted.
+type Break struct {
+	At     time.Time `json:"at"`
+	Caller string    `json:"caller"`
+	// Server is the backend server that answered last on the flow; empty when none has.
+	Server string `json:"server"`
+	Reason string `json:"reason"`
+	// Flow is whether the whole connection ended, and not only one response.
+	Flow bool `json:"flow"`
+}
+
+// Sample is the latency of one answered request.
+type Sample struct {
+	At      time.Time
+	Latency time.Duration
+	Server  string
+}
+
+// Counts is what the callers of a service have counted. A request that was retried counts once, with its last outcome.
+type Counts struct {
+	Requests        int `json:"requests"`
+	Answered        int `json:"answered"`
+	NotRun          int `json:"refused_not_run"`
+	Unknown         int `json:"unknown_outcome"`
+	Retries         int `json:"retries"`
+	Tickets         int `json:"tickets"`
+	Downloads       int `json:"downloads"`
+	DownloadedBytes int `json:"downloaded_bytes"`
+	Corrupt         int `json:"corrupt"`
+	FlowsOpened     int `json:"flows_opened"`
+	FlowsMoved      int `json:"flows_moved"`
+	DialFailures    int `json:"dial_failures"`
+}
+
+// Report is a copy of everything that a tally holds.
+type Report struct {
+	Counts
+	Breaks []Break `json:"breaks"`
+	// Reasons counts the attempts that were not answered, by reason.
+	Reasons map[string]int `json:"reasons"`
+	// Writes holds the last outcome of each write by its order id.
+	Writes  map[string]Outcome `json:"-"`
+	Samples []Sample           `json:"-"`
+}
+
+// Tally collects the counts of all callers of one service; the zero value is empty and ready to use.
+type Tally struct {
+	mu sync.Mutex
+	r  Report
+}
+
+// Report returns a copy of the counts.
+func (t *Tally) Report() Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.r
+	r.Breaks = slices.Clone(r.Breaks)
+	r.Reasons = maps.Clone(r.Reasons)
+	r.Writes = maps.Clone(r.Writes)
+	r.Samples = slices.Clone(r.Samples)
+	return r
+}
+
+func (t *Tally) update(f func(r *Report)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f(&t.r)
+}
+
+func (t *Tally) finished(o Outcome) {
+	t.update(func(r *Report) {
+		switch o {
+		case Answered:
+			r.Answered++
+		case NotRun:
+			r.NotRun++
+		case Unknown:
+			r.Unknown++
+		}
+	})
+}
+
+func (t *Tally) reason(name string) {
+	t.update(func(r *Report) {
+		if r.Reasons == nil {
+			r.Reasons = make(map[string]int)
+		}
+		r.Reasons[name]++
+	})
+}
+
+func (t *Tally) write(id string, o Outcome) {
+	t.update(func(r *Report) {
+		if r.Writes == nil {
+			r.Writes = make(map[string]Outcome)
+		}
+		r.Writes[id] = o
+	})
+}
--- /dev/null
+++ b/internal/standin/fabric/flow.go
@@ -0,0 +1,134 @@
+package fabric
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// flowKey names the socket of one caller address and one service address.
+type flowKey struct {
+	caller  netip.AddrPort
+	service netip.AddrPort
+}
+
+// flow is the socket that every balancer sees as the source of a caller's packets.
+type flow struct {
+	key      flowKey
+	conn     *net.UDPConn
+	listener *net.UDPConn
+	lastUsed atomic.Int64
+}
+
+// receive reads the packets of callers for one service address.
+func (f *Fabric) receive(l *net.UDPConn) error {
+	service := localAddr(l)
+	buf := make([]byte, maxPacket)
+	for {
+		n, from, err := l.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return ignoreClosed(err)
+		}
+		fl, err := f.flowOf(flowKey{caller: unmap(from), service: service}, l)
+		if err != nil {
+			f.cfg.Logger.Warn("no socket for a caller", "caller", from, "error", err)
+			continue
+		}
+		f.forward(fl, buf[:n])
+	}
+}
+
+func unmap(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Trace(err)
+}
+
+func (f *Fabric) flowOf(k flowKey, l *net.UDPConn) (*flow, error) {
+	f.flowMu.Lock()
+	defer f.flowMu.Unlock()
+	if fl, ok := f.flows[k]; ok {
+		fl.lastUsed.Store(time.Now().UnixNano())
+		return fl, nil
+	}
+	if f.closed {
+		return nil, errors.Trace(net.ErrClosed)
+	}
+	conn, err := listen(netip.AddrPortFrom(k.service.Addr(), 0))
+	if err != nil {
+		return nil, err
+	}
+	fl := &flow{key: k, conn: conn, listener: l}
+	fl.lastUsed.Store(time.Now().UnixNano())
+	f.flows[k] = fl
+	f.group.Go(func(context.Context) error { return f.receiveAnswers(fl) })
+	return fl, nil
+}
+
+// forward sends a caller's packet to a random ready balancer.
+func (f *Fabric) forward(fl *flow, packet []byte) {
+	t := f.pick()
+	if t == nil {
+		f.unsent.Add(1)
+		return
+	}
+	t.sent.Add(1)
+	to := netip.AddrPortFrom(t.IP, fl.key.service.Port())
+	f.pass(f.link(CallerZone, t.Zone), packet, func(p []byte) {
+		// A failed write is a lost packet.
+		_, _ = fl.conn.WriteToUDPAddrPort(p, to)
+	})
+}
+
+// receiveAnswers passes packets of balancers on from the service address.
+func (f *Fabric) receiveAnswers(fl *flow) error {
+	buf := make([]byte, maxPacket)
+	for {
+		n, from, err := fl.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return ignoreClosed(err)
+		}
+		t := f.targetOf(from.Addr().Unmap())
+		if t == nil {
+			continue
+		}
+		t.returned.Add(1)
+		fl.lastUsed.Store(time.Now().UnixNano())
+		f.pass(f.link(t.Zone, CallerZone), buf[:n], func(p []byte) {
+			// A failed write is a lost packet.
+			_, _ = fl.listener.WriteToUDPAddrPort(p, fl.key.caller)
+		})
+	}
+}
+
+// sweep closes the sockets of callers that have left.
+func (f *Fabric) sweep(ctx context.Context) error {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			f.dropIdle(now)
+		}
+	}
+}
+
+func (f *Fabric) dropIdle(now time.Time) {
+	f.flowMu.Lock()
+	defer f.flowMu.Unlock()
+	for k, fl := range f.flows {
+		if now.Sub(time.Unix(0, fl.lastUsed.Load())) > flowIdle {
+			_ = fl.conn.Close()
+			delete(f.flows, k)
+		}
+	}
+}
