--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -8,7 +8,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bramleymast/bramleymast/internal/agent"
-	"github.com/bramleymast/bramleymast/internal/control"
 	"github.com/bramleymast/bramleymast/pkg/board"
 )
 
@@ -45,7 +44,7 @@
 		SharedKey:   cfg.SharedKey,
 		Incarnation: p.incarnation,
 		Board:       p.board,
-		Control:     agentControl{Process: p.control},
+		Control:     p.control,
 		Logger:      p.common.Logger.Named("agent"),
 		Registerer:  p.registry,
 	})
@@ -55,19 +54,6 @@
 	return &Agent{parts: p, agent: a}, nil
 }
 
-// agentControl adapts the control process to what an agent uses.
-type agentControl struct {
-	*control.Process
-}
-
-// SendLoad tells the agent's load to its co-members.
-func (c agentControl) SendLoad(l agent.Load) { c.Process.SendLoad(control.Load(l)) }
-
-// OnLoad registers the function that receives the loads of co-members.
-func (c agentControl) OnLoad(f func(agent string, l agent.Load)) {
-	c.Process.OnLoad(func(id string, l control.Load) { f(id, agent.Load(l)) })
-}
-
 // DataAddress returns the bound data address.
 func (a *Agent) DataAddress() netip.AddrPort { return a.agent.DataAddress() }
 
--- a/internal/operator/write_test.go
+++ b/internal/operator/write_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	_ "github.com/bramleymast/bramleymast/internal/fixedseed"
+
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"testing"
 
+	_ "github.com/bramleymast/bramleymast/internal/fixedseed"
+
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	_ "github.com/bramleymast/bramleymast/internal/fixedseed"
+
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
