fix: take the seed of the operator tests from fixedseed

Cause: main has one place that sets the seed of rapid.

Change: TestMain of internal/operator is removed.

--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -207,13 +205,3 @@
 	assert.NilError(t, list.Err())
 	return c
 }
-
-// TestMain fixes the seed of rapid and keeps no files of failed runs, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20260102", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
