feat: add the demo that runs and changes a whole deployment

An operator needs to see what the product promises before trusting it. One process runs the store stand-in, the fabric, three balancers, the agents and sample backend servers of both services of a user, and callers. An experiment description lists the changes by their offsets. Every figure is counted at callers, sample backend servers and at sockets that take the place of a switched-off zone's agents.

--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -30,7 +30,7 @@
 
 // commands returns every command of the program.
 func commands() []command {
-	return nil
+	return []command{newDemoCommand()}
 }
 
 // Main parses the arguments, runs the command and returns the exit code.
--- /dev/null
+++ b/internal/demo/deployment.go
@@ -0,0 +1,115 @@
+// Package demo runs a whole deployment in one process, changes it while callers use it, and checks the promises.
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/internal/standin/backend"
+	"github.com/bramleymast/bramleymast/internal/standin/caller"
+	"github.com/bramleymast/bramleymast/internal/standin/fabric"
+	"github.com/bramleymast/bramleymast/pkg/contract"
+)
+
+// ErrDeployment means that a deployment has no such name.
+const ErrDeployment = errors.ConstError("the deployment is not laca-verde or notas")
+
+const (
+	// coldRamp is short enough for a cold start to begin and end within a run.
+	coldRamp    = 2 * time.Second
+	serviceTime = 15 * time.Millisecond
+)
+
+// Service describes one customer service of a deployment.
+type Service struct {
+	Kind    backend.Kind
+	Servers int
+	Slots   int
+	// Callers is how many users send requests one after the other.
+	Callers int
+	Load    caller.Load
+	// Downloaders is how many further users fetch long downloads only.
+	Downloaders int
+	Download    caller.Load
+}
+
+// Deployment describes the sizes of one user's deployment.
+type Deployment struct {
+	Name  string
+	Zones []string
+	// Between and ToCallers are the one-way delays between two zones and to the callers.
+	Between   time.Duration
+	ToCallers time.Duration
+	Services  []Service
+}
+
+// Deployments returns the deployments of the two users at their current sizes.
+func Deployments() []Deployment {
+	reads := caller.Load{Pause: 60 * time.Millisecond, WriteShare: 0.3, RequestsPerFlow: 12}
+	short := caller.Load{Pause: 60 * time.Millisecond, RequestsPerFlow: 12}
+	long := caller.Load{DownloadShare: 1, DownloadBytes: 4 << 20, DownloadRate: 1 << 20, RequestsPerFlow: 2}
+	return []Deployment{{
+		Name: "laca-verde", Zones: []string{"zone-a", "zone-b", "zone-c", "zone-d"},
+		Between: 5 * time.Millisecond, ToCallers: 3 * time.Millisecond,
+		Services: []Service{
+			{Kind: backend.KindOrders, Servers: 7, Slots: 2, Callers: 20, Load: reads},
+			{Kind: backend.KindCatalogue, Servers: 4, Slots: 2, Callers: 4, Load: short, Downloaders: 3, Download: long},
+		},
+	}, {
+		Name: "notas", Zones: []string{"zone-a", "zone-b", "zone-c"},
+		Between: 4 * time.Millisecond, ToCallers: 3 * time.Millisecond,
+		Services: []Service{
+			{Kind: backend.KindSummaries, Servers: 7, Slots: 7, Callers: 30, Load: reads},
+			{Kind: backend.KindBundles, Servers: 3, Slots: 7, Callers: 6, Load: short, Downloaders: 8, Download: long},
+		},
+	}}
+}
+
+// FindDeployment returns the deployment with a name.
+func FindDeployment(name string) (Deployment, error) {
+	all := Deployments()
+	i := slices.IndexFunc(all, func(d Deployment) bool { return d.Name == name })
+	if i < 0 {
+		return Deployment{}, errors.Annotatef(ErrDeployment, "%q", name)
+	}
+	return all[i], nil
+}
+
+// links returns the delays of the fabric between callers and each zone.
+func (d Deployment) links(f *fabric.Fabric) {
+	for _, z := range d.Zones {
+		l := fabric.Link{Delay: d.ToCallers}
+		f.SetLink(fabric.CallerZone, z, l)
+		f.SetLink(z, fabric.CallerZone, l)
+	}
+}
+
+// coldSlots is the lower limit of a server in cold start.
+func (s Service) coldSlots() int { return max(1, s.Slots/3) }
+
+// name returns the name of the customer service.
+func (s Service) name() string { return string(s.Kind) }
+
+// contract returns the contract of the service at an address.
+func (s Service) contract(zones []string, address netip.AddrPort) (contract.Contract, error) {
+	policy := "plain"
+	if s.Kind.Writes() {
+		policy = "ticket"
+	}
+	zoneList, err := json.Marshal(zones)
+	if err != nil {
+		return contract.Contract{}, errors.Trace(err)
+	}
+	text := fmt.Sprintf(`{"service":%q,"addresses":[%q],"zones":%s,
+		"backend":{"slots":%d,"connections":2000},"cold_start":{"slots":%d,"ramp_ms":%d},
+		"deadline_ms":5000,"wait_ms":1000,"drain_ms":60000,
+		"change":{"min_backends_in_service":1,"zone_out_grace_ms":2000},"non_idempotent":%q}`,
+		s.name(), address, zoneList, s.Slots, s.coldSlots(), coldRamp.Milliseconds(), policy)
+	c, list := contract.Decode(s.name(), []byte(text))
+	return c, list.Err()
+}
--- /dev/null
+++ b/internal/demo/experiment.go
@@ -0,0 +1,67 @@
+package demo
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Action is one change or fault of an experiment.
+type Action interface {
+	fmt.Stringer
+	apply(ctx context.Context, w *world) error
+}
+
+// Step is an action at a time after the callers have started.
+type Step struct {
+	// Percent is the offset in percent of the run's duration.
+	Percent int
+	// After is a fixed time that is added to the offset.
+	After  time.Duration
+	Action Action
+}
+
+// offset returns the time of the step in a run.
+func (s Step) offset(duration time.Duration) time.Duration {
+	return duration*time.Duration(s.Percent)/100 + s.After
+}
+
+// Experiment describes a run: which deployment, and what happens to it at which time.
+type Experiment struct {
+	Deployment Deployment
+	Steps      []Step
+}
+
+// zoneQuietAfter is the time after which a zone that was taken out gets no more packets.
+const zoneQuietAfter = 5 * time.Second
+
+// Standard returns the experiment of the demo command.
+func Standard(d Deployment) Experiment {
+	zone := d.Zones[2]
+	var steps []Step
+	add := func(percent int, after time.Duration, a Action) {
+		steps = append(steps, Step{Percent: percent, After: after, Action: a})
+	}
+	add(13, 0, AddBalancer{Zone: d.Zones[len(d.Zones)-1]})
+	add(20, 0, KillBalancer{Index: 1})
+	for _, s := range d.Services {
+		add(27, 0, DrainBackend{Service: s.name(), Index: 0})
+		add(40, 0, ReturnBackend{Service: s.name(), Index: 0})
+	}
+	add(42, 0, RestartCold{Service: d.Services[0].name(), Index: 1})
+	add(50, 0, ZoneOut{Zone: zone})
+	add(50, zoneQuietAfter, ZoneOff{Zone: zone})
+	add(60, zoneQuietAfter, ZoneBack{Zone: zone})
+	add(66, zoneQuietAfter, StoreDown{})
+	add(78, zoneQuietAfter, StoreUp{})
+	return Experiment{Deployment: d, Steps: steps}
+}
+
+// timeline returns the steps in the order of their times.
+func (e Experiment) timeline(duration time.Duration) []Step {
+	steps := slices.Clone(e.Steps)
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.offset(duration), b.offset(duration)) })
+	return steps
+}
--- /dev/null
+++ b/internal/demo/network.go
@@ -0,0 +1,116 @@
+package demo
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/binary"
+	"math/big"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+)
+
+const (
+	// networkCandidates is how many loopback networks are tried.
+	networkCandidates = 16
+	servicePort       = 4433
+	// Last bytes of the addresses within the network.
+	serviceByte  = 1
+	balancerByte = 10
+	callerByte   = 100
+	hostByte     = 150
+	// serverName is the name in the certificate of every agent.
+	serverName      = "service.test"
+	certificateLife = 24 * time.Hour
+)
+
+// network is a /24 of the loopback addresses.
+type network struct{ a, b byte }
+
+// newNetwork chooses a network by seed and process, so that several runs do not collide.
+func newNetwork(seed uint64, try int) network {
+	var buf [24]byte
+	binary.BigEndian.PutUint64(buf[:8], seed)
+	binary.BigEndian.PutUint64(buf[8:16], uint64(os.Getpid()))
+	binary.BigEndian.PutUint64(buf[16:], uint64(try))
+	h := xxhash.Sum64(buf[:])
+	// 127.0.0.0/16 is left to other programs.
+	return network{a: 1 + byte(h%254), b: byte(h >> 8)}
+}
+
+func (n network) ip(last int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, n.a, n.b, byte(last)})
+}
+
+// service returns a service address; ports differ because a balancer replaces the IP by its own.
+func (n network) service(i int) netip.AddrPort {
+	return netip.AddrPortFrom(n.ip(serviceByte+i), uint16(servicePort+i))
+}
+
+func (n network) balancer(i int) netip.Addr { return n.ip(balancerByte + i) }
+
+func (n network) host(i int) netip.Addr { return n.ip(hostByte + i) }
+
+func (n network) caller() netip.Addr { return n.ip(callerByte) }
+
+// selfSigned returns the certificate that the agents of a run share.
+func selfSigned() (tls.Certificate, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return tls.Certificate{}, errors.Trace(err)
+	}
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{serverName},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(certificateLife),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, key.Public(), key)
+	if err != nil {
+		return tls.Certificate{}, errors.Trace(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		return tls.Certificate{}, errors.Trace(err)
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}, nil
+}
+
+// packetCounter counts the packets that arrive at an address whose process has ended.
+type packetCounter struct {
+	conn *net.UDPConn
+	n    atomic.Uint64
+}
+
+func newPacketCounter(a netip.AddrPort) (*packetCounter, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, errors.Annotatef(err, "cannot count packets at %s", a)
+	}
+	return &packetCounter{conn: conn}, nil
+}
+
+// run counts until the socket is closed or the context ends.
+func (c *packetCounter) run(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() { _ = c.conn.Close() })()
+	buf := make([]byte, 1)
+	for {
+		if _, _, err := c.conn.ReadFromUDPAddrPort(buf); err != nil {
+			return nil //nolint:nilerr // a closed socket ends the count
+		}
+		c.n.Add(1)
+	}
+}
+
+// close ends the count and returns it.
+func (c *packetCounter) close() uint64 {
+	_ = c.conn.Close()
+	return c.n.Load()
+}
