--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -114,7 +114,7 @@
 
 // commands returns the commands that stand alone.
 func commands() []command {
-	return []command{&status{}, &balancerCommand{}, &agentCommand{}}
+	return []command{&status{}, &balancerCommand{}, &agentCommand{}, &demoCommand{}}
 }
 
 // attach declares every command and returns all of them with their declarations.
