fix: test the resolving of lost answers without drawn cases

Change: two deterministic tests. An answer is lost and one change or 22 changes follow; a repetition meets a change made since the first attempt.

--- a/internal/operator/write_test.go
+++ b/internal/operator/write_test.go
@@ -86,28 +86,49 @@
 	return all
 }
 
-// Guards against a lost change that is reported as a conflict, because later changes have pushed it out of the history.
-func TestApplyThatTheHistoryNoLongerShows(t *testing.T) {
-	f := newFake()
-	other := newOperator("other", f, nil)
-	base := other.Apply(context.Background(), orders(t, 1, "a"), 0, false).Revision()
-	f.next = plan(lostAfter, none)
-	f.reads = func() error {
-		f.reads = func() error { return nil }
+// Guards against a lost change that is reported as a conflict, because later changes have replaced it
+// or have pushed it out of the history.
+func TestApplyThatLaterChangesReplaced(t *testing.T) {
+	for later, verdict := range map[int]operator.Verdict{1: operator.Accepted, configvalue.MaxHistory + 2: operator.Unknown} {
+		f := newFake()
+		other := newOperator("other", f, nil)
+		base := other.Apply(context.Background(), orders(t, 1, "a"), 0, false).Revision()
+		f.next = plan(lostAfter, none)
 		f.before = func() {
 			if len(f.effects) < 2 {
 				return
 			}
 			f.before = func() {}
-			for i := range configvalue.MaxHistory + 2 {
+			for i := range later {
 				other.Apply(context.Background(), orders(t, i+3, "a"), f.revision, false)
 			}
 		}
+		a := newOperator("ann", f, nil).Apply(context.Background(), orders(t, 2, "a"), base, false)
+		assert.Equal(t, f.effects[1].operation, a.OperationID())
+		assert.Equal(t, a.Verdict(), verdict, "%d later changes", later)
+	}
+}
+
+// Guards against a repetition that replaces a change made since the first attempt.
+func TestApplyIsRepeatedAtItsBase(t *testing.T) {
+	f := newFake()
+	f.next = plan(lostBefore, none)
+	calls := 0
+	f.before = func() {
+		if calls++; calls == 4 { // after the read, the first attempt and the read that is to resolve it
+			f.before = func() {}
+			newOperator("other", f, nil).Apply(context.Background(), orders(t, 9, "a"), 0, false)
+		}
+	}
+	f.reads = func() error {
+		if calls == 3 {
+			return store.ErrUnavailable
+		}
 		return nil
 	}
-	a := newOperator("ann", f, nil).Apply(context.Background(), orders(t, 2, "a"), base, false)
-	assert.Equal(t, f.effects[1].operation, a.OperationID())
-	assert.Equal(t, a.Verdict(), operator.Unknown)
+	a := newOperator("ann", f, nil).Apply(context.Background(), orders(t, 2, "a"), 0, false)
+	assert.Equal(t, a.Verdict(), operator.Conflict)
+	assert.Equal(t, len(f.effects), 1)
 }
 
 // Guards against wrong verdicts under any interleaving of faults, delayed writes and other operators' changes.
