feat: add the commands of the stand-ins

Cause: trials need the packet fabric, a backend server and a caller as processes.

The caller's settings got a service, because the caller must know which requests to send and which name the certificate has.

--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -108,7 +108,9 @@
 			&availability{kind: backendTarget, out: true}, &availability{kind: backendTarget}, &backendList{},
 		}},
 		{"settings", "checks settings files", []command{&settingsCheck{}}},
-		{"standin", "runs a stand-in of the platform, for tests and trials only", []command{&standinStore{}}},
+		{"standin", "runs a stand-in of the platform, for tests and trials only", []command{
+			&standinStore{}, &standinFabric{}, &standinBackend{}, &standinCaller{},
+		}},
 	}
 }
 
--- a/internal/settings/standin.go
+++ b/internal/settings/standin.go
@@ -166,6 +166,7 @@
 // StandinCaller is the settings of the stand-in for a caller.
 type StandinCaller struct {
 	address                  netip.AddrPort
+	service                  string
 	certificateAuthorityFile string
 	requests                 int
 	seed                     int64
@@ -175,6 +176,9 @@
 // Address returns the service address that it calls.
 func (o StandinCaller) Address() netip.AddrPort { return o.address }
 
+// Service returns the customer service that it calls, which its certificate names.
+func (o StandinCaller) Service() string { return o.service }
+
 // CertificateAuthorityFile returns the PEM file with the certificates that it trusts.
 func (o StandinCaller) CertificateAuthorityFile() string { return o.certificateAuthorityFile }
 
@@ -199,6 +203,7 @@
 
 type standinCallerJSON struct {
 	Address                  netip.AddrPort `json:"address" check:"required"`
+	Service                  name           `json:"service" check:"required"`
 	CertificateAuthorityFile string         `json:"certificate_authority_file" check:"required"`
 	Requests                 int            `json:"requests" check:"required" min:"1" max:"1000000"`
 	Seed                     int64          `json:"seed"`
@@ -207,7 +212,7 @@
 
 func (r standinCallerJSON) settings(s *strictjson.Source) StandinCaller {
 	o := StandinCaller{
-		address: r.Address, certificateAuthorityFile: beside(s.File(), r.CertificateAuthorityFile),
+		address: r.Address, service: string(r.Service), certificateAuthorityFile: beside(s.File(), r.CertificateAuthorityFile),
 		requests: r.Requests, seed: r.Seed, timeout: defaultCallerTimeout,
 	}
 	if r.TimeoutMS != nil {
--- a/main_test.go
+++ b/main_test.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{"orders"}}
 	cert, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
 	if err != nil {
 		return err
