fix: say of a failed read that it was a read

Cause: in a trial with a store that closes connections, apply printed "not accepted, nothing changed: ... the outcome is unknown", which contradicts itself: only a read had failed.

Change: failed reads are reported as "cannot read the configuration".

--- a/internal/operator/contracts.go
+++ b/internal/operator/contracts.go
@@ -72,7 +72,7 @@
 		return Stored{}, nil
 	}
 	if err != nil {
-		return Stored{}, errors.Trace(err)
+		return Stored{}, readError(err)
 	}
 	return storedContract(e)
 }
@@ -92,7 +92,7 @@
 func (o *Operator) Contracts(ctx context.Context) ([]Stored, error) {
 	page, err := o.cfg.Store.List(ctx, configvalue.ContractsPrefix)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, readError(err)
 	}
 	all := make([]Stored, 0, len(page.Entries))
 	for _, e := range page.Entries {
--- a/internal/operator/world.go
+++ b/internal/operator/world.go
@@ -54,7 +54,7 @@
 func (o *Operator) read(ctx context.Context) (world, error) {
 	page, err := o.cfg.Store.List(ctx, configvalue.Prefix)
 	if err != nil {
-		return world{}, errors.Trace(err)
+		return world{}, readError(err)
 	}
 	w := world{contracts: map[string]Stored{}, zones: map[string]State{}, backends: map[string]State{}}
 	for _, e := range page.Entries {
@@ -66,6 +66,14 @@
 	return w, nil
 }
 
+// readError describes a failed read. A read changes nothing, so it is never left open whether it took effect.
+func readError(err error) error {
+	if errors.Is(err, store.ErrUnknownOutcome) {
+		return errors.New("cannot read the configuration: the store did not answer")
+	}
+	return errors.Annotate(err, "cannot read the configuration")
+}
+
 func (w world) add(e store.Entry) error {
 	kind, name, err := configvalue.ParseKey(e.Key)
 	if err != nil || e.Deleted {
