--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -161,9 +161,6 @@
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /-/counts", s.serveCounts)
-	mux.HandleFunc("POST /-/cold", func(_ http.ResponseWriter, _ *http.Request) { s.GoCold() })
-	mux.HandleFunc("POST /-/restart", func(_ http.ResponseWriter, _ *http.Request) { s.Restart() })
 	mux.Handle("GET /downloads/{seed}", s.work(s.download))
 	mux.Handle("GET "+s.cfg.Kind.ReadPath("{id}"), s.work(s.read))
 	if s.cfg.Kind.Writes() {
@@ -172,6 +169,15 @@
 	return mux
 }
 
+// AdminHandler returns the commands of the server: GET /admin/counts, PUT /admin/cold and PUT /admin/restart.
+func (s *Server) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/counts", s.serveCounts)
+	mux.HandleFunc("PUT /admin/cold", func(_ http.ResponseWriter, _ *http.Request) { s.GoCold() })
+	mux.HandleFunc("PUT /admin/restart", func(_ http.ResponseWriter, _ *http.Request) { s.Restart() })
+	return mux
+}
+
 func (s *Server) serveCounts(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(s.Counts()); err != nil {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// Send sends a number of requests, or fewer when the context ends.
+func (c *Caller) Send(ctx context.Context, requests int) {
+	for range requests {
+		if ctx.Err() != nil {
+			return
+		}
+		c.next(ctx)
+		c.pause(ctx, nil)
+	}
+}
+
 // Close ends the flow of the caller.
 func (c *Caller) Close() {
 	if c.session == nil {
