feat: test the packet path with processes and a killed balancer

The parts were only known to work together in one process. The script starts store, fabric, three balancers, two agents and two backend servers from the built binary, serves reads and writes, holds a download of 16 MiB after 4 MiB, kills a balancer with SIGKILL and releases the download, which completes byte for byte on its flow. The hold is a command of the sample backend server, so the test needs no time for the middle of the download. The test certificate gets the name localhost, so that callers verify it.

--- a/internal/standin/backend/admission.go
+++ b/internal/standin/backend/admission.go
@@ -19,6 +19,8 @@
 	// ColdOverload counts the requests that arrived in cold start when the server was at its lower limit.
 	ColdOverload int `json:"cold_overload"`
 	Restarts     int `json:"restarts"`
+	// Held is how many downloads are held at this moment.
+	Held int `json:"held"`
 	// Executed is how often each write took effect, by its order id.
 	Executed map[string]int `json:"executed"`
 }
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -55,6 +55,7 @@
 	gate    gate
 	address string
 	restart chan struct{}
+	hold    hold
 
 	listener net.Listener
 }
@@ -94,6 +95,7 @@
 	s.gate.mu.Lock()
 	defer s.gate.mu.Unlock()
 	c := s.gate.counts
+	c.Held = s.hold.waiting()
 	c.Executed = maps.Clone(c.Executed)
 	return c
 }
@@ -169,15 +171,31 @@
 	return mux
 }
 
-// AdminHandler returns the commands of the server: GET /admin/counts, PUT /admin/cold and PUT /admin/restart.
+// AdminHandler returns the commands of the server: GET /admin/counts, PUT /admin/cold, PUT /admin/restart,
+// PUT /admin/hold?bytes=N and PUT /admin/release.
 func (s *Server) AdminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /admin/counts", s.serveCounts)
 	mux.HandleFunc("PUT /admin/cold", func(_ http.ResponseWriter, _ *http.Request) { s.GoCold() })
 	mux.HandleFunc("PUT /admin/restart", func(_ http.ResponseWriter, _ *http.Request) { s.Restart() })
+	mux.HandleFunc("PUT /admin/hold", func(w http.ResponseWriter, r *http.Request) {
+		n, err := strconv.ParseInt(r.URL.Query().Get("bytes"), 10, 64)
+		if err != nil {
+			http.Error(w, "bytes must be a number", http.StatusBadRequest)
+			return
+		}
+		s.Hold(n)
+	})
+	mux.HandleFunc("PUT /admin/release", func(_ http.ResponseWriter, _ *http.Request) { s.Release() })
 	return mux
 }
 
+// Hold makes downloads stop after so many bytes until Release, so that a test can act in the middle of one.
+func (s *Server) Hold(bytes int64) { s.hold.set(bytes) }
+
+// Release lets held downloads go on.
+func (s *Server) Release() { s.hold.release() }
+
 func (s *Server) serveCounts(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(s.Counts()); err != nil {
@@ -288,11 +306,11 @@
 	rate, _ := strconv.ParseInt(r.URL.Query().Get("rate"), 10, 64)
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
-	return send(w, content.NewReader(seed), size, rate)
+	return s.send(r.Context(), w, content.NewReader(seed), size, rate)
 }
 
 // send writes the content, paced to the rate when it is above 0. A caller that has left makes a write fail.
-func send(w http.ResponseWriter, src io.Reader, size, rate int64) error {
+func (s *Server) send(ctx context.Context, w http.ResponseWriter, src io.Reader, size, rate int64) error {
 	start := time.Now()
 	block := int64(downloadBlock)
 	if rate > 0 {
@@ -309,6 +327,9 @@
 			return errors.Trace(err)
 		}
 		sent += n
+		if err := s.hold.wait(ctx, sent, flusher); err != nil {
+			return err
+		}
 		if rate <= 0 {
 			continue
 		}
--- a/main_test.go
+++ b/main_test.go
@@ -9,10 +9,12 @@
 	"encoding/hex"
 	"encoding/pem"
 	"fmt"
+	"io"
 	"math/big"
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"slices"
 	"strconv"
 	"syscall"
@@ -38,16 +40,19 @@
 		RequireExplicitExec: true,
 		Setup:               setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"expand":  expand,
-			"waitfor": waitFor,
-			"exits":   exits,
-			"sigterm": sigterm,
+			"expand":    expand,
+			"waitfor":   waitFor,
+			"exits":     exits,
+			"sigterm":   sigterm,
+			"put":       put,
+			"waitmatch": waitMatch,
+			"waitheld":  waitHeld,
 		},
 	})
 }
 
 // ports is how many free ports a script gets, as $P1, $P2 and so on.
-const ports = 12
+const ports = 20
 
 // setup gives a script free ports, a shared key and a certificate.
 func setup(e *testscript.Env) error {
@@ -72,7 +77,9 @@
 	if err != nil {
 		return err
 	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{"localhost"},
+	}
 	cert, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
 	if err != nil {
 		return err
@@ -116,6 +123,52 @@
 	ts.Fatalf("%s does not answer with %s", args[0], args[1])
 }
 
+// waitMatch asks a URL until its answer matches a regular expression.
+func waitMatch(ts *testscript.TestScript, _ bool, args []string) {
+	waitAny(ts, args[:1], args[1])
+}
+
+// waitHeld asks sample backend servers until one of them holds a download.
+func waitHeld(ts *testscript.TestScript, _ bool, args []string) {
+	waitAny(ts, args, `"held":1`)
+}
+
+// waitAny asks URLs until the answer of one of them matches a regular expression.
+func waitAny(ts *testscript.TestScript, urls []string, expression string) {
+	want := regexp.MustCompile(expression)
+	var got []string
+	end := time.Now().Add(waitTime)
+	for time.Now().Before(end) {
+		got = nil
+		for _, u := range urls {
+			resp, err := http.Get(u)
+			if err != nil {
+				continue
+			}
+			b, _ := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if want.Match(b) {
+				return
+			}
+			got = append(got, string(b))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("%v answer %q, which does not match %s", urls, got, expression)
+}
+
+// put sends a PUT request and needs the status 200.
+func put(ts *testscript.TestScript, _ bool, args []string) {
+	r, err := http.NewRequest(http.MethodPut, args[0], http.NoBody)
+	ts.Check(err)
+	resp, err := http.DefaultClient.Do(r)
+	ts.Check(err)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		ts.Fatalf("PUT %s: %s", args[0], resp.Status)
+	}
+}
+
 // sigterm sends SIGTERM to the background command that has the given argument.
 func sigterm(ts *testscript.TestScript, _ bool, args []string) {
 	for _, c := range ts.BackgroundCmds() {
