--- a/internal/cmd/demo.go
+++ b/internal/cmd/demo.go
@@ -34,10 +34,10 @@
 	c.outputOption.declare(sc)
 	sc.AdditionalHelpAppend = `
 Examples:
-  bramleymast demo --deployment notas --seed 7
-  bramleymast demo --output json
+  bramleymast demo
+  bramleymast demo --deployment notas --seed 7 --output json
 
-The exit code is 1 when a promise was broken.`
+Exit codes: 0 every promise held, 1 a promise was broken or the run failed, 2 bad input.`
 	return sc
 }
 
