--- a/internal/cmd/standin_backend.go
+++ b/internal/cmd/standin_backend.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -13,8 +11,8 @@
 	"github.com/bramleymast/bramleymast/internal/standin/backend"
 )
 
-// standinServiceTime is how long a warm sample backend server works on a request.
-const standinServiceTime = 5 * time.Millisecond
+// standinServiceTime is how long the stand-in works on a read or a write when it is warm.
+const standinServiceTime = 10 * time.Millisecond
 
 // standinBackend is "standin backend".
 type standinBackend struct {
@@ -23,14 +21,12 @@
 
 func (c *standinBackend) declare() *flaggy.Subcommand {
 	sc := flaggy.NewSubcommand("backend")
-	sc.Description = "runs a stand-in of a backend server, which has slots and a cold start"
+	sc.Description = "runs a sample backend server of the service orders, catalogue, summaries or bundles"
 	c.settings = "standin-backend.json"
 	sc.String(&c.settings, "s", "settings", "settings file of the stand-in")
 	sc.AdditionalHelpAppend = `
 Examples:
-  bramleymast standin backend --settings standin-backend.json
-  curl http://127.0.0.1:9301/admin/counts
-  curl -X POST http://127.0.0.1:9301/admin/restart`
+  bramleymast standin backend --settings standin-backend.json`
 	return sc
 }
 
@@ -46,7 +42,7 @@
 		return ExitBadInput
 	}
 	logger := hclog.New(&hclog.LoggerOptions{Name: "standin-backend", Output: e.errOut})
-	b, err := backend.New(ctx, backend.Config{
+	server, err := backend.New(ctx, backend.Config{
 		ID: s.Address().String(), Kind: kind, Address: s.Address().String(), Slots: s.Slots(), ColdSlots: s.ColdSlots(),
 		Ramp: s.Cold(), ServiceTime: standinServiceTime, Logger: logger,
 	})
@@ -56,24 +52,11 @@
 	}
 	admin := &webServers{}
 	if s.AdminAddress().IsValid() {
-		if err := admin.listen(s.AdminAddress(), backendAdmin(b)); err != nil {
+		if err := admin.listen(s.AdminAddress(), server.AdminHandler()); err != nil {
 			e.fail(err)
 			return ExitFailure
 		}
 	}
-	logger.Info("backend server started", "address", b.Address(), "service", kind)
-	return e.serve(ctx, logger, newWithAdmin(admin, b.Run))
-}
-
-func backendAdmin(b *backend.Server) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Counts()) })
-	mux.HandleFunc("POST /admin/cold", func(http.ResponseWriter, *http.Request) { b.GoCold() })
-	mux.HandleFunc("POST /admin/restart", func(http.ResponseWriter, *http.Request) { b.Restart() })
-	return mux
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	logger.Info("backend server started", "address", server.Address(), "kind", kind)
+	return e.serve(ctx, logger, newTasks(server.Run, admin.Run))
 }
--- a/internal/cmd/standin_caller.go
+++ b/internal/cmd/standin_caller.go
@@ -4,129 +4,124 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"fmt"
-	"net/netip"
+	"encoding/json"
 	"os"
-	"strconv"
+	"strings"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/integrii/flaggy"
 	"github.com/juju/errors"
 
 	"github.com/bramleymast/bramleymast/internal/settings"
-	"github.com/bramleymast/bramleymast/internal/signals"
 	"github.com/bramleymast/bramleymast/internal/standin/backend"
 	"github.com/bramleymast/bramleymast/internal/standin/caller"
 	"github.com/bramleymast/bramleymast/pkg/finding"
 )
 
-// readsPerWrite is the mix of a caller of a service that takes writes.
-const readsPerWrite = 4
-
 // standinCaller is "standin caller".
 type standinCaller struct {
-	outputOption
-	settings string
+	settings   string
+	serverName string
+	writes     bool
+	bytes      int64
+	rate       int64
 }
 
 func (c *standinCaller) declare() *flaggy.Subcommand {
 	sc := flaggy.NewSubcommand("caller")
-	sc.Description = "runs a stand-in of a caller, which sends requests and checks every response"
-	c.settings = "standin-caller.json"
+	sc.Description = "runs a sample caller over HTTP/3 and prints what it has counted as JSON"
+	c.settings, c.serverName = "standin-caller.json", "localhost"
 	sc.String(&c.settings, "s", "settings", "settings file of the stand-in")
-	c.outputOption.declare(sc)
+	sc.String(&c.serverName, "", "server-name", "name that the service's certificate must have")
+	sc.Bool(&c.writes, "", "writes", "send non-idempotent writes")
+	sc.Int64(&c.bytes, "", "bytes", "send downloads of this size in bytes")
+	sc.Int64(&c.rate, "", "rate", "bytes a second of a download; 0 means as fast as possible")
 	sc.AdditionalHelpAppend = `
 Examples:
-  bramleymast standin caller --settings standin-caller.json
-  bramleymast standin caller --settings standin-caller.json --output json
+  bramleymast standin caller --settings standin-caller.json --writes
+  bramleymast standin caller --settings standin-caller.json --bytes 67108864
 
-Exit codes: 0 every request was answered, 1 some were not, 2 bad input.`
+The exit code is 1 unless every request was answered completely.`
 	return sc
 }
 
 func (c *standinCaller) run(ctx context.Context, e environment) int {
-	var l finding.List
-	c.check(&l)
-	if e.badInput(l) {
-		return ExitBadInput
-	}
 	s, err := settings.LoadStandinCaller(c.settings)
 	if err != nil {
 		e.fail(err)
 		return ExitBadInput
 	}
-	cfg, err := callerConfig(s)
+	kind, err := backend.ParseKind(s.Service())
 	if err != nil {
 		e.fail(err)
 		return ExitBadInput
 	}
-	cfg.Logger = hclog.New(&hclog.LoggerOptions{Name: "standin-caller", Level: hclog.Error, Output: e.errOut})
-	received, stop := signals.Notify()
-	defer stop()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	err = signals.Run(ctx, received, cancel, func(ctx context.Context) error {
-		send(ctx, caller.New(cfg), cfg.Kind, s.Requests())
-		return nil
-	})
-	if err != nil {
-		e.fail(err)
-		return ExitFailure
-	}
-	return c.report(e, cfg.Tally.Report(), s.Requests())
-}
-
-func callerConfig(s settings.StandinCaller) (caller.Config, error) {
-	kind, err := backend.ParseKind(s.Service())
-	if err != nil {
-		return caller.Config{}, err
+	if e.badInput(c.findings(kind)) {
+		return ExitBadInput
 	}
-	authority, err := os.ReadFile(s.CertificateAuthorityFile())
+	pem, err := os.ReadFile(s.CertificateAuthorityFile())
 	if err != nil {
-		return caller.Config{}, errors.Annotate(err, "cannot read the certificate authority")
+		e.fail(errors.Annotate(err, "cannot read the trusted certificates"))
+		return ExitBadInput
 	}
 	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
-		return caller.Config{}, errors.Errorf("%s holds no certificate in PEM", s.CertificateAuthorityFile())
+	pool.AppendCertsFromPEM(pem)
+	tally := &caller.Tally{}
+	cl := caller.New(caller.Config{
+		Name: "caller", Service: s.Address(), Local: s.Address().Addr(), Kind: kind, Seed: uint64(s.Seed()), Tally: tally,
+		TLS:      &tls.Config{RootCAs: pool, ServerName: c.serverName, MinVersion: tls.VersionTLS13},
+		Deadline: s.Timeout(),
+		Load:     c.load(),
+		Logger:   hclog.New(&hclog.LoggerOptions{Name: "standin-caller", Output: e.errOut}),
+	})
+	defer cl.Close()
+	start := time.Now()
+	cl.Send(ctx, s.Requests())
+	return c.print(e, tally.Report(), time.Since(start))
+}
+
+func (c *standinCaller) findings(kind backend.Kind) finding.List {
+	var l finding.List
+	if c.writes && !kind.Writes() {
+		l.Addf("--writes", "only with the service orders or summaries", "is given with %s", kind)
 	}
-	// The service's certificate names the customer service, because its address may change.
-	tlsConfig := &tls.Config{RootCAs: pool, ServerName: s.Service(), MinVersion: tls.VersionTLS13}
-	local := netip.IPv6Unspecified()
-	if s.Address().Addr().Is4() {
-		local = netip.IPv4Unspecified()
+	if c.bytes < 0 {
+		l.Addf("--bytes", "0 or more", "is %d", c.bytes)
 	}
-	if s.Address().Addr().IsLoopback() {
-		local = s.Address().Addr()
+	if c.rate < 0 {
+		l.Addf("--rate", "0 or more", "is %d", c.rate)
 	}
-	return caller.Config{
-		Name: "standin", Service: s.Address(), Local: local, Kind: kind, TLS: tlsConfig, Seed: uint64(s.Seed()),
-		Tally: &caller.Tally{}, Deadline: s.Timeout(),
-	}, nil
+	return l
 }
 
-// send sends reads and, to a service that takes them, writes.
-func send(ctx context.Context, c *caller.Caller, kind backend.Kind, requests int) {
-	defer c.Close()
-	for i := 0; i < requests && ctx.Err() == nil; i++ {
-		id := fmt.Sprintf("standin-%d", i)
-		if kind.Writes() && i%(readsPerWrite+1) == readsPerWrite {
-			c.Write(ctx, id)
-			continue
-		}
-		c.Read(ctx, id)
+func (c *standinCaller) load() caller.Load {
+	switch {
+	case c.bytes > 0:
+		return caller.Load{DownloadShare: 1, DownloadBytes: c.bytes, DownloadRate: c.rate}
+	case c.writes:
+		return caller.Load{WriteShare: 1}
+	default:
+		return caller.Load{}
 	}
 }
 
-func (c *standinCaller) report(e environment, r caller.Report, requests int) int {
-	if c.json() {
-		e.json(r)
-	} else {
-		e.table([][]string{
-			{"REQUESTS", "ANSWERED", "REFUSED, NOT RUN", "UNKNOWN OUTCOME", "FLOWS OPENED"},
-			{strconv.Itoa(r.Requests), strconv.Itoa(r.Answered), strconv.Itoa(r.NotRun), strconv.Itoa(r.Unknown), strconv.Itoa(r.FlowsOpened)},
-		})
+// callerJSON is the output of "standin caller".
+type callerJSON struct {
+	caller.Report
+	ElapsedMS int64 `json:"elapsed_ms"`
+}
+
+func (c *standinCaller) print(e environment, r caller.Report, elapsed time.Duration) int {
+	var b strings.Builder
+	enc := json.NewEncoder(&b)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(callerJSON{Report: r, ElapsedMS: elapsed.Milliseconds()}); err != nil {
+		e.fail(err)
+		return ExitFailure
 	}
-	if r.Answered < requests {
+	_, _ = e.out.Write([]byte(b.String()))
+	if r.Answered != r.Requests || r.Corrupt > 0 {
 		return ExitFailure
 	}
 	return ExitSuccess
