fix: keep the order of a flow's packets

Cause: two readers of a service address and four of the data socket sent packets of one flow in another order. QUIC takes a packet for lost when one that was sent three later arrives first, so downloads would slow down. Change: one reader for each socket; a test checks the order. Ruled out: more readers with sequence numbers, which need state for each flow.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,10 +22,6 @@
 const (
 	// socketBuffer is the asked size of a receive buffer in bytes; the kernel may grant less.
 	socketBuffer = 4 << 20
-	// maxDataReaders bounds the threads that read return datagrams.
-	maxDataReaders = 4
-	// callerReaders is the number of threads that read one service address.
-	callerReaders = 2
 	// readRetry is the pause after a failed read; it keeps a lasting fault from taking a whole core.
 	readRetry = 10 * time.Millisecond
 )
@@ -124,9 +119,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	for range min(maxDataReaders, runtime.GOMAXPROCS(0)) {
-		back.Go(b.serveReturns)
-	}
+	back.Go(b.serveReturns)
 	front.Go(func(ctx context.Context) error { return b.follow(ctx, front) })
 	err = front.Wait()
 	b.stopping.Store(true)
--- a/internal/balancer/failure_test.go
+++ b/internal/balancer/failure_test.go
@@ -209,3 +209,33 @@
 	assert.Equal(t, g.Agent, "near")
 	assert.Assert(t, g.Behind())
 }
+
+// Guards against readers that change the order of one flow's packets, which QUIC takes for loss.
+func TestOrderIsKept(t *testing.T) {
+	const packets = 32
+	var brd board.Board
+	a := newFakeAgent(t, "first")
+	a.join(t, &brd, "orders", "a", 1, board.PhaseReady)
+	listed := freeAddress(t)
+	mergeContract(t, &brd, "orders", 1, listed)
+	b, _ := startBalancer(t, &brd)
+	at := serviceAddress(t, b, "orders", listed)
+	caller := listen(t)
+	for round := range 20 {
+		for i := range packets {
+			send(t, caller, at, []byte{0x43, byte(i)})
+		}
+		var d wire.Datagram
+		for i := range packets {
+			d = a.receive(t)
+			assert.Equal(t, int(d.Payload[1]), i, "round %d, from the caller", round)
+		}
+		for i := range packets {
+			a.send(t, b.DataAddress(), a.answer(d, string(rune('A'+i))))
+		}
+		for i := range packets {
+			answer, _ := receive(t, caller)
+			assert.Equal(t, string(answer), string(rune('A'+i)), "round %d, from the agent", round)
+		}
+	}
+}
--- a/internal/balancer/services.go
+++ b/internal/balancer/services.go
@@ -242,12 +242,12 @@
 	k := &socket{address: listed, bound: a, name: name, id: flow.ServiceIDOf(name), conn: conn, batch: newBatchConn(conn)}
 	b.sockets[a] = k
 	delete(b.faults, a)
-	for range callerReaders {
-		g.Go(func(context.Context) error {
-			b.serveCallers(k)
-			return nil
-		})
-	}
+	// Two readers of one socket would change the order of a flow's packets, and QUIC takes a packet for lost when
+	// one that was sent three later arrives first.
+	g.Go(func(context.Context) error {
+		b.serveCallers(k)
+		return nil
+	})
 	b.log.Info("service address opened", "service", name, "address", a)
 }
 
