--- a/pkg/membership/liveness.go
+++ b/pkg/membership/liveness.go
@@ -177,6 +177,9 @@
 	if m.Member.Kind == board.KindAgent {
 		ack.Scope = n.index.scope(agentService(r))
 	}
+	if ok && ack.Known == m.Version && ack.Scope == m.Scope {
+		ack = Ack{Same: true}
+	}
 	n.send(from, ack)
 }
 
@@ -216,6 +219,11 @@
 func (n *Node) ack(from netip.AddrPort, m Ack) {
 	n.liveness.lastAck = n.now
 	delete(n.liveness.unanswered, from)
+	if m.Same {
+		n.liveness.mismatches = 0
+		n.liveness.repairWait = 0
+		return
+	}
 	own, ok := n.board.Get(n.self)
 	if !ok {
 		return
@@ -313,12 +321,26 @@
 	}
 	n.liveness.dirty = false
 	n.peers.refresh(n)
-	for _, r := range n.board.Records(board.KindAgent, board.KindBalancer) {
-		n.setDuty(r)
+	for _, item := range n.index.items {
+		if !n.mayJudge(item) {
+			delete(n.liveness.duties, item.id)
+			continue
+		}
+		if r, ok := n.board.Get(item.id); ok {
+			n.setDuty(r)
+		}
 	}
 	n.refreshGuard()
 }
 
+// mayJudge excludes most members without ranking the balancers: those of other zones that have balancers of their own.
+func (n *Node) mayJudge(item indexed) bool {
+	if item.id.Kind != board.KindAgent && item.id.Kind != board.KindBalancer {
+		return false
+	}
+	return item.zone == n.cfg.Zone || len(n.peers.byZone[item.zone]) <= 1
+}
+
 func (n *Node) setDuty(r board.Record) {
 	d, has := n.liveness.duties[r.ID]
 	switch judged := n.isJudged(r); {
