--- a/internal/balancer/bench_test.go
+++ b/internal/balancer/bench_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
@@ -21,57 +22,84 @@
 // address and port in front of the packet instead of a checked frame, and one agent instead of steering.
 type relay struct {
 	front, back         *net.UDPConn
+	frontBatch, toAgent *batchConn
 	agent               netip.AddrPort
-	forwarded, returned atomic.Int64
+	forwarded, returned prometheus.Counter
 }
 
 const relayHeader = 6
 
-func (r *relay) serveCallers() {
+func putCaller(b []byte, caller netip.AddrPort) {
+	ip := caller.Addr().As4()
+	copy(b, ip[:])
+	binary.BigEndian.PutUint16(b[4:], caller.Port())
+}
+
+func takeCaller(b []byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:]))
+}
+
+func (r *relay) serveCallers(batched bool) {
+	t := newThread(wire.MaxDatagram, r.forwarded, r.forwarded)
+	for batched {
+		err := t.read(r.frontBatch, func(caller netip.AddrPort, packet []byte) {
+			b := t.buffer()[:relayHeader+len(packet)]
+			putCaller(b, caller)
+			copy(b[relayHeader:], packet)
+			t.queue(r.toAgent, b, r.agent)
+		})
+		if err != nil {
+			return
+		}
+	}
 	buf := make([]byte, wire.MaxDatagram)
 	for {
 		n, caller, err := r.front.ReadFromUDPAddrPort(buf[relayHeader:])
 		if err != nil {
 			return
 		}
-		ip := caller.Addr().As4()
-		copy(buf, ip[:])
-		binary.BigEndian.PutUint16(buf[4:], caller.Port())
+		putCaller(buf, caller)
 		_, _ = r.back.WriteToUDPAddrPort(buf[:relayHeader+n], r.agent)
-		r.forwarded.Add(1)
+		r.forwarded.Inc()
 	}
 }
 
-func (r *relay) serveReturns() {
+func (r *relay) serveReturns(batched bool) {
+	t := newThread(wire.MaxDatagram, r.returned, r.returned)
+	for batched {
+		err := t.read(r.toAgent, func(_ netip.AddrPort, packet []byte) {
+			t.queue(r.frontBatch, packet[relayHeader:], takeCaller(packet))
+		})
+		if err != nil {
+			return
+		}
+	}
 	buf := make([]byte, wire.MaxDatagram)
 	for {
 		n, _, err := r.back.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return
 		}
-		caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte(buf[:4])), binary.BigEndian.Uint16(buf[4:]))
-		_, _ = r.front.WriteToUDPAddrPort(buf[relayHeader:n], caller)
-		r.returned.Add(1)
+		_, _ = r.front.WriteToUDPAddrPort(buf[relayHeader:n], takeCaller(buf))
+		r.returned.Inc()
 	}
 }
 
-func newRelay(tb testing.TB, agent netip.AddrPort) *relay {
+func newRelay(tb testing.TB, agent netip.AddrPort, batched bool) *relay {
 	tb.Helper()
-	r := &relay{front: listen(tb), back: listen(tb), agent: agent}
+	counter := func() prometheus.Counter { return prometheus.NewCounter(prometheus.CounterOpts{Name: "relay"}) }
+	r := &relay{front: listen(tb), back: listen(tb), agent: agent, forwarded: counter(), returned: counter()}
+	r.frontBatch, r.toAgent = newBatchConn(r.front), newBatchConn(r.back)
 	for _, c := range []*net.UDPConn{r.front, r.back} {
 		assert.NilError(tb, c.SetReadBuffer(socketBuffer))
 	}
-	for range callerReaders {
-		go r.serveCallers()
-	}
-	for range min(maxDataReaders, runtime.GOMAXPROCS(0)) {
-		go r.serveReturns()
-	}
+	go r.serveCallers(batched)
+	go r.serveReturns(batched)
 	return r
 }
 
 // measure sends packets faster than they are forwarded, and reports how many are forwarded in a second.
-func measure(b *testing.B, senders int, to netip.AddrPort, packet []byte, forwarded func() int64) {
+func measure(b *testing.B, to netip.AddrPort, packet []byte, forwarded func() int64) {
 	b.Helper()
 	var stop atomic.Bool
 	defer stop.Store(true)
@@ -100,13 +128,11 @@
 	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(n), "allocs/packet")
 }
 
-const (
-	// forwardSenders and returnSenders keep more threads sending than reading.
-	forwardSenders = callerReaders + 1
-	returnSenders  = maxDataReaders + 1
-)
+// senders keeps more threads sending than reading.
+const senders = 2
 
-// BenchmarkForward compares the packet rate in each direction with that of a bare relay, at packets of 1,200 bytes.
+// BenchmarkForward compares the packet rate in each direction with that of a bare relay that makes the same system
+// calls, and of one that reads and writes single packets, at packets of 1,200 bytes.
 func BenchmarkForward(b *testing.B) {
 	var brd board.Board
 	a := newFakeAgent(b, "first")
@@ -115,26 +141,81 @@
 	mergeContract(b, &brd, "orders", 1, listed)
 	bal, _ := startBalancer(b, &brd)
 	at := serviceAddress(b, bal, "orders", listed)
-	r := newRelay(b, localAddress(a.conn))
+	batched, single := newRelay(b, localAddress(a.conn), true), newRelay(b, localAddress(a.conn), false)
 	packet := append(continuing(), make([]byte, 1200)...)[:1200]
 	caller := localAddress(listen(b))
+	bench := func(name string, to netip.AddrPort, packet []byte, c prometheus.Counter) {
+		b.Run(name, func(b *testing.B) {
+			measure(b, to, packet, func() int64 { return int64(testutil.ToFloat64(c)) })
+		})
+	}
+	bench("callers/relay-single", localAddress(single.front), packet, single.forwarded)
+	bench("callers/relay", localAddress(batched.front), packet, batched.forwarded)
+	bench("callers/balancer", at, packet, bal.metrics.forwarded)
 
-	b.Run("callers/relay", func(b *testing.B) {
-		measure(b, forwardSenders, localAddress(r.front), packet, r.forwarded.Load)
-	})
-	b.Run("callers/balancer", func(b *testing.B) {
-		measure(b, forwardSenders, at, packet, func() int64 { return int64(testutil.ToFloat64(bal.metrics.forwarded)) })
-	})
-	raw := append([]byte{127, 0, 0, 1, byte(caller.Port() >> 8), byte(caller.Port())}, packet...)
-	b.Run("agents/relay", func(b *testing.B) {
-		measure(b, returnSenders, localAddress(r.back), raw, r.returned.Load)
-	})
+	raw := append(make([]byte, relayHeader), packet...)
+	putCaller(raw, caller)
 	sealed, err := a.sealer.Append(nil, &wire.Datagram{
 		Kind: wire.KindReturn, Service: flow.ServiceIDOf("orders"), Caller: caller, Address: at,
 		Owner: flow.ShortIDOf("first"), Established: true, Payload: packet,
 	})
 	assert.NilError(b, err)
-	b.Run("agents/balancer", func(b *testing.B) {
-		measure(b, returnSenders, bal.DataAddress(), sealed, func() int64 { return int64(testutil.ToFloat64(bal.metrics.returned)) })
+	bench("agents/relay-single", localAddress(single.back), raw, single.returned)
+	bench("agents/relay", localAddress(batched.back), raw, batched.returned)
+	bench("agents/balancer", bal.DataAddress(), sealed, bal.metrics.returned)
+}
+
+// BenchmarkReordering sends bursts of one flow, in each direction, and reports the share of packets that arrive after
+// one that was sent at least 3 later, which QUIC takes for lost.
+func BenchmarkReordering(b *testing.B) {
+	var brd board.Board
+	a := newFakeAgent(b, "first")
+	a.join(b, &brd, "orders", "a", 1, board.PhaseReady)
+	listed := freeAddress(b)
+	mergeContract(b, &brd, "orders", 1, listed)
+	bal, _ := startBalancer(b, &brd)
+	at := serviceAddress(b, bal, "orders", listed)
+	caller := listen(b)
+	packet := append(continuing(), make([]byte, 1200)...)[:1200]
+	last := len(packet) - 1
+	b.Run("callers", func(b *testing.B) {
+		measureLate(b, func(i byte) {
+			packet[last] = i
+			send(b, caller, at, packet)
+		}, func() byte { return a.receive(b).Payload[last] })
 	})
+	d := wire.Datagram{
+		Kind: wire.KindReturn, Service: flow.ServiceIDOf("orders"), Caller: localAddress(caller), Address: at,
+		Owner: flow.ShortIDOf("first"), Established: true, Payload: packet,
+	}
+	b.Run("agents", func(b *testing.B) {
+		measureLate(b, func(i byte) {
+			packet[last] = i
+			a.send(b, bal.DataAddress(), d)
+		}, func() byte {
+			p, _ := receive(b, caller)
+			return p[last]
+		})
+	})
+}
+
+func measureLate(b *testing.B, send func(i byte), receive func() byte) {
+	b.Helper()
+	const burst, threshold = 32, 3
+	late, received := 0, 0
+	for b.Loop() {
+		for i := range burst {
+			send(byte(i))
+		}
+		highest := 0
+		for range burst {
+			i := int(receive())
+			received++
+			if i+threshold <= highest {
+				late++
+			}
+			highest = max(highest, i)
+		}
+	}
+	b.ReportMetric(100*float64(late)/float64(received), "%late")
 }
