fix: leave relay records out of the digests

Cause: a relay refreshes its record every 30 s within its zone, and the other zones learned of it by digests only, so with 4 zones a digest differed nearly always and repairs ran all the time. Change: relay records are in no digest; taking and giving up the role is also pushed to the other zones. Ruled out: pushing each refresh to all zones (some 1,050 bytes for each, 280 bytes a second with 8 zones).

--- a/pkg/membership/index.go
+++ b/pkg/membership/index.go
@@ -56,7 +56,8 @@
 type indexed struct {
 	id      board.ID
 	version board.Version
-	// counted is false for tombstones, which processes forget at different times.
+	// counted is false for tombstones, which processes forget at different times, and for relay
+	// records, whose refreshes stay in their zone and would make every digest of other zones differ.
 	counted bool
 	// service is the service of an agent, and zone the zone of a member.
 	service, zone string
@@ -88,7 +89,7 @@
 func (x *index) put(r board.Record) {
 	hash := HashOf(r.ID)
 	x.remove(hash)
-	item := indexed{id: r.ID, version: r.Version, counted: !isTombstone(r), zone: zoneOf(r)}
+	item := indexed{id: r.ID, version: r.Version, counted: !isTombstone(r) && r.ID.Kind != board.KindRelay, zone: zoneOf(r)}
 	if a, ok := r.Value.(board.Agent); ok {
 		item.service = a.Service
 	}
--- a/pkg/membership/relay.go
+++ b/pkg/membership/relay.go
@@ -169,7 +169,8 @@
 		Value:   board.Relay{Balancer: holder, Applied: r.after},
 	}
 	if n.merge(rec) {
-		n.spread(rec, netip.AddrPort{}, false)
+		// Other zones learn who holds the role, and not that the holder still does.
+		n.spread(rec, netip.AddrPort{}, r.seq == 1 || holder == "")
 	}
 }
 
