--- a/main_test.go
+++ b/main_test.go
@@ -13,8 +13,10 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -42,6 +44,7 @@
 			"waitfor": waitFor,
 			"exits":   exits,
 			"sigterm": sigterm,
+			"helps":   helps,
 		},
 	})
 }
@@ -59,6 +62,11 @@
 		defer l.Close()
 		e.Setenv(fmt.Sprintf("P%d", i+1), strconv.Itoa(l.Addr().(*net.TCPAddr).Port))
 	}
+	pages, err := os.Getwd()
+	if err != nil {
+		return err
+	}
+	e.Setenv("PAGES", pages)
 	key := make([]byte, 32)
 	_, _ = rand.Read(key)
 	if err := os.WriteFile(e.Cd+"/shared.key", []byte(hex.EncodeToString(key)+"\n"), 0o600); err != nil {
@@ -116,6 +124,30 @@
 	ts.Fatalf("%s does not answer with %s", args[0], args[1])
 }
 
+// commandsPage is the page that shows the help of every command.
+const commandsPage = "docs/reference/commands.md"
+
+// helps asks for the help of a command, which must end with success, hold examples and be on the page of commands.
+func helps(ts *testscript.TestScript, _ bool, args []string) {
+	exits(ts, false, append(append([]string{"0"}, args...), "--help"))
+	name := strings.Join(args, " ")
+	page, err := os.ReadFile(ts.Getenv("PAGES") + "/" + commandsPage)
+	ts.Check(err)
+	help := strings.TrimSpace(trailingSpace.ReplaceAllString(ts.ReadFile("stderr"), "\n"))
+	help = blankLines.ReplaceAllString(help, "\n\n")
+	if !strings.Contains(help, "\nExamples:\n  bramleymast "+name) {
+		ts.Fatalf("the help of %s has no example", name)
+	}
+	if !strings.Contains(string(page), "$ bramleymast "+name+" --help\n"+help+"\n```\n") {
+		ts.Fatalf("%s does not show the help of %s", commandsPage, name)
+	}
+}
+
+var (
+	trailingSpace = regexp.MustCompile(`[ \t]+\n`)
+	blankLines    = regexp.MustCompile(`\n{3,}`)
+)
+
 // sigterm sends SIGTERM to the background command that has the given argument.
 func sigterm(ts *testscript.TestScript, _ bool, args []string) {
 	for _, c := range ts.BackgroundCmds() {
