--- a/internal/cmd/demo.go
+++ b/internal/cmd/demo.go
@@ -2,37 +2,36 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/integrii/flaggy"
 
 	"github.com/bramleymast/bramleymast/internal/demo"
+	"github.com/bramleymast/bramleymast/pkg/finding"
 )
 
 const defaultDemoDuration = 30 * time.Second
 
 // demoCommand is "demo".
 type demoCommand struct {
+	outputOption
 	deployment string
 	seed       uint64
 	duration   time.Duration
-	output     string
 	logLevel   string
 }
 
 func (c *demoCommand) declare() *flaggy.Subcommand {
-	*c = demoCommand{deployment: "laca-verde", seed: 1, duration: defaultDemoDuration, output: outputTable, logLevel: "off"}
 	sc := flaggy.NewSubcommand("demo")
 	sc.Description = "runs a deployment in one process, changes it while callers use it, and checks the promises"
+	c.deployment, c.seed, c.duration, c.logLevel = "laca-verde", 1, defaultDemoDuration, "off"
 	sc.String(&c.deployment, "", "deployment", "laca-verde or notas")
-	sc.UInt64(&c.seed, "", "seed", "seed of every random choice")
+	sc.UInt64(&c.seed, "", "seed", "seed of the random choices")
 	sc.Duration(&c.duration, "", "duration", "length of the run, 20s or more")
-	sc.String(&c.output, "", "output", "table or json")
-	sc.String(&c.logLevel, "", "log-level", "level of the processes' own log, on the error stream")
+	sc.String(&c.logLevel, "", "log-level", "least severe level of the processes' own log lines, on the error stream")
+	c.outputOption.declare(sc)
 	sc.AdditionalHelpAppend = `
 Examples:
   bramleymast demo
@@ -43,53 +42,49 @@
 }
 
 func (c *demoCommand) run(ctx context.Context, e environment) int {
-	out, errOut := e.out, e.errOut
+	var l finding.List
 	d, err := demo.FindDeployment(c.deployment)
+	if err != nil {
+		l.Addf("--deployment", "laca-verde or notas", "is %q", c.deployment)
+	}
+	if c.duration < demo.MinDuration {
+		l.Addf("--duration", demo.MinDuration.String()+" or more", "is %v", c.duration)
+	}
 	level := hclog.LevelFromString(c.logLevel)
-	switch {
-	case err != nil:
-	case c.duration < demo.MinDuration:
-		err = fmt.Errorf("--duration: is %v (allowed: %v or more)", c.duration, demo.MinDuration)
-	case c.output != outputTable && c.output != outputJSON:
-		err = fmt.Errorf("--output: is %q (allowed: table or json)", c.output)
-	case level == hclog.NoLevel:
-		err = fmt.Errorf("--log-level: is %q (allowed: trace, debug, info, warn, error or off)", c.logLevel)
+	if level == hclog.NoLevel {
+		l.Addf("--log-level", "trace, debug, info, warn, error or off", "is %q", c.logLevel)
 	}
-	if err != nil {
-		_, _ = fmt.Fprintln(errOut, err)
+	c.check(&l)
+	if e.badInput(l) {
 		return ExitBadInput
 	}
 	opts := demo.Options{
-		Experiment: demo.Standard(d), Seed: c.seed, Duration: c.duration, Progress: out,
-		Logger: hclog.New(&hclog.LoggerOptions{Name: "demo", Level: level, Output: errOut}),
+		Experiment: demo.Standard(d), Seed: c.seed, Duration: c.duration, Progress: e.out,
+		Logger: hclog.New(&hclog.LoggerOptions{Name: "demo", Level: level, Output: e.errOut}),
 	}
-	if c.output == outputJSON {
-		opts.Progress = errOut
+	if c.json() {
+		opts.Progress = e.errOut
 	}
 	rep, err := demo.Run(ctx, opts)
 	if err != nil {
-		_, _ = fmt.Fprintln(errOut, err)
+		e.fail(err)
 		return ExitFailure
 	}
-	return c.print(rep, out, errOut)
+	return c.print(rep, e)
 }
 
 // print prints the report and returns the exit code that it stands for.
-func (c *demoCommand) print(rep demo.Report, out, errOut io.Writer) int {
-	var err error
-	if c.output == outputJSON {
-		e := json.NewEncoder(out)
-		e.SetIndent("", "  ")
-		err = e.Encode(rep)
-	} else {
-		err = rep.WriteTable(out)
+func (c *demoCommand) print(rep demo.Report, e environment) int {
+	write := rep.WriteTable
+	if c.json() {
+		write = rep.WriteJSON
 	}
-	if err != nil {
-		_, _ = fmt.Fprintln(errOut, err)
+	if err := write(e.out); err != nil {
+		e.fail(err)
 		return ExitFailure
 	}
 	for _, p := range rep.BrokenPromises {
-		_, _ = fmt.Fprintln(errOut, "broken:", p)
+		_, _ = fmt.Fprintln(e.errOut, "broken:", p)
 	}
 	if len(rep.BrokenPromises) > 0 {
 		return ExitFailure
--- a/internal/cmd/standin_fabric.go
+++ b/internal/cmd/standin_fabric.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/integrii/flaggy"
@@ -24,16 +23,10 @@
 	sc.String(&c.settings, "s", "settings", "settings file of the stand-in")
 	sc.AdditionalHelpAppend = `
 Examples:
-  bramleymast standin fabric --settings standin-fabric.json
-  curl http://127.0.0.1:9300/admin/counts`
+  bramleymast standin fabric --settings standin-fabric.json`
 	return sc
 }
 
-type fabricCountsJSON struct {
-	Balancers []fabric.Count `json:"balancers"`
-	Unsent    uint64         `json:"unsent"`
-}
-
 func (c *standinFabric) run(ctx context.Context, e environment) int {
 	s, err := settings.LoadStandinFabric(c.settings)
 	if err != nil {
@@ -51,48 +44,44 @@
 	}
 	admin := &webServers{}
 	if s.AdminAddress().IsValid() {
-		mux := http.NewServeMux()
-		mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
-			writeJSON(w, fabricCountsJSON{Balancers: f.Counts(), Unsent: f.Unsent()})
-		})
-		if err := admin.listen(s.AdminAddress(), mux); err != nil {
+		if err := admin.listen(s.AdminAddress(), f.AdminHandler()); err != nil {
 			e.fail(err)
 			return ExitFailure
 		}
 	}
 	logger.Info("fabric started", "services", s.Services())
-	return e.serve(ctx, logger, newWithAdmin(admin, f.Run))
+	return e.serve(ctx, logger, newTasks(f.Run, admin.Run))
 }
 
-// withAdmin runs a task that has no graceful shutdown of its own, and an admin server beside it.
-type withAdmin struct {
-	admin *webServers
-	task  func(ctx context.Context) error
-	stop  chan struct{}
+// tasks is a daemon of functions that stop together.
+type tasks struct {
+	functions []func(ctx context.Context) error
+	stop      chan struct{}
 }
 
-func newWithAdmin(admin *webServers, task func(ctx context.Context) error) *withAdmin {
-	return &withAdmin{admin: admin, task: task, stop: make(chan struct{})}
+func newTasks(functions ...func(ctx context.Context) error) *tasks {
+	return &tasks{functions: functions, stop: make(chan struct{})}
 }
 
-// Run runs both until Drain is called or the context ends.
-func (d *withAdmin) Run(ctx context.Context) error {
+// Run runs the functions until Drain is called or the context ends.
+func (t *tasks) Run(ctx context.Context) error {
 	g, err := rungroup.New(ctx)
 	if err != nil {
 		return err
 	}
+	for _, f := range t.functions {
+		g.Go(f)
+	}
 	g.Go(func(ctx context.Context) error {
 		select {
-		case <-d.stop:
-			g.Stop()
 		case <-ctx.Done():
+		case <-t.stop:
+			g.Stop()
 		}
 		return nil
 	})
-	g.Go(d.admin.Run)
-	g.Go(d.task)
 	return g.Wait()
 }
 
-// Drain ends both.
-func (d *withAdmin) Drain() { close(d.stop) }
+// Drain stops the functions; it is called once.
+func (t *tasks) Drain() { close(t.stop) }
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -1,12 +1,15 @@
 package demo
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
 	"text/tabwriter"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/bramleymast/bramleymast/internal/standin/caller"
 )
 
@@ -228,3 +231,10 @@
 	_, err := fmt.Fprintf(w, "packets into the zone later than %v after it was taken out: %d\n", zoneQuietAfter, rep.ZonePacketsAfter)
 	return err
 }
+
+// WriteJSON prints the report as one JSON object.
+func (rep Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return errors.Trace(e.Encode(rep))
+}
