feat: ask all balancers at once when waiting for a change

With 2,900 balancers, one round would take longer than the 14 s within which a change is in force.

Change: the status source gets all balancers and answers in their order; the client asks 64 at a time on an ants pool.

A round over 2,900 balancers was not measured.

--- a/internal/cmd/session_test.go
+++ b/internal/cmd/session_test.go
@@ -102,7 +102,7 @@
 func (s *session) Processes(context.Context) ([]operator.Process, error) { return s.processes, nil }
 
 // Progress says that every process has applied everything, but for those that lag.
-func (s *session) Progress(ctx context.Context, _ netip.AddrPort, key string) ([]operator.Progress, error) {
+func (s *session) Progress(ctx context.Context, balancers []netip.AddrPort, key string) []operator.Answer {
 	e, err := s.store.Get(ctx, key)
 	all := make([]operator.Progress, 0, len(s.processes))
 	for _, p := range s.processes {
@@ -112,7 +112,11 @@
 		}
 		all = append(all, operator.Progress{ID: p.ID, Applied: applied})
 	}
-	return all, err
+	answers := make([]operator.Answer, len(balancers))
+	for i := range answers {
+		answers[i] = operator.Answer{Progress: all, Err: err}
+	}
+	return answers
 }
 
 func (s *session) fleet() {
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -175,8 +175,12 @@
 	return slices.Clone(s.processes), s.err
 }
 
-func (s *fakeStatus) Progress(context.Context, netip.AddrPort, string) ([]operator.Progress, error) {
-	return s.progress(), nil
+func (s *fakeStatus) Progress(_ context.Context, balancers []netip.AddrPort, _ string) []operator.Answer {
+	answers := make([]operator.Answer, len(balancers))
+	for i := range answers {
+		answers[i].Progress = s.progress()
+	}
+	return answers
 }
 
 // clock is a clock that moves only when an operator pauses.
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -49,8 +49,15 @@
 type StatusSource interface {
 	// Processes returns the processes that are known to one of the balancers, the first that answers.
 	Processes(ctx context.Context) ([]Process, error)
-	// Progress returns what a balancer, and the agents for which it is a home, have applied of a configuration key.
-	Progress(ctx context.Context, balancer netip.AddrPort, key string) ([]Progress, error)
+	// Progress asks all the balancers at once for what each, and the agents for which it is a home, have applied of
+	// a configuration key; the answers are in the order of the balancers.
+	Progress(ctx context.Context, balancers []netip.AddrPort, key string) []Answer
+}
+
+// Answer is what one balancer tells about a configuration key, or why it tells nothing.
+type Answer struct {
+	Progress []Progress
+	Err      error
 }
 
 func (o *Operator) processes(ctx context.Context) ([]Process, error) {
@@ -138,17 +145,20 @@
 		return Coverage{}, err
 	}
 	ps = slices.DeleteFunc(ps, func(p Process) bool { return !p.Member || !concerns(key, p) })
-	seen := make(map[string]Progress)
-	failed := make(map[string]error)
+	var ids []string
+	var addresses []netip.AddrPort
 	for _, p := range ps {
-		if p.Kind != KindBalancer {
-			continue
+		if p.Kind == KindBalancer {
+			ids, addresses = append(ids, p.ID), append(addresses, p.Control)
 		}
-		answers, err := o.cfg.Status.Progress(ctx, p.Control, key)
-		if err != nil {
-			failed[p.ID] = err
+	}
+	seen := make(map[string]Progress)
+	failed := make(map[string]error)
+	for i, answer := range o.cfg.Status.Progress(ctx, addresses, key) {
+		if answer.Err != nil {
+			failed[ids[i]] = answer.Err
 		}
-		for _, a := range answers {
+		for _, a := range answer.Progress {
 			// An agent has several homes, and the newest answer counts.
 			if seen[a.ID].Applied <= a.Applied {
 				seen[a.ID] = a
--- a/internal/statusclient/statusclient.go
+++ b/internal/statusclient/statusclient.go
@@ -4,9 +4,11 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/panjf2000/ants/v2"
 
 	"github.com/bramleymast/bramleymast/internal/configvalue"
 	"github.com/bramleymast/bramleymast/internal/control"
@@ -15,6 +17,10 @@
 	"github.com/bramleymast/bramleymast/pkg/store"
 )
 
+// concurrentCalls lets a question to 2,900 balancers end within the seconds in which a change spreads, while the
+// operator's host keeps few connections open.
+const concurrentCalls = 64
+
 // callTime bounds one question, so that a silent balancer does not hold up the others.
 const callTime = 3 * time.Second
 
@@ -48,13 +54,44 @@
 	return nil, last
 }
 
-// Progress returns what a balancer, and the agents for which it is a home, have applied of a configuration key.
-func (c *Client) Progress(ctx context.Context, balancer netip.AddrPort, key string) ([]operator.Progress, error) {
+// Progress asks all the balancers at once what they have applied of a configuration key.
+func (c *Client) Progress(ctx context.Context, balancers []netip.AddrPort, key string) []operator.Answer {
+	answers := make([]operator.Answer, len(balancers))
+	pool, err := ants.NewPool(concurrentCalls)
+	if err != nil {
+		return failed(answers, err)
+	}
+	defer pool.Release()
+	var wg sync.WaitGroup
+	for i, b := range balancers {
+		wg.Add(1)
+		err := pool.Submit(func() {
+			defer wg.Done()
+			answers[i] = c.applied(ctx, b, key)
+		})
+		if err != nil {
+			answers[i].Err = err
+			wg.Done()
+		}
+	}
+	wg.Wait()
+	return answers
+}
+
+func failed(answers []operator.Answer, err error) []operator.Answer {
+	for i := range answers {
+		answers[i].Err = err
+	}
+	return answers
+}
+
+func (c *Client) applied(ctx context.Context, balancer netip.AddrPort, key string) operator.Answer {
 	var reply control.AppliedReply
 	if err := c.call(ctx, balancer, "Control.Applied", control.AppliedArgs{}, &reply); err != nil {
-		return nil, err
+		return operator.Answer{Err: err}
 	}
-	return progress(reply, key)
+	ps, err := progress(reply, key)
+	return operator.Answer{Progress: ps, Err: err}
 }
 
 func (c *Client) call(ctx context.Context, to netip.AddrPort, method string, args, reply any) error {
