feat: check in the demo that leaving servers get no work and compare the zone change

The run now counts requests that arrive at a backend server from 2 s after it was taken out, compares answers and latency while the zone leaves and returns with steady state, and says when a change is in force. Steps move so that 20 s are enough for all of them.

--- a/internal/demo/actions.go
+++ b/internal/demo/actions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/bramleymast/bramleymast/internal/operator"
 	"github.com/bramleymast/bramleymast/internal/standin/store"
@@ -44,6 +45,22 @@
 	return w.setAvailability(ctx, operator.Backend(serverID(a.Service, a.Index)), true)
 }
 
+// WatchDrained counts the requests that still arrive at a backend server that was taken out.
+type WatchDrained struct {
+	Service string
+	Index   int
+}
+
+// String describes the action.
+func (a WatchDrained) String() string {
+	return "from now on no work may arrive at " + serverID(a.Service, a.Index)
+}
+
+func (a WatchDrained) apply(_ context.Context, w *world) error {
+	w.startDrainCount(serverID(a.Service, a.Index))
+	return nil
+}
+
 // ReturnBackend brings a backend server back into service.
 type ReturnBackend struct {
 	Service string
@@ -56,6 +73,7 @@
 }
 
 func (a ReturnBackend) apply(ctx context.Context, w *world) error {
+	w.endDrainCount(serverID(a.Service, a.Index))
 	return w.setAvailability(ctx, operator.Backend(serverID(a.Service, a.Index)), false)
 }
 
@@ -72,7 +90,7 @@
 
 func (a RestartCold) apply(_ context.Context, w *world) error {
 	s := w.server(serverID(a.Service, a.Index))
-	w.noteRestart(s.id)
+	w.marks.restarts = append(w.marks.restarts, mark{name: s.id, at: time.Now()})
 	s.backend.Restart()
 	return nil
 }
@@ -84,7 +102,7 @@
 func (a ZoneOut) String() string { return "take out " + a.Zone }
 
 func (a ZoneOut) apply(ctx context.Context, w *world) error {
-	w.noteZoneOut(a.Zone)
+	w.marks.zones = append(w.marks.zones, mark{name: a.Zone, at: time.Now()})
 	return w.setAvailability(ctx, operator.Zone(a.Zone), true)
 }
 
@@ -108,6 +126,7 @@
 	if err := w.switchOn(ctx, a.Zone); err != nil {
 		return err
 	}
+	w.marks.zoneBack = time.Now()
 	return w.setAvailability(ctx, operator.Zone(a.Zone), false)
 }
 
--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,95 @@
+package demo
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bramleymast/bramleymast/internal/standin/caller"
+)
+
+// Guards against a run that reports kept promises without having looked: each broken one must be named.
+func TestEveryBrokenPromiseIsNamed(t *testing.T) {
+	var sr ServiceReport
+	sr.Answered = 1
+	told := map[string]caller.Outcome{
+		"lost": caller.Answered, "kept": caller.Answered, "twice": caller.Answered,
+		"ran": caller.NotRun, "refused": caller.NotRun, "unknown": caller.Unknown,
+	}
+	sr.compareWrites(told, map[string]int{"kept": 1, "twice": 2, "ran": 1, "unknown": 1})
+	assert.Equal(t, sr.Lost, 1)
+	assert.Equal(t, sr.Doubled, 1)
+	assert.Equal(t, sr.RanAfterRefusal, 1)
+	sr.FlowsBrokenPlanned, sr.ColdOverload, sr.DrainedLate = 1, 1, 1
+	rep := Report{Services: []ServiceReport{sr}}
+	rep.ZonePacketsAfter = 1
+	rep.judge()
+	for _, p := range []string{"promise 1:", "promise 3:", "promise 4:", "promise 5:", "promise 6:", "promise 7:", "promise 8:"} {
+		assert.Assert(t, strings.Contains(strings.Join(rep.BrokenPromises, "\n"), p), p)
+	}
+	kept := Report{Services: []ServiceReport{{Figures: Figures{Answered: 1}}}}
+	kept.judge()
+	assert.Equal(t, len(kept.BrokenPromises), 0)
+}
+
+// Guards against a broken flow that is excused: only a flow of the zone that was taken out may be given up, only from
+// then on, and a restarted backend server may end a response but not a flow.
+func TestBrokenFlowsAreExcusedOnlyByTheirCause(t *testing.T) {
+	at := time.Unix(1000, 0)
+	r := &run{world: &world{hosts: []*host{{id: "a-1", zone: "a"}, {id: "c-1", zone: "c"}}}}
+	r.world.marks = marks{zones: []mark{{name: "c", at: at}}, restarts: []mark{{name: "a-1", at: at}}}
+	var sr ServiceReport
+	r.classify(&sr, caller.Break{Server: "c-1", At: at.Add(time.Second), Flow: true})
+	assert.Equal(t, sr.FlowsGivenUp, 1)
+	r.classify(&sr, caller.Break{Server: "a-1", At: at.Add(time.Millisecond)})
+	assert.Equal(t, sr.CutByRestart, 1)
+	assert.Equal(t, sr.FlowsBrokenPlanned, 0)
+	for _, b := range []caller.Break{
+		{Server: "c-1", At: at.Add(-time.Second), Flow: true},
+		{Server: "a-1", At: at.Add(time.Second), Flow: true},
+		{Server: "", At: at.Add(time.Second), Flow: true},
+	} {
+		r.classify(&sr, b)
+	}
+	assert.Equal(t, sr.FlowsBrokenPlanned, 3)
+}
+
+// Guards against a standard run in which a step comes too late to be seen, or out of order.
+func TestStandardTimelineFitsTheShortestRun(t *testing.T) {
+	for _, d := range Deployments() {
+		last := time.Duration(0)
+		steps := Standard(d).timeline(MinDuration)
+		for _, s := range steps {
+			assert.Assert(t, s.offset(MinDuration) >= last)
+			last = s.offset(MinDuration)
+		}
+		assert.Assert(t, last < MinDuration)
+		assert.Assert(t, steps[0].offset(MinDuration) <= warmUp+time.Second)
+	}
+}
+
+// Guards against flows that break, and requests that are lost or run twice, while balancers join and die and the
+// store is down.
+func TestFlowsSurviveBalancersAndStore(t *testing.T) {
+	d, err := FindDeployment("notas")
+	assert.NilError(t, err)
+	for i := range d.Services {
+		d.Services[i].Callers, d.Services[i].Downloaders = 3, min(2, d.Services[i].Downloaders)
+	}
+	e := Experiment{Deployment: d, Steps: []Step{
+		{Percent: 30, Action: StoreDown{}},
+		{Percent: 50, Action: AddBalancer{Zone: "zone-c"}},
+		{Percent: 60, Action: KillBalancer{Index: 1}},
+		{Percent: 80, Action: StoreUp{}},
+	}}
+	rep, err := Run(context.Background(), Options{Experiment: e, Seed: 1, Duration: 6 * time.Second})
+	assert.NilError(t, err)
+	for _, s := range rep.Services {
+		assert.Assert(t, s.Answered > 0)
+		assert.Equal(t, s.FlowsBrokenPlanned, 0, "%v", s.Breaks)
+		assert.Equal(t, s.Lost+s.Doubled+s.RanAfterRefusal, 0)
+	}
+}
--- a/internal/demo/experiment.go
+++ b/internal/demo/experiment.go
@@ -34,8 +34,12 @@
 	Steps      []Step
 }
 
-// zoneQuietAfter is the time after which a zone that was taken out gets no more packets.
-const zoneQuietAfter = 5 * time.Second
+const (
+	// zoneQuietAfter is the time after which a zone that was taken out gets no more packets.
+	zoneQuietAfter = 5 * time.Second
+	// drainQuietAfter is the time after which a backend server that was taken out gets no more work.
+	drainQuietAfter = 2 * time.Second
+)
 
 // Standard returns the experiment of the demo command.
 func Standard(d Deployment) Experiment {
@@ -48,14 +52,16 @@
 	add(20, 0, KillBalancer{Index: 1})
 	for _, s := range d.Services {
 		add(27, 0, DrainBackend{Service: s.name(), Index: 0})
-		add(40, 0, ReturnBackend{Service: s.name(), Index: 0})
+		add(27, drainQuietAfter, WatchDrained{Service: s.name(), Index: 0})
+		add(33, drainQuietAfter, ReturnBackend{Service: s.name(), Index: 0})
 	}
-	add(42, 0, RestartCold{Service: d.Services[0].name(), Index: 1})
-	add(50, 0, ZoneOut{Zone: zone})
-	add(50, zoneQuietAfter, ZoneOff{Zone: zone})
-	add(60, zoneQuietAfter, ZoneBack{Zone: zone})
-	add(66, zoneQuietAfter, StoreDown{})
-	add(78, zoneQuietAfter, StoreUp{})
+	add(34, drainQuietAfter, RestartCold{Service: d.Services[0].name(), Index: 1})
+	add(40, drainQuietAfter, ZoneOut{Zone: zone})
+	const off = drainQuietAfter + zoneQuietAfter
+	add(40, off, ZoneOff{Zone: zone})
+	add(47, off, ZoneBack{Zone: zone})
+	add(52, off, StoreDown{})
+	add(58, off, StoreUp{})
 	return Experiment{Deployment: d, Steps: steps}
 }
 
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -43,13 +43,18 @@
 	// RanAfterRefusal counts writes that were refused as not run and yet were executed.
 	RanAfterRefusal int `json:"ran_after_refusal"`
 	// CutByRestart counts responses that ended with a backend server that was restarted without warning.
-	CutByRestart int             `json:"cut_by_restart"`
-	Flows        int             `json:"flows"`
-	Downloads    int             `json:"downloads"`
-	OverSlots    int             `json:"over_slots"`
-	Reasons      map[string]int  `json:"reasons"`
-	Breaks       []caller.Break  `json:"breaks"`
-	samples      []caller.Sample // for latencies
+	CutByRestart int            `json:"cut_by_restart"`
+	Flows        int            `json:"flows"`
+	Downloads    int            `json:"downloads"`
+	OverSlots    int            `json:"over_slots"`
+	Reasons      map[string]int `json:"reasons"`
+	Breaks       []caller.Break `json:"breaks"`
+	// DrainedLate counts requests that arrived at a backend server a few seconds after it was taken out.
+	DrainedLate int `json:"drained_late"`
+	// ZoneAnswered is the share answered of the requests that began while the zone left and returned and did not end with it.
+	ZoneAnswered float64 `json:"zone_answered"`
+	// ZoneSlowdown is the 99th percentile of their latency, without downloads, relative to steady state.
+	ZoneSlowdown float64 `json:"zone_slowdown"`
 }
 
 // Report is the result of a run.
@@ -93,7 +98,7 @@
 
 func (r *run) service(s Service, c caller.Report) ServiceReport {
 	sr := ServiceReport{
-		Service: s.name(), Flows: c.FlowsOpened, Downloads: c.Downloads, Reasons: c.Reasons, Breaks: c.Breaks, samples: c.Samples,
+		Service: s.name(), Flows: c.FlowsOpened, Downloads: c.Downloads, Reasons: c.Reasons, Breaks: c.Breaks,
 		Figures: Figures{
 			Requests: c.Requests, Answered: c.Answered, RefusedNotRun: c.NotRun, UnknownOutcome: c.Unknown,
 			Lost: c.Corrupt, Imbalance: r.imbalance(s),
@@ -104,6 +109,7 @@
 		if h.service.Kind != s.Kind {
 			continue
 		}
+		sr.DrainedLate += r.world.marks.drainedLate[h.id]
 		for _, b := range append(slices.Clone(h.retired), h.backend) {
 			bc := b.Counts()
 			sr.ColdOverload += bc.ColdOverload
@@ -114,6 +120,7 @@
 		}
 	}
 	sr.compareWrites(c.Writes, executed)
+	r.compareZoneChange(&sr, c.Samples)
 	for _, b := range c.Breaks {
 		r.classify(&sr, b)
 	}
@@ -137,6 +144,50 @@
 	}
 }
 
+// zoneReturn is how long after its return a zone still counts as returning: its servers start cold.
+const zoneReturn = coldRamp
+
+// compareZoneChange compares the requests while the zone left and returned with those in steady state.
+func (r *run) compareZoneChange(sr *ServiceReport, samples []caller.Sample) {
+	m := &r.world.marks
+	if len(m.zones) == 0 || m.zoneBack.IsZero() {
+		return
+	}
+	var steady, changing []time.Duration
+	answered, all := 0, 0
+	for _, s := range samples {
+		in := within(s.At, m.zones[0].at, m.zoneBack.Add(zoneReturn).Sub(m.zones[0].at))
+		if in && (s.Outcome == caller.Answered || r.zoneOf(s.Server) != m.zones[0].name) {
+			all++
+			if s.Outcome == caller.Answered {
+				answered++
+			}
+		}
+		switch {
+		case s.Download || s.Outcome != caller.Answered:
+		case in:
+			changing = append(changing, s.Latency)
+		case s.At.After(r.steadySince) && s.At.Before(r.steadyUntil):
+			steady = append(steady, s.Latency)
+		}
+	}
+	if all > 0 {
+		sr.ZoneAnswered = float64(answered) / float64(all)
+	}
+	if before := percentile99(steady); before > 0 {
+		sr.ZoneSlowdown = float64(percentile99(changing)) / float64(before)
+	}
+}
+
+// percentile99 returns the 99th percentile, or 0 of nothing.
+func percentile99(ds []time.Duration) time.Duration {
+	if len(ds) == 0 {
+		return 0
+	}
+	slices.Sort(ds)
+	return ds[(len(ds)-1)*99/100]
+}
+
 // classify finds out why a flow or a response has ended early.
 func (r *run) classify(sr *ServiceReport, b caller.Break) {
 	m := &r.world.marks
@@ -197,6 +248,7 @@
 		broken(s.Lost > 0, "promise 5: %d requests of %s were lost", s.Lost, s.Service)
 		broken(s.RanAfterRefusal > 0, "promise 6: %d requests of %s ran after they were refused as not run", s.RanAfterRefusal, s.Service)
 		broken(s.Doubled > 0, "promise 7: %d writes of %s were executed more than once", s.Doubled, s.Service)
+		broken(s.DrainedLate > 0, "promise 8: %d requests of %s went to a backend server that was leaving", s.DrainedLate, s.Service)
 		broken(s.Answered == 0, "no request of %s was answered", s.Service)
 	}
 	broken(rep.ZonePacketsAfter > 0, "promise 4: %d packets reached a zone that was taken out", rep.ZonePacketsAfter)
@@ -225,6 +277,9 @@
 	row("downloads complete", func(s ServiceReport) any { return s.Downloads })
 	row("imbalance (max/mean)", func(s ServiceReport) any { return fmt.Sprintf("%.2f", s.Imbalance) })
 	row("overload while cold", func(s ServiceReport) any { return s.ColdOverload })
+	row("requests to a server that was leaving", func(s ServiceReport) any { return s.DrainedLate })
+	row("answered while the zone left and returned", func(s ServiceReport) any { return fmt.Sprintf("%.2f%%", 100*s.ZoneAnswered) })
+	row("99th percentile then / steady", func(s ServiceReport) any { return fmt.Sprintf("%.2f", s.ZoneSlowdown) })
 	if err := tw.Flush(); err != nil {
 		return err
 	}
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -36,14 +36,18 @@
 	Logger   hclog.Logger
 }
 
-// marks are the times and counts that a run needs to judge what the callers saw.
+// marks are the times and counts that a run needs to judge what the callers saw; only the timeline writes them.
 type marks struct {
-	mu            sync.Mutex
-	restarts      []mark
-	zones         []mark
+	restarts []mark
+	zones    []mark
+	// zoneBack is when the zone was brought back, or zero.
+	zoneBack      time.Time
 	zoneOff       bool
 	zonePacketsAt uint64
 	zonePackets   uint64
+	// drainedAt holds the requests of a watched backend server, drainedLate those that arrived while it was watched.
+	drainedAt   map[string]int
+	drainedLate map[string]int
 }
 
 // mark is a time at which something happened to a zone or a backend server.
@@ -52,26 +56,17 @@
 	at   time.Time
 }
 
-func (w *world) noteRestart(id string) {
-	w.marks.mu.Lock()
-	defer w.marks.mu.Unlock()
-	w.marks.restarts = append(w.marks.restarts, mark{name: id, at: time.Now()})
-}
-
-func (w *world) noteZoneOut(zone string) {
-	w.marks.mu.Lock()
-	defer w.marks.mu.Unlock()
-	w.marks.zones = append(w.marks.zones, mark{name: zone, at: time.Now()})
-}
-
 // run is one run of an experiment.
 type run struct {
 	opts    Options
+	sayMu   sync.Mutex
 	world   *world
 	started time.Time
 	tallies []*caller.Tally
 	// steadyFrom and steadyTo hold the requests of each backend server around the steady state.
 	steadyFrom, steadyTo map[string]int
+	// steadySince and steadyUntil are the times at which they were counted.
+	steadySince, steadyUntil time.Time
 }
 
 // Run runs an experiment and returns its report.
@@ -98,7 +93,7 @@
 	d := r.opts.Experiment.Deployment
 	r.say("start %s: %d zones, %d balancers", d.Name, len(d.Zones), firstBalancers)
 	var err error
-	if r.world, err = newWorld(g, d, r.opts.Seed, r.opts.Logger); err != nil {
+	if r.world, err = newWorld(g, d, r.opts.Seed, r.opts.Logger, r.say); err != nil {
 		return Report{}, err
 	}
 	if err := r.world.startAll(ctx); err != nil {
@@ -125,6 +120,8 @@
 	if r.opts.Progress == nil {
 		return
 	}
+	r.sayMu.Lock()
+	defer r.sayMu.Unlock()
 	_, _ = fmt.Fprintf(r.opts.Progress, "%7.3fs  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
@@ -160,13 +157,13 @@
 	if err := pause(ctx, warmUp); err != nil {
 		return err
 	}
-	r.steadyFrom = r.world.requests()
+	r.steadyFrom, r.steadySince = r.world.requests(), time.Now()
 	for _, s := range r.opts.Experiment.timeline(r.opts.Duration) {
 		if err := pause(ctx, time.Until(begin.Add(s.offset(r.opts.Duration)))); err != nil {
 			return err
 		}
 		if _, ok := s.Action.(DrainBackend); ok && r.steadyTo == nil {
-			r.steadyTo = r.world.requests()
+			r.steadyTo, r.steadyUntil = r.world.requests(), time.Now()
 		}
 		r.say("%s", s.Action)
 		if err := s.Action.apply(ctx, r.world); err != nil {
@@ -177,7 +174,7 @@
 		return err
 	}
 	if r.steadyTo == nil {
-		r.steadyTo = r.world.requests()
+		r.steadyTo, r.steadyUntil = r.world.requests(), time.Now()
 	}
 	return nil
 }
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -19,6 +19,7 @@
 	"github.com/bramleymast/bramleymast/internal/standin/backend"
 	"github.com/bramleymast/bramleymast/internal/standin/fabric"
 	"github.com/bramleymast/bramleymast/internal/standin/store"
+	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/contract"
 )
 
@@ -60,6 +61,16 @@
 	<-p.done
 }
 
+// running reports whether the process has not ended.
+func (p *process) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // balancerProcess is a balancer of the deployment.
 type balancerProcess struct {
 	*process
@@ -97,15 +108,19 @@
 	balancers   []*balancerProcess
 	hosts       []*host
 	changes     atomic.Int64
-	marks       marks
-	counters    []*packetCounter
+	// say reports progress.
+	say      func(format string, args ...any)
+	marks    marks
+	counters []*packetCounter
 }
 
 // serverID returns the id of a backend server, which is that of its agent.
 func serverID(service string, index int) string { return fmt.Sprintf("%s-%d", service, index+1) }
 
-func newWorld(g *rungroup.Group, cfg Deployment, seed uint64, log hclog.Logger) (*world, error) {
-	w := &world{cfg: cfg, seed: seed, log: log, group: g, store: &store.Memory{}, key: make([]byte, keyBytes)}
+func newWorld(g *rungroup.Group, cfg Deployment, seed uint64, log hclog.Logger, say func(string, ...any)) (*world, error) {
+	w := &world{
+		cfg: cfg, seed: seed, log: log, say: say, group: g, store: &store.Memory{}, key: make([]byte, keyBytes),
+	}
 	for i := range w.key {
 		w.key[i] = byte(seed >> (i % 8))
 	}
@@ -188,9 +203,7 @@
 		DataAddress: netip.AddrPortFrom(ip, 0), ControlAddress: netip.AddrPortFrom(ip, 0), HTTPAddress: netip.AddrPortFrom(ip, 0),
 	}
 	for _, b := range w.balancers {
-		select {
-		case <-b.done:
-		default:
+		if b.running() {
 			c.Seeds = append(c.Seeds, b.node.ControlAddress())
 		}
 	}
@@ -293,9 +306,56 @@
 	if set.Verdict() != operator.Accepted {
 		return errors.Annotatef(set.Cause(), "%s %s: %s", t.Noun(), t.Name(), set.Verdict())
 	}
+	w.reportInForce(t, uint64(set.Revision()))
 	return nil
 }
 
+// reportInForce reports when every running balancer and agent that is concerned has a state of a zone or a backend
+// server. An agent is not told of the backend servers of other services.
+func (w *world) reportInForce(t operator.Target, revision uint64) {
+	id := board.ID{Kind: board.KindZone, Key: t.Name()}
+	concerned := func(*host) bool { return true }
+	if t.Noun() == "backend" {
+		id.Kind = board.KindBackend
+		service := w.server(t.Name()).service.Kind
+		concerned = func(h *host) bool { return h.service.Kind == service }
+	}
+	var boards []*board.Board
+	for _, b := range w.balancers {
+		if b.running() {
+			boards = append(boards, b.node.Board())
+		}
+	}
+	for _, h := range w.hosts {
+		if h.agent.running() && concerned(h) {
+			boards = append(boards, h.node.Board())
+		}
+	}
+	begin := time.Now()
+	w.group.Go(func(ctx context.Context) error {
+		for ctx.Err() == nil && !all(boards, id, revision) {
+			_ = pause(ctx, readyPollInterval)
+		}
+		if !all(boards, id, revision) {
+			w.say("%s %s is not in force everywhere at the end of the run", t.Noun(), t.Name())
+			return nil
+		}
+		w.say("%s %s is in force at %d balancers and agents after %v",
+			t.Noun(), t.Name(), len(boards), time.Since(begin).Round(time.Millisecond))
+		return nil
+	})
+}
+
+// all reports whether every board has at least a revision of a record.
+func all(boards []*board.Board, id board.ID, revision uint64) bool {
+	for _, b := range boards {
+		if r, ok := b.Get(id); !ok || r.Version.Seq < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // switchOff ends the hosts of a zone and binds counting sockets at the data addresses of its agents.
 func (w *world) switchOff(_ context.Context, zone string) error {
 	w.marks.zonePacketsAt = w.packetsIntoBalancers(zone)
@@ -355,3 +415,19 @@
 	}
 	w.counters = nil
 }
+
+// startDrainCount begins to count the requests that arrive at a backend server that was taken out.
+func (w *world) startDrainCount(id string) {
+	if w.marks.drainedAt == nil {
+		w.marks.drainedAt = make(map[string]int)
+		w.marks.drainedLate = make(map[string]int)
+	}
+	w.marks.drainedAt[id] = w.server(id).backend.Counts().Requests
+}
+
+// endDrainCount ends the count before the backend server is brought back.
+func (w *world) endDrainCount(id string) {
+	if at, ok := w.marks.drainedAt[id]; ok {
+		w.marks.drainedLate[id] += w.server(id).backend.Counts().Requests - at
+	}
+}
--- a/internal/standin/caller/attempt.go
+++ b/internal/standin/caller/attempt.go
@@ -26,31 +26,33 @@
 }
 
 // request makes attempts until one is answered or no retry is allowed, and counts the last outcome.
-func (c *Caller) request(ctx context.Context, attempt func(ctx context.Context) result) Outcome {
+func (c *Caller) request(ctx context.Context, download bool, attempt func(ctx context.Context) result) Outcome {
 	c.cfg.Tally.update(func(r *Report) { r.Requests++ })
-	start := time.Now()
+	s := Sample{At: time.Now(), Download: download}
 	for n := 0; ; n++ {
 		r := c.attempt(ctx, attempt)
 		if r.outcome == Answered {
-			c.answered(start)
-			return Answered
+			c.budget.success()
+			return c.finish(s, Answered)
 		}
 		c.cfg.Tally.reason(r.reason)
 		c.cfg.Logger.Debug("attempt failed", "caller", c.cfg.Name, "attempt", n, "outcome", r.outcome, "reason", r.reason)
 		if r.final || ctx.Err() != nil || n+1 >= maxAttempts || !c.budget.take() {
-			c.cfg.Tally.finished(r.outcome)
-			return r.outcome
+			return c.finish(s, r.outcome)
 		}
 		c.cfg.Tally.update(func(r *Report) { r.Retries++ })
 		sleep(ctx, backoff(c.random, n))
 	}
 }
 
-func (c *Caller) answered(start time.Time) {
-	c.budget.success()
-	c.cfg.Tally.finished(Answered)
-	s := Sample{At: start, Latency: time.Since(start), Server: c.session.server}
-	c.cfg.Tally.update(func(r *Report) { r.Samples = append(r.Samples, s) })
+func (c *Caller) finish(s Sample, o Outcome) Outcome {
+	s.Outcome = o
+	s.Latency = time.Since(s.At)
+	if c.session != nil {
+		s.Server = c.session.server
+	}
+	c.cfg.Tally.finished(s)
+	return o
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -163,7 +163,7 @@
 
 // Read asks for one entry and checks that the answer is about this entry.
 func (c *Caller) Read(ctx context.Context, id string) Outcome {
-	return c.request(ctx, func(ctx context.Context) result {
+	return c.request(ctx, false, func(ctx context.Context) result {
 		r := c.exchange(ctx, c.newRequest(ctx, http.MethodGet, c.cfg.Kind.ReadPath(id), nil))
 		return c.checkAnswer(r, id)
 	})
@@ -173,7 +173,7 @@
 func (c *Caller) Write(ctx context.Context, id string) Outcome {
 	// A shed request has its outcome recorded under its key, so a further try needs another key.
 	tries := 0
-	o := c.request(ctx, func(ctx context.Context) result {
+	o := c.request(ctx, false, func(ctx context.Context) result {
 		r := c.writeOnce(ctx, id, fmt.Sprintf("%s/%d", id, tries))
 		if r.shed {
 			tries++
@@ -213,7 +213,7 @@
 
 // Download fetches the bytes of a seed and compares each of them.
 func (c *Caller) Download(ctx context.Context, seed uint64, size, rate int64) Outcome {
-	return c.request(ctx, func(ctx context.Context) result { return c.downloadOnce(ctx, seed, size, rate) })
+	return c.request(ctx, true, func(ctx context.Context) result { return c.downloadOnce(ctx, seed, size, rate) })
 }
 
 func (c *Caller) downloadOnce(ctx context.Context, seed uint64, size, rate int64) result {
--- a/internal/standin/caller/tally.go
+++ b/internal/standin/caller/tally.go
@@ -43,11 +43,15 @@
 	Flow bool `json:"flow"`
 }
 
-// Sample is the latency of one answered request.
+// Sample is one request that has ended.
 type Sample struct {
-	At      time.Time
-	Latency time.Duration
-	Server  string
+	// At is when the request began.
+	At       time.Time
+	Latency  time.Duration
+	Outcome  Outcome
+	Download bool
+	// Server is the backend server that answered last on the flow; empty when none has.
+	Server string
 }
 
 // Counts is what the callers of a service have counted. A request that was retried counts once, with its last outcome.
@@ -101,9 +105,10 @@
 	f(&t.r)
 }
 
-func (t *Tally) finished(o Outcome) {
+func (t *Tally) finished(s Sample) {
 	t.update(func(r *Report) {
-		switch o {
+		r.Samples = append(r.Samples, s)
+		switch s.Outcome {
 		case Answered:
 			r.Answered++
 		case NotRun:
