--- a/internal/cmd/standin_caller.go
+++ b/internal/cmd/standin_caller.go
@@ -22,7 +22,6 @@
 // standinCaller is "standin caller".
 type standinCaller struct {
 	settings   string
-	kind       string
 	serverName string
 	writes     bool
 	bytes      int64
@@ -32,17 +31,16 @@
 func (c *standinCaller) declare() *flaggy.Subcommand {
 	sc := flaggy.NewSubcommand("caller")
 	sc.Description = "runs a sample caller over HTTP/3 and prints what it has counted as JSON"
-	c.settings, c.kind, c.serverName = "standin-caller.json", string(backend.KindOrders), "localhost"
+	c.settings, c.serverName = "standin-caller.json", "localhost"
 	sc.String(&c.settings, "s", "settings", "settings file of the stand-in")
-	sc.String(&c.kind, "k", "kind", "service that is called: orders, catalogue, summaries or bundles")
 	sc.String(&c.serverName, "", "server-name", "name that the service's certificate must have")
 	sc.Bool(&c.writes, "", "writes", "send non-idempotent writes")
 	sc.Int64(&c.bytes, "", "bytes", "send downloads of this size in bytes")
 	sc.Int64(&c.rate, "", "rate", "bytes a second of a download; 0 means as fast as possible")
 	sc.AdditionalHelpAppend = `
 Examples:
-  bramleymast standin caller --settings standin-caller.json --kind orders --writes
-  bramleymast standin caller --settings standin-caller.json --kind bundles --bytes 67108864
+  bramleymast standin caller --settings standin-caller.json --writes
+  bramleymast standin caller --settings standin-caller.json --bytes 67108864
 
 The exit code is 1 unless every request was answered completely.`
 	return sc
@@ -54,7 +52,7 @@
 		e.fail(err)
 		return ExitBadInput
 	}
-	kind, err := backend.ParseKind(c.kind)
+	kind, err := backend.ParseKind(s.Service())
 	if err != nil {
 		e.fail(err)
 		return ExitBadInput
@@ -86,7 +84,7 @@
 func (c *standinCaller) findings(kind backend.Kind) finding.List {
 	var l finding.List
 	if c.writes && !kind.Writes() {
-		l.Addf("--writes", "only with --kind orders or summaries", "is given with %s", kind)
+		l.Addf("--writes", "only with the service orders or summaries", "is given with %s", kind)
 	}
 	if c.bytes < 0 {
 		l.Addf("--bytes", "0 or more", "is %d", c.bytes)
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -320,40 +321,42 @@
 		service := w.server(t.Name()).service.Kind
 		concerned = func(h *host) bool { return h.service.Kind == service }
 	}
-	var boards []*board.Board
+	waiting := make(map[string]*board.Board)
 	for _, b := range w.balancers {
 		if b.running() {
-			boards = append(boards, b.node.Board())
+			waiting[b.id] = b.node.Board()
 		}
 	}
 	for _, h := range w.hosts {
 		if h.agent.running() && concerned(h) {
-			boards = append(boards, h.node.Board())
+			waiting[h.id] = h.node.Board()
 		}
 	}
-	begin := time.Now()
+	begin, n, last := time.Now(), len(waiting), ""
 	w.group.Go(func(ctx context.Context) error {
-		for ctx.Err() == nil && !all(boards, id, revision) {
+		for ctx.Err() == nil && len(waiting) > 0 {
+			last = removeApplied(waiting, id, revision, last)
 			_ = pause(ctx, readyPollInterval)
 		}
-		if !all(boards, id, revision) {
-			w.say("%s %s is not in force everywhere at the end of the run", t.Noun(), t.Name())
+		if len(waiting) > 0 {
+			w.say("%s %s is not in force at %v at the end of the run", t.Noun(), t.Name(), slices.Sorted(maps.Keys(waiting)))
 			return nil
 		}
-		w.say("%s %s is in force at %d balancers and agents after %v",
-			t.Noun(), t.Name(), len(boards), time.Since(begin).Round(time.Millisecond))
+		w.say("%s %s is in force at %d balancers and agents after %v, last at %s",
+			t.Noun(), t.Name(), n, time.Since(begin).Round(time.Millisecond), last)
 		return nil
 	})
 }
 
-// all reports whether every board has at least a revision of a record.
-func all(boards []*board.Board, id board.ID, revision uint64) bool {
-	for _, b := range boards {
-		if r, ok := b.Get(id); !ok || r.Version.Seq < revision {
-			return false
+// removeApplied removes the boards that have at least a revision of a record, and returns the last one removed.
+func removeApplied(boards map[string]*board.Board, id board.ID, revision uint64, last string) string {
+	for name, b := range boards {
+		if r, ok := b.Get(id); ok && r.Version.Seq >= revision {
+			delete(boards, name)
+			last = name
 		}
 	}
-	return true
+	return last
 }
 
 // switchOff ends the hosts of a zone and binds counting sockets at the data addresses of its agents.
--- a/main_test.go
+++ b/main_test.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{"localhost"},
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{"localhost", "orders"},
 	}
 	cert, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
 	if err != nil {
