fix: fill up the home balancers of a member from other zones

Cause: the demo showed a backend server's return in force at three agents only after 14.7 s. The trace names orders-2, orders-6 and catalogue-2, all of the zone whose only balancer had been killed: homes() fell back to the silent balancers of the own zone, so these agents heard nothing until they counted as isolated and pulled.

Ruled out: lost pushes (all other agents took the record within 1 ms) and the byte budget (no queue waited).

Change: a member with fewer than two answering home balancers in its own zone takes further ones from other zones, so that one death leaves it one home.

--- a/pkg/membership/failure_test.go
+++ b/pkg/membership/failure_test.go
@@ -467,3 +467,17 @@
 	// In an outage three candidates of each of the two zones try, each at most every 3.3 s with two calls.
 	assert.Assert(t, calls(24, true) <= 2*3*2*60*10/33)
 }
+
+// Guards against agents that hear no change for many seconds after the only balancer of their zone has died.
+// Seen with the demo: a backend server's return was in force at three agents only after 14.7 s.
+func TestChangeReachesAgentsWhoseOnlyBalancerDied(t *testing.T) {
+	w := controlsim.New(controlsim.Config{Seed: 40})
+	populate(w, 3, 3, 6)
+	w.Run(10 * time.Second)
+	find(w, "b2").Stop()
+	w.Run(100 * time.Millisecond)
+	rev := w.Store.PutZone("c", true)
+	// A zone receives no packets 5 s after it was taken out, and the grace takes 2 s of them.
+	took := must(t, w, 3*time.Second, zoneAt(w, "c", uint64(rev)))
+	t.Logf("in force everywhere after %s", took)
+}
--- a/pkg/membership/liveness.go
+++ b/pkg/membership/liveness.go
@@ -115,10 +115,17 @@
 }
 
 // homes returns the home balancers of this process; those that do not answer are passed over for a while.
+// Where the own zone has too few, balancers of other zones fill up: a member with one home hears nothing
+// between the death of that balancer and its noticing, and a change must be in force within seconds.
 func (n *Node) homes() []peer {
 	key := xxhash.Sum64String(n.cfg.ID)
 	candidates := n.homeCandidates(n.cfg.Zone)
 	out := rank(key, candidates, homeCount, func(p peer) bool { return n.silentHome(p.control) })
+	if missing := homeCount - len(out); missing > 0 {
+		out = append(out, rank(key, n.peers.all(n), missing, func(p peer) bool {
+			return slices.Contains(out, p) || n.silentHome(p.control)
+		})...)
+	}
 	if len(out) == 0 {
 		return rank(key, candidates, homeCount, nil)
 	}
