feat: enforce slots, deadlines, tickets and drain at the agent

Cause: requests went to the backend server without a limit, failures did not say whether the request ran, and a stop cut what was in progress. Change: requests wait for a slot; deadlines are shortened, passed on and enforced until the first byte; outcomes have counters by reason; a slot is held until the backend server has closed its end of the connection, because it works on for a moment after a cancellation; a response that cannot be told from a cut one is "unknown"; idempotent requests without a body are repeated within budget and deadline; ticketed requests go through the ledger, other agents are asked by net/rpc, and the key is closed before "not run" is said; a sentinel connection tells of restarts and learns the server's idle timeout. A drain sends GOAWAY, serves handshakes that were under way, and cuts at the contract's limit, which is logged and counted; a zone that is out is closed 200 ms before its grace ends. Ruled out: one HTTP/3 server for the whole life of the agent, because it cannot serve again after GOAWAY, and a backend server that comes back while its drain goes on needs both; "Connection: close" towards the backend server, because some servers then end a response by closing, which cannot be told from a cut. Seen failing without the mechanism, by changing one line at a time: admission without a free slot (goodput, slots), request id check, delimiter check, sent bytes, deadline timer, method check and budget and deadline of retries, abort of truncated answers, slot kept until the connection is gone (11 in progress at 2 slots), half-close on cancellation (test hangs), closing the key before the answer, recording of answers, damaged tickets, drain of requests in progress and cut at the limit (tests hang), new flows while leaving.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"net/url"
 	"slices"
@@ -21,9 +21,11 @@
 
 	"github.com/bramleymast/bramleymast/internal/rungroup"
 	"github.com/bramleymast/bramleymast/internal/wire"
+	"github.com/bramleymast/bramleymast/pkg/admission"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/membership"
+	"github.com/bramleymast/bramleymast/pkg/placement"
 )
 
 // QUIC parameters.
@@ -32,8 +34,10 @@
 	handshakeTimeout = 5 * time.Second
 	// packetSize leaves room for the frame of a datagram on a link that carries 1,500 bytes.
 	packetSize = 1252
-	// sweepInterval is short against the times that flow records outlive their use.
-	sweepInterval = 500 * time.Millisecond
+	// tickInterval is short against the grace period of a zone and the times that flow records outlive their use.
+	tickInterval = 100 * time.Millisecond
+	// loadInterval is the time between two reports of the load to co-members.
+	loadInterval = 500 * time.Millisecond
 )
 
 // Load is what an agent tells its co-members about itself.
@@ -71,22 +75,28 @@
 
 // Agent is the process beside a backend server.
 type Agent struct {
-	cfg     Config
-	service flow.ServiceID
-	short   flow.ShortID
-	sealer  *wire.Sealer
-	conn    *packetConn
-	backend *backend
-	metrics *metrics
-	zones   board.ZoneGate
+	cfg      Config
+	service  flow.ServiceID
+	short    flow.ShortID
+	sealer   *wire.Sealer
+	conn     *packetConn
+	requests *requests
+	gate     *gate
+	sentinel *sentinel
+	metrics  *metrics
+	zones    board.ZoneGate
+
+	steering steering
+	view     atomic.Pointer[flow.View]
+	ways     atomic.Pointer[ways]
+	tenure   atomic.Pointer[tenure]
 
-	steering     steering
-	view         atomic.Pointer[flow.View]
-	ways         atomic.Pointer[ways]
 	zoneRevision atomic.Uint64
 	changed      chan struct{}
-	drain        chan struct{}
-	draining     atomic.Bool
+	// draining is set by Drain; leaving and closed follow the board too.
+	draining, leaving, closed atomic.Bool
+	phase                     board.Phase
+	contractSeq               uint64
 }
 
 // New returns an agent that has bound its data socket.
@@ -102,41 +112,56 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	m, err := newMetrics(cfg.Registerer)
+	a := &Agent{
+		cfg: cfg, service: flow.ServiceIDOf(cfg.Service), short: flow.ShortIDOf(cfg.ID), sealer: sealer,
+		gate: newGate(time.Now()), changed: make(chan struct{}, 1),
+	}
+	a.steering.tag, a.steering.self = newConnTag(cfg.ID, cfg.Incarnation), a.short
+	if a.metrics, err = newMetrics(cfg.Registerer, a.gate); err != nil {
+		return nil, err
+	}
+	t, err := newTickets(cfg)
 	if err != nil {
 		return nil, err
 	}
+	a.requests = &requests{
+		gate: a.gate, backend: newBackend(target), tickets: t, metrics: a.metrics, budget: &admission.RetryBudget{},
+		random: rand.Float64,
+	}
+	a.sentinel = &sentinel{
+		address: target.Host,
+		closed:  func() { a.markCold(admission.ColdRestarted) },
+		refused: func() { a.markCold(admission.ColdRefused) },
+	}
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.DataAddress))
 	if err != nil {
 		return nil, errors.Annotatef(err, "cannot bind the data address %s", cfg.DataAddress)
 	}
-	a := &Agent{
-		cfg: cfg, service: flow.ServiceIDOf(cfg.Service), short: flow.ShortIDOf(cfg.ID),
-		sealer: sealer, metrics: m, backend: newBackend(target),
-		changed: make(chan struct{}, 1), drain: make(chan struct{}),
-	}
-	a.steering.tag, a.steering.self = newConnTag(cfg.ID, cfg.Incarnation), a.short
 	a.conn = newPacketConn(socket, a)
 	a.refresh(time.Now())
 	cfg.Board.OnChange(func(board.Record) { a.notify() })
+	cfg.Control.OnLoad(func(agent string, l Load) {
+		a.steering.placer.Learn(time.Now(), flow.ShortIDOf(agent), placement.Load(l))
+	})
 	return a, nil
 }
 
+func (a *Agent) markCold(reason admission.ColdReason) {
+	a.cfg.Logger.Info("the backend server counts as cold", "reason", string(reason))
+	a.gate.markCold(reason)
+	a.notify()
+}
+
 // DataAddress returns the address that receives forward datagrams.
 func (a *Agent) DataAddress() netip.AddrPort {
-	u, ok := a.conn.LocalAddr().(*net.UDPAddr)
-	if !ok {
-		return netip.AddrPort{}
-	}
-	return u.AddrPort()
+	return addrPort(a.conn.LocalAddr())
 }
 
 // Drain starts the graceful shutdown, after which Run returns.
 func (a *Agent) Drain() {
-	if a.draining.CompareAndSwap(false, true) {
-		close(a.drain)
-		a.announce()
-	}
+	a.draining.Store(true)
+	a.leaving.Store(true)
+	a.notify()
 }
 
 // Run serves until the context ends or the drain is over.
@@ -150,23 +175,17 @@
 	if err != nil {
 		return errors.Annotate(err, "cannot listen for QUIC")
 	}
-	server := &http3.Server{Handler: http.HandlerFunc(a.serve)}
+	s := &supervisor{agent: a, serving: func(t *tenure) {
+		g.Go(func(context.Context) error { return errors.Annotate(serveTenure(t), "HTTP/3 server") })
+	}}
+	s.step(time.Now())
 	a.announce()
-	g.Go(func(context.Context) error {
-		err := server.ServeListener(&flowListener{listener: listener, flows: &a.steering.flows})
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return errors.Annotate(err, "HTTP/3 server")
-	})
-	g.Go(a.watch)
+	g.Go(func(ctx context.Context) error { return a.accept(ctx, listener) })
+	g.Go(a.sentinel.run)
+	g.Go(a.tellLoad)
 	g.Go(func(ctx context.Context) error {
-		select {
-		case <-ctx.Done():
-		case <-a.drain:
-			_ = server.Shutdown(ctx)
-		}
-		_ = server.Close()
+		a.watch(ctx, s)
+		s.close()
 		_ = listener.Close()
 		_ = transport.Close()
 		_ = a.conn.Close()
@@ -176,6 +195,23 @@
 	return g.Wait()
 }
 
+// accept hands each connection whose handshake is complete to the tenure.
+func (a *Agent) accept(ctx context.Context, l *quic.Listener) error {
+	for {
+		c, err := l.Accept(ctx)
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, quic.ErrServerClosed) {
+				return errors.Annotate(err, "cannot accept connections")
+			}
+			return nil //nolint:nilerr // The agent stops.
+		}
+		a.steering.flows.establish(addrPort(c.RemoteAddr()))
+		if t := a.tenure.Load(); t != nil {
+			t.hand(ctx, c)
+		}
+	}
+}
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:    handshakeTimeout,
@@ -193,11 +229,17 @@
 	})
 }
 
-// connContext counts a connection from its first packet until its end.
+// connContext counts a connection from its first packet until its end, within the contract's limit.
 func (a *Agent) connContext(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+	if !a.gate.connect() {
+		return nil, errNoCapacity
+	}
 	caller := addrPort(info.RemoteAddr)
 	a.steering.flows.connected(caller)
-	context.AfterFunc(ctx, func() { a.steering.flows.disconnected(time.Now(), caller) })
+	context.AfterFunc(ctx, func() {
+		a.gate.disconnect()
+		a.steering.flows.disconnected(time.Now(), caller)
+	})
 	return ctx, nil
 }
 
@@ -210,39 +252,33 @@
 	return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
 }
 
-// flowListener marks the flow of each connection whose handshake is complete.
-type flowListener struct {
-	listener *quic.Listener
-	flows    *flowTable
-}
-
-// Accept returns the next connection.
-func (l *flowListener) Accept(ctx context.Context) (*quic.Conn, error) {
-	c, err := l.listener.Accept(ctx)
-	if err != nil {
-		return nil, err
-	}
-	l.flows.establish(addrPort(c.RemoteAddr()))
-	return c, nil
-}
-
-// Addr returns the address of the listener.
-func (l *flowListener) Addr() net.Addr { return l.listener.Addr() }
-
-// Close closes the listener.
-func (l *flowListener) Close() error { return l.listener.Close() }
-
-// announce publishes the agent's member record.
+// announce publishes the agent's member record when its phase has changed.
 func (a *Agent) announce() {
 	phase := board.PhaseReady
-	if a.draining.Load() {
+	switch {
+	case a.leaving.Load():
 		phase = board.PhaseDraining
+	case a.gate.cold():
+		phase = board.PhaseCold
+	}
+	if phase == a.phase {
+		return
 	}
+	a.phase = phase
 	a.cfg.Control.SetMember(board.Agent{
 		Service: a.cfg.Service, Zone: a.cfg.Zone, Phase: phase, Data: a.DataAddress(),
 	})
 }
 
+// tellLoad tells co-members the own load.
+func (a *Agent) tellLoad(ctx context.Context) error {
+	for sleep(ctx, loadInterval) {
+		load, _ := a.gate.load(time.Now())
+		a.cfg.Control.SendLoad(Load(load))
+	}
+	return nil
+}
+
 func (a *Agent) notify() {
 	select {
 	case a.changed <- struct{}{}:
@@ -250,33 +286,43 @@
 	}
 }
 
-// watch follows the board and sweeps the flow table.
-func (a *Agent) watch(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
+// watch follows the board until the context ends or the drain is over.
+func (a *Agent) watch(ctx context.Context, s *supervisor) {
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		now := time.Now()
+		a.steering.flows.sweep(now)
+		a.refresh(now)
+		over := s.step(now)
+		a.announce()
+		if over {
+			return
+		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-a.changed:
 		case <-ticker.C:
 		}
-		now := time.Now()
-		a.steering.flows.sweep(now)
-		a.refresh(now)
 	}
 }
 
-// refresh derives the steering view from the board.
+// refresh derives the agent's state from the board.
 func (a *Agent) refresh(now time.Time) {
 	b := a.cfg.Board
-	c, _, _ := b.Contract(a.cfg.Service)
+	c, version, known := b.Contract(a.cfg.Service)
+	if known && version.Seq != a.contractSeq {
+		a.contractSeq = version.Seq
+		a.requests.setContract(now, c.Contract)
+	}
 	for _, r := range b.Records(board.KindZone) {
 		out, _ := b.ZoneOut(r.ID.Key)
 		a.zones.Update(now, r.ID.Key, out)
 	}
-	a.zoneRevision.Store(b.ZoneRevision())
 	closed := func(zone string) bool { return a.zones.Closed(now, zone, c.ZoneOutGrace()) }
+	a.zoneRevision.Store(b.ZoneRevision())
+	a.closed.Store(closed(a.cfg.Zone))
 	a.view.Store(b.View(a.cfg.Service, closed))
 	a.ways.Store(waysOf(b, closed))
 }
@@ -300,5 +346,6 @@
 
 // situation returns the state that decisions on packets depend on.
 func (a *Agent) situation() situation {
-	return situation{view: a.view.Load(), opens: !a.draining.Load(), room: true}
+	load, room := a.gate.load(time.Now())
+	return situation{view: a.view.Load(), opens: !a.leaving.Load(), closed: a.closed.Load(), room: room, load: load}
 }
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -3,39 +3,51 @@
 import (
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bramleymast/bramleymast/pkg/admission"
 )
 
-// metrics counts what the agent passes on, drops and refuses.
+// metrics counts what the agent passes on, drops, refuses and repeats.
 type metrics struct {
-	dropped *prometheus.CounterVec
-	passed  prometheus.Counter
-	rotated prometheus.Counter
-	outcome *prometheus.CounterVec
+	dropped  *prometheus.CounterVec
+	passed   prometheus.Counter
+	rotated  prometheus.Counter
+	requests *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	cut      *prometheus.CounterVec
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: "bramleymast_agent_" + name, Help: help})
 }
 
-func newMetrics(r prometheus.Registerer) (*metrics, error) {
+func counterVec(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleymast_agent_" + name, Help: help}, labels)
+}
+
+func newMetrics(r prometheus.Registerer, g *gate) (*metrics, error) {
 	m := &metrics{
-		dropped: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bramleymast_agent_packets_dropped_total",
-			Help: "Packets that the agent dropped, by reason.",
-		}, []string{"reason"}),
-		passed: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "bramleymast_agent_packets_passed_total",
-			Help: "Packets that the agent passed on to another agent.",
-		}),
-		rotated: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "bramleymast_agent_return_rotations_total",
-			Help: "Changes of the balancer through which a flow is answered, after silence or the loss of the balancer.",
-		}),
-		outcome: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bramleymast_agent_requests_total",
-			Help: "Requests by outcome and reason.",
-		}, []string{"outcome", "reason"}),
+		dropped:  counterVec("packets_dropped_total", "Packets that the agent dropped.", "reason"),
+		passed:   counter("packets_passed_total", "Packets that the agent passed on to another agent."),
+		rotated:  counter("return_rotations_total", "Changes of the balancer through which a flow is answered."),
+		requests: counterVec("requests_total", "Requests by outcome.", "outcome", "reason"),
+		retries:  counterVec("retries_total", "Failed attempts that were repeated or not, by reason.", "reason"),
+		cut:      counterVec("flows_cut_total", "Flows that were open at the end of a drain.", "reason"),
 	}
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.dropped, m.passed, m.rotated, m.outcome} {
+	all := []prometheus.Collector{m.dropped, m.passed, m.rotated, m.requests, m.retries, m.cut}
+	for _, reason := range []admission.ColdReason{
+		admission.ColdStarted, admission.ColdRestarted, admission.ColdRefused, admission.ColdShedding,
+		admission.ColdSlow, admission.ColdIdle, admission.ColdReturned,
+	} {
+		all = append(all, prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "bramleymast_agent_cold_starts_total", Help: "How often the backend server was taken to be cold.",
+			ConstLabels: prometheus.Labels{"reason": string(reason)},
+		}, func() float64 { return g.coldCount(reason) }))
+	}
+	for _, c := range all {
 		if err := r.Register(c); err != nil {
 			return nil, errors.Annotate(err, "cannot register the agent's metrics")
 		}
@@ -44,3 +56,13 @@
 }
 
 func (m *metrics) drop(reason error) { m.dropped.WithLabelValues(reason.Error()).Inc() }
+
+func (m *metrics) request(o outcome, reason error) {
+	m.requests.WithLabelValues(string(o), reason.Error()).Inc()
+}
+
+func (m *metrics) answered(reason string) {
+	m.requests.WithLabelValues(string(outcomeAnswered), reason).Inc()
+}
+
+func (m *metrics) retry(reason error) { m.retries.WithLabelValues(reason.Error()).Inc() }
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -130,6 +130,10 @@
 
 // outbound sends a packet to a caller.
 func (a *Agent) outbound(caller netip.AddrPort, p []byte) {
+	if a.closed.Load() {
+		a.metrics.drop(errZoneOut)
+		return
+	}
 	r, ok := a.steering.flows.route(time.Now(), caller, a.ways.Load())
 	if !ok {
 		a.metrics.drop(errNoFlow)
--- a/internal/agent/rig_test.go
+++ b/internal/agent/rig_test.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -56,35 +58,69 @@
 
 // testControl connects the agents of a rig without sockets.
 type testControl struct {
-	rig *rig
-	mu  sync.Mutex
-	seq uint64
+	rig       *rig
+	mu        sync.Mutex
+	seq       uint64
+	servers   map[string]*rpc.Server
+	addresses []string
+	cut       bool
 }
 
 // agentControl is the control process of one agent of a rig.
 type agentControl struct {
 	*testControl
-	id string
+	id          string
+	incarnation uint64
 }
 
 func (c agentControl) SetMember(v board.Value) {
 	c.mu.Lock()
 	c.seq++
 	seq := c.seq
+	member, ok := v.(board.Agent)
+	if ok {
+		member.Control = netip.AddrPortFrom(loopback.Addr(), uint16(1+slices.Index(c.addresses, c.id)))
+	}
 	c.mu.Unlock()
-	c.rig.merge(board.Record{ID: board.ID{Kind: board.KindAgent, Key: c.id}, Version: board.Version{Epoch: 1, Seq: seq}, Value: v})
+	c.rig.merge(board.Record{ID: board.ID{Kind: board.KindAgent, Key: c.id}, Version: board.Version{Epoch: c.incarnation, Seq: seq}, Value: member})
+}
+func (agentControl) SendLoad(Load)             {}
+func (agentControl) OnLoad(func(string, Load)) {}
+
+func (c agentControl) Register(name string, receiver any) error {
+	return c.server().RegisterName(name, receiver)
+}
+
+func (c agentControl) server() *rpc.Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.servers[c.id] == nil {
+		c.servers[c.id] = rpc.NewServer()
+		c.addresses = append(c.addresses, c.id)
+	}
+	return c.servers[c.id]
 }
-func (agentControl) SendLoad(Load)              {}
-func (agentControl) OnLoad(func(string, Load))  {}
-func (agentControl) Register(string, any) error { return nil }
-func (agentControl) Call(context.Context, netip.AddrPort, string, any, any) error {
-	return errors.New("no connection")
+
+// Call reaches the agent whose number is the port of the control address.
+func (c agentControl) Call(_ context.Context, to netip.AddrPort, method string, args, reply any) error {
+	c.mu.Lock()
+	s := c.servers[c.addresses[to.Port()-1]]
+	cut := c.cut
+	c.mu.Unlock()
+	if cut {
+		return errors.New("no connection")
+	}
+	a, b := net.Pipe()
+	go s.ServeConn(b)
+	client := rpc.NewClient(a)
+	defer client.Close()
+	return client.Call(method, args, reply)
 }
 
 func newRig(t *testing.T, contractJSON string) *rig {
 	t.Helper()
 	r := &rig{t: t, board: &board.Board{}}
-	r.control = &testControl{rig: r}
+	r.control = &testControl{rig: r, servers: make(map[string]*rpc.Server)}
 	c, findings := contract.Decode("test", []byte(contractJSON))
 	assert.NilError(t, findings.Err())
 	r.merge(board.Record{ID: board.ID{Kind: board.KindContract, Key: testService}, Version: board.Version{Seq: 1}, Value: board.Contract{Contract: c}})
@@ -161,7 +197,7 @@
 }
 
 // addAgent starts an agent in front of a backend server with the given handler.
-func (r *rig) addAgent(id string, h http.Handler) {
+func (r *rig) addAgent(id string, h http.Handler) (*Agent, <-chan struct{}) {
 	r.t.Helper()
 	server := httptest.NewServer(h)
 	r.t.Cleanup(server.Close)
@@ -169,19 +205,23 @@
 	a, err := New(Config{
 		ID: id, Zone: "a", Service: testService, DataAddress: loopback, BackendURL: server.URL,
 		Certificate: selfSigned(r.t), SharedKey: testKey, Incarnation: r.incarnation,
-		Board: r.board, Control: agentControl{testControl: r.control, id: id},
+		Board: r.board, Control: agentControl{testControl: r.control, id: id, incarnation: r.incarnation},
 	})
 	assert.NilError(r.t, err)
 	r.mu.Lock()
 	r.agents = append(r.agents, a)
 	r.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- a.Run(ctx) }()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		assert.Check(r.t, a.Run(ctx))
+	}()
 	r.t.Cleanup(func() {
 		cancel()
-		assert.NilError(r.t, <-done)
+		<-stopped
 	})
+	return a, stopped
 }
 
 // caller returns an HTTP/3 client with a flow of its own.
