--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -108,13 +108,15 @@
 			&availability{kind: backendTarget, out: true}, &availability{kind: backendTarget}, &backendList{},
 		}},
 		{"settings", "checks settings files", []command{&settingsCheck{}}},
-		{"standin", "runs a stand-in of the platform, for tests and trials only", []command{&standinStore{}}},
+		{"standin", "runs a stand-in of the platform, for tests and trials only", []command{
+			&standinStore{}, &standinFabric{}, &standinBackend{}, &standinCaller{},
+		}},
 	}
 }
 
 // commands returns the commands that stand alone.
 func commands() []command {
-	return []command{&status{}, &balancerCommand{}, &agentCommand{}}
+	return []command{&status{}, &balancerCommand{}, &agentCommand{}, &demoCommand{}}
 }
 
 // attach declares every command and returns all of them with their declarations.
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/bramleymast/bramleymast/internal/configvalue"
 	"github.com/bramleymast/bramleymast/internal/operator"
@@ -106,6 +105,39 @@
 	f.late = nil
 }
 
+// disturb draws the outcome of every call, and lets others act and delayed writes land between the calls.
+func (f *fakeStore) disturb(rt *rapid.T, others func()) {
+	faults := rapid.SampledFrom([]fault{none, lostAfter, lostBefore, delayed, down})
+	next := func() fault { return faults.Draw(rt, "fault") }
+	reads := func() error {
+		return rapid.SampledFrom([]error{nil, nil, store.ErrUnavailable, store.ErrUnknownOutcome}).Draw(rt, "read")
+	}
+	var before func()
+	before = func() {
+		f.before, f.next, f.reads = func() {}, plan(none), func() error { return nil }
+		others()
+		if rapid.Bool().Draw(rt, "late writes land") {
+			f.land()
+		}
+		f.before, f.next, f.reads = before, next, reads
+	}
+	f.before = before
+}
+
+func (f *fakeStore) effectsOf(operation string) int {
+	n := 0
+	for _, e := range f.effects {
+		if e.operation == operation {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fakeStore) lostAnAnswer() bool {
+	return slices.ContainsFunc(f.faults, func(x fault) bool { return x == lostAfter || x == lostBefore || x == delayed })
+}
+
 func (f *fakeStore) Get(_ context.Context, key string) (store.Entry, error) {
 	f.before()
 	if err := f.reads(); err != nil {
@@ -143,8 +175,12 @@
 	return slices.Clone(s.processes), s.err
 }
 
-func (s *fakeStatus) Progress(context.Context, netip.AddrPort, string) ([]operator.Progress, error) {
-	return s.progress(), nil
+func (s *fakeStatus) Progress(_ context.Context, balancers []netip.AddrPort, _ string) []operator.Answer {
+	answers := make([]operator.Answer, len(balancers))
+	for i := range answers {
+		answers[i].Progress = s.progress()
+	}
+	return answers
 }
 
 // clock is a clock that moves only when an operator pauses.
@@ -173,11 +209,3 @@
 	assert.NilError(t, list.Err())
 	return c
 }
-
-// TestMain fixes the seed of rapid, so that every run gives the same verdict.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20260102"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
--- a/pkg/membership/digest.go
+++ b/pkg/membership/digest.go
@@ -9,29 +9,36 @@
 
 const (
 	// bucketsPerExchange bounds what one exchange of digests repairs; the next one goes on.
-	bucketsPerExchange = 2
+	bucketsPerExchange = 4
 	// itemsPerMessage keeps a Versions message within one datagram.
 	itemsPerMessage = 32
-	// seedShare is the share of exchanges that go to a seed, so that parts of the system
-	// that have never heard of each other meet.
-	seedShare = 8
+	// seedShare of exchangeShares go to a seed, so that parts of the system that have never heard
+	// of each other meet, and deadShare to a balancer that counts as dead, so that parts that
+	// were cut off from each other notice the end of the cut.
+	exchangeShares = 8
+	seedShare      = 1
+	deadShare      = 2
 )
 
 // exchange sends the digest of the board to one random peer.
 func (n *Node) exchange() {
 	to, ok := n.exchangePeer()
 	if ok {
-		n.send(to, Digest{Sums: n.index.top})
+		n.sendSpare(to, Digest{Sums: n.index.top})
 	}
 }
 
 func (n *Node) exchangePeer() (netip.AddrPort, bool) {
 	all := n.peers.all(n)
-	if len(all) == 0 || n.rand.IntN(seedShare) == 0 {
+	share := n.rand.IntN(exchangeShares)
+	if share < seedShare || len(all) == 0 {
 		if a, ok := n.randomSeed(); ok {
 			return a, true
 		}
 	}
+	if dead := n.peers.dead; len(dead) > 0 && share < seedShare+deadShare {
+		return dead[n.rand.IntN(len(dead))], true
+	}
 	if len(all) == 0 {
 		return netip.AddrPort{}, false
 	}
@@ -68,7 +75,7 @@
 		items = append(items, n.itemsOf(int(m.Bucket), 1<<sub)...)
 	}
 	if mask != 0 {
-		n.send(from, Versions{Bucket: m.Bucket, Mask: mask, Items: items[:min(len(items), itemsPerMessage)]})
+		n.sendSpare(from, Versions{Bucket: m.Bucket, Mask: mask, Items: items[:min(len(items), itemsPerMessage)]})
 	}
 }
 
@@ -81,7 +88,7 @@
 	}
 	n.rand.Shuffle(len(differing), func(i, j int) { differing[i], differing[j] = differing[j], differing[i] })
 	for _, b := range differing[:min(len(differing), bucketsPerExchange)] {
-		n.send(from, Digest{Level: 1, Bucket: uint8(b), Sums: n.index.sub[b]})
+		n.sendSpare(from, Digest{Level: 1, Bucket: uint8(b), Sums: n.index.sub[b]})
 	}
 }
 
@@ -118,7 +125,7 @@
 		}
 	}
 	if len(wanted) > 0 {
-		n.send(from, Want{Hashes: wanted})
+		n.sendSpare(from, Want{Hashes: wanted})
 	}
 }
 
--- a/pkg/membership/liveness.go
+++ b/pkg/membership/liveness.go
@@ -41,6 +41,7 @@
 
 type heard struct {
 	at       time.Time
+	epoch    uint64
 	contract uint64
 	scope    Sums
 }
@@ -176,11 +177,14 @@
 	if m.Member.Kind == board.KindAgent {
 		ack.Scope = n.index.scope(agentService(r))
 	}
+	if ok && ack.Known == m.Version && ack.Scope == m.Scope {
+		ack = Ack{Same: true}
+	}
 	n.send(from, ack)
 }
 
 func (n *Node) hear(r board.Record, m Heartbeat) {
-	n.liveness.heard[m.Member] = heard{at: n.now, contract: m.Contract, scope: m.Scope}
+	n.liveness.heard[m.Member] = heard{at: n.now, epoch: m.Version.Epoch, contract: m.Contract, scope: m.Scope}
 	if service := agentService(r); service != "" {
 		set := n.liveness.byScope[service]
 		if set == nil {
@@ -215,6 +219,11 @@
 func (n *Node) ack(from netip.AddrPort, m Ack) {
 	n.liveness.lastAck = n.now
 	delete(n.liveness.unanswered, from)
+	if m.Same {
+		n.liveness.mismatches = 0
+		n.liveness.repairWait = 0
+		return
+	}
 	own, ok := n.board.Get(n.self)
 	if !ok {
 		return
@@ -312,12 +321,26 @@
 	}
 	n.liveness.dirty = false
 	n.peers.refresh(n)
-	for _, r := range n.board.Records(board.KindAgent, board.KindBalancer) {
-		n.setDuty(r)
+	for _, item := range n.index.items {
+		if !n.mayJudge(item) {
+			delete(n.liveness.duties, item.id)
+			continue
+		}
+		if r, ok := n.board.Get(item.id); ok {
+			n.setDuty(r)
+		}
 	}
 	n.refreshGuard()
 }
 
+// mayJudge excludes most members without ranking the balancers: those of other zones that have balancers of their own.
+func (n *Node) mayJudge(item indexed) bool {
+	if item.id.Kind != board.KindAgent && item.id.Kind != board.KindBalancer {
+		return false
+	}
+	return item.zone == n.cfg.Zone || len(n.peers.byZone[item.zone]) <= 1
+}
+
 func (n *Node) setDuty(r board.Record) {
 	d, has := n.liveness.duties[r.ID]
 	switch judged := n.isJudged(r); {
@@ -392,8 +415,11 @@
 	}
 }
 
-// askOthers asks the other home balancer, which may hear the member when the path to this one is broken.
+// askOthers asks the other home balancer, which may hear the member when the path to this one is broken,
+// and the member itself, which sends its heartbeats elsewhere while its view of the balancers differs.
+// Without the latter, views that differ after a cut keep suspicions and refutations going for ever.
 func (n *Node) askOthers(r board.Record) {
+	n.send(controlOf(r), Query{Member: r.ID})
 	for _, p := range rank(xxhash.Sum64String(r.ID.Key), n.otherHomeCandidates(r), homeCount, nil) {
 		n.send(p.control, Query{Member: r.ID})
 	}
