--- a/pkg/ticket/ledger_test.go
+++ b/pkg/ticket/ledger_test.go
@@ -9,6 +9,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	_ "github.com/bramleymast/bramleymast/internal/fixedseed"
+
 	"github.com/bramleymast/bramleymast/pkg/ticket"
 )
 
