fix: answer pulls beside the core, and pull once at a start

Cause: the loop that owns the core also collected the answer to a pull. At 24,000 agents an answer takes 155 to 180 ms of processor time (pull_ns), so a burst of 32 admitted pulls held up heartbeats for seconds, long enough to condemn live members. And an agent that had caught up pulled again 5 to 10 s later, because its first check for isolation comes before its first ack.

Change: the answer is made from the board in the goroutine of the call, and a large answer counts as one token for each 1,000 records of the admission, so a full table of the design size is given once in 8 s. The time of the last ack starts with the pull. Seen failing without the change: TestOnePullForEachStart (2 pulls).

--- a/internal/capacity/slopes/main.go
+++ b/internal/capacity/slopes/main.go
@@ -286,9 +286,10 @@
 }
 
 // fill returns the core of a balancer with the records of n agents, n/8 balancers and n/4 services.
-func fill(n int) *membership.Node {
+func fill(n int) (*membership.Node, *board.Board) {
+	b := &board.Board{}
 	core := membership.New(membership.Config{
-		ID: "balancer-0", Zone: zoneName(0), Incarnation: 1, Board: &board.Board{}, Address: controlsim.AddressOf(1), Heartbeat: heartbeat,
+		ID: "balancer-0", Zone: zoneName(0), Incarnation: 1, Board: b, Address: controlsim.AddressOf(1), Heartbeat: heartbeat,
 	})
 	now := time.Unix(1e9, 0)
 	core.Handle(now, membership.Tick{})
@@ -305,7 +306,7 @@
 	for i := range n {
 		take(agentRecord(i, n, 1))
 	}
-	return core
+	return core, b
 }
 
 func balancerRecord(i int) board.Record {
@@ -335,7 +336,7 @@
 	s := series{against: "agents", fixed: "1 balancer for 8 agents, 1 service for 4 agents"}
 	for _, n := range []int{800, 2400, 8000, 24000} {
 		before := heap()
-		core := fill(n)
+		core, _ := fill(n)
 		s.point("balancer_heap_by_agents", "bytes of heap", float64(n), heap()-before)
 		runtime.KeepAlive(core)
 	}
@@ -345,16 +346,16 @@
 func byPullRecords() []capacity.Slope {
 	s := series{against: "agents", fixed: "1 balancer for 8 agents, 1 service for 4 agents"}
 	for _, n := range []int{800, 2400, 8000, 24000} {
-		core := fill(n)
+		_, records := fill(n)
 		var size int
 		r := testing.Benchmark(func(b *testing.B) { //nolint:thelper // This is the benchmark itself.
 			for b.Loop() {
-				size = encodeAll(core.Snapshot(membership.PullRequest{}))
+				size = encodeAll(membership.Snapshot(records, membership.PullRequest{}))
 			}
 		})
 		s.point("pull_bytes_by_agents", "bytes of the answer to a balancer", float64(n), float64(size))
 		s.point("pull_ns_by_agents", "ns of processor time for the answer to a balancer", float64(n), float64(r.NsPerOp()))
-		scope := encodeAll(core.Snapshot(membership.PullRequest{Service: serviceName(1)}))
+		scope := encodeAll(membership.Snapshot(records, membership.PullRequest{Service: serviceName(1)}))
 		s.point("agent_pull_bytes_by_agents", "bytes of the answer to an agent", float64(n), float64(scope))
 	}
 	return s.fit()
@@ -448,7 +449,7 @@
 }
 
 func benchHeartbeat(n int) float64 {
-	core := fill(n)
+	core, _ := fill(n)
 	r := agentRecord(0, n, 1)
 	payload := encode(membership.Heartbeat{Member: r.ID, Version: r.Version})
 	now := time.Unix(1e9, 0)
@@ -462,7 +463,7 @@
 }
 
 func benchPush(n int) float64 {
-	core := fill(n)
+	core, _ := fill(n)
 	now := time.Unix(1e9, 0)
 	seq := uint64(1)
 	res := testing.Benchmark(func(b *testing.B) { //nolint:thelper // This is the benchmark itself.
@@ -476,7 +477,7 @@
 }
 
 func benchDigest(n int) float64 {
-	core := fill(n)
+	core, _ := fill(n)
 	now := time.Unix(1e9, 0)
 	var digest []byte
 	for digest == nil {
@@ -499,7 +500,7 @@
 
 func benchBeat(n int, changed bool) float64 {
 	now := time.Unix(1e9, 0)
-	core := fill(n)
+	core, _ := fill(n)
 	seq := uint64(1)
 	res := testing.Benchmark(func(b *testing.B) { //nolint:thelper // This is the benchmark itself.
 		for b.Loop() {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -21,10 +21,12 @@
 const errBusy = errors.ConstError("busy")
 
 const (
-	// pullRate and pullBurst admit the processes of a rack that returns a few at a time:
-	// one answer to a pull at the design size takes some tens of milliseconds.
+	// pullRate and pullBurst admit the processes of a rack that returns a few at a time.
 	pullRate  = 4
 	pullBurst = 32
+	// recordsPerToken makes large answers count more: all 30,000 records of the design size take
+	// some 180 ms of processor time, and are answered once in 8 s or 2% of a core.
+	recordsPerToken = 1000
 	// maxConnections bounds the TCP connections of other processes and operators.
 	maxConnections = 256
 	askTime        = 5 * time.Second
@@ -159,11 +161,13 @@
 	if req.Member.Value != nil {
 		s.p.post(membership.Received{Message: membership.Push{Records: []board.Record{req.Member}}})
 	}
-	var records []board.Record
 	var complete bool
-	if err := s.p.ask(ctx, func(n *membership.Node) { records, complete = n.Snapshot(req), n.Synchronised() }); err != nil {
+	if err := s.p.ask(ctx, func(n *membership.Node) { complete = n.Synchronised() }); err != nil {
 		return err
 	}
+	records := membership.Snapshot(s.p.cfg.Board, req)
+	// The answer is already made, so a large one delays the next pulls instead of this one.
+	s.p.pulls.ReserveN(time.Now(), min(len(records)/recordsPerToken, pullBurst))
 	encoded := make([][]byte, 0, len(records))
 	for _, r := range records {
 		b, err := membership.EncodeRecord(r)
--- a/internal/controlsim/world.go
+++ b/internal/controlsim/world.go
@@ -191,6 +191,11 @@
 	}})
 }
 
+// Leave states that a balancer stops.
+func (p *Process) Leave() {
+	p.deliver(membership.SetMember{Value: board.Balancer{Zone: p.Zone, Leaving: true, Control: p.Address, Data: p.Address}})
+}
+
 // Stop ends the process without a word.
 func (p *Process) Stop() {
 	p.stopped = true
@@ -415,7 +420,7 @@
 		if a.Request.Member.Value != nil {
 			to.deliver(membership.Received{Message: membership.Push{Records: []board.Record{a.Request.Member}}})
 		}
-		records := to.Node.Snapshot(a.Request)
+		records := membership.Snapshot(to.Board, a.Request)
 		for _, r := range records {
 			if b, err := membership.EncodeRecord(r); err == nil {
 				to.Usage.PulledBytes += len(b)
--- a/pkg/membership/catchup.go
+++ b/pkg/membership/catchup.go
@@ -90,6 +90,7 @@
 	}
 	n.synchronised()
 	n.catchUp.next = time.Time{}
+	n.liveness.lastAck = n.now // The first ack comes later than the first check for isolation.
 	if own, ok := n.board.Get(n.self); ok && n.stated {
 		n.announce(own)
 	}
--- a/pkg/membership/failure_test.go
+++ b/pkg/membership/failure_test.go
@@ -254,6 +254,16 @@
 	assert.Assert(t, !first.Node.Holding())
 }
 
+// Guards against changes that wait for the lease of a relay that stops as planned.
+func TestLeavingRelayHandsOver(t *testing.T) {
+	w := controlsim.New(controlsim.Config{Seed: 24})
+	populate(w, 1, 4, 0)
+	w.Run(15 * time.Second)
+	old := w.Store.Holder("a")
+	old.Leave()
+	must(t, w, membership.LeaseTime/2, func() bool { h := w.Store.Holder("a"); return h != nil && h != old })
+}
+
 // Guards against regions that differ for ever, or go back, after they were partitioned.
 func TestPartitionedRegionsJoinAgain(t *testing.T) {
 	// The home balancers of a1 in its own region must not believe the other region's verdict.
@@ -385,6 +395,19 @@
 	}
 }
 
+// Guards against processes that pull again although they have just caught up.
+func TestOnePullForEachStart(t *testing.T) {
+	counts := map[string]int{"a1 pulls": 0, "a2 pulls": 0}
+	w := counting(23, counts)
+	populate(w, 2, 4, 0)
+	w.Run(10 * time.Second)
+	w.Agent("a1", "a", "portal", seeds...)
+	w.Run(5 * time.Second)
+	w.Agent("a2", "a", "portal", seeds...)
+	w.Run(time.Minute)
+	assert.DeepEqual(t, counts, map[string]int{"a1 pulls": 1, "a2 pulls": 1})
+}
+
 // Guards against state of dead members that grows for ever.
 func TestTombstonesAreForgotten(t *testing.T) {
 	w := controlsim.New(controlsim.Config{Seed: 15})
--- a/pkg/membership/index.go
+++ b/pkg/membership/index.go
@@ -181,22 +181,6 @@
 	return sums
 }
 
-// inScope reports whether an agent of a service needs a record.
-func (x *index) inScope(service string, r board.Record) bool {
-	switch v := r.Value.(type) {
-	case board.Zone, board.Balancer:
-		return true
-	case board.Contract:
-		return r.ID.Key == service
-	case board.Agent:
-		return v.Service == service
-	case board.Backend:
-		a, ok := x.items[HashOf(board.ID{Kind: board.KindAgent, Key: r.ID.Key})]
-		return ok && a.service == service
-	}
-	return false
-}
-
 // inSubBuckets returns the hashes in the sub-buckets of a mask, sorted.
 func (x *index) inSubBuckets(bucket int, mask uint64) []uint64 {
 	var hashes []uint64
--- a/pkg/membership/liveness.go
+++ b/pkg/membership/liveness.go
@@ -199,7 +199,7 @@
 func (l *liveness) listeners(n *Node, r board.Record) []string {
 	var out []string
 	for service, set := range l.byScope {
-		if !n.index.inScope(service, r) {
+		if !isInScope(n.board, service, r) {
 			continue
 		}
 		for id := range set {
--- a/pkg/membership/node.go
+++ b/pkg/membership/node.go
@@ -374,7 +374,7 @@
 	}
 	for _, id := range n.liveness.listeners(n, r) {
 		a, ok := n.board.Get(board.ID{Kind: board.KindAgent, Key: id})
-		if !ok || !n.index.inScope(agentService(a), r) {
+		if !ok || !isInScope(n.board, agentService(a), r) {
 			continue
 		}
 		if to := controlOf(a); to != from {
@@ -456,42 +456,6 @@
 	return v.Seq
 }
 
-// Snapshot answers a PullRequest from the board.
-func (n *Node) Snapshot(req PullRequest) []board.Record {
-	if len(req.Want) > 0 {
-		return n.wanted(req.Want)
-	}
-	have := make(map[uint64]board.Version, len(req.Have))
-	for _, i := range req.Have {
-		have[i.Hash] = i.Version
-	}
-	var out []board.Record
-	for _, r := range n.board.Records() {
-		if req.Service != "" && !n.index.inScope(req.Service, r) {
-			continue
-		}
-		if v, ok := have[HashOf(r.ID)]; ok && v.Compare(r.Version) >= 0 {
-			continue
-		}
-		out = append(out, r)
-	}
-	return out
-}
-
-func (n *Node) wanted(hashes []uint64) []board.Record {
-	var out []board.Record
-	for _, h := range hashes {
-		item, ok := n.index.items[h]
-		if !ok {
-			continue
-		}
-		if r, ok := n.board.Get(item.id); ok {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
 // AgentState is what a home balancer knows of an agent that sends it heartbeats.
 type AgentState struct {
 	ID string
