fix: let apply read one contract and not all of them

Cause: apply listed the whole configuration. A contract's value holds 20 earlier revisions, so with some thousands of services each change would read tens of megabytes.

Ruled out: leaving the check of lost places out of apply, which needs only this contract, the states and the processes.

Change: apply reads its contract and lists the states of zones and backend servers. zone and backend commands still list everything, because they concern every service.

Result: go test -race passes. The size is an estimate from the layout, not measured.

--- a/internal/operator/world.go
+++ b/internal/operator/world.go
@@ -50,20 +50,51 @@
 	statusErr error
 }
 
+func newWorld() world {
+	return world{contracts: map[string]Stored{}, zones: map[string]State{}, backends: map[string]State{}}
+}
+
 // read lists the configuration in one call and asks for the processes.
 func (o *Operator) read(ctx context.Context) (world, error) {
-	page, err := o.cfg.Store.List(ctx, configvalue.Prefix)
+	w := newWorld()
+	if err := o.list(ctx, w, configvalue.Prefix); err != nil {
+		return world{}, err
+	}
+	w.processes, w.statusErr = o.processes(ctx)
+	return w, nil
+}
+
+// readFor reads what a change of one contract concerns: this contract, the states and the processes.
+// The contracts of all services with their histories may be tens of megabytes.
+func (o *Operator) readFor(ctx context.Context, service string) (world, Stored, error) {
+	current, err := o.Contract(ctx, service)
+	if err != nil {
+		return world{}, Stored{}, err
+	}
+	w := newWorld()
+	for _, prefix := range []string{configvalue.ZonesPrefix, configvalue.BackendsPrefix} {
+		if err := o.list(ctx, w, prefix); err != nil {
+			return world{}, Stored{}, err
+		}
+	}
+	if current.revision != 0 {
+		w.contracts[service] = current
+	}
+	w.processes, w.statusErr = o.processes(ctx)
+	return w, current, nil
+}
+
+func (o *Operator) list(ctx context.Context, w world, prefix string) error {
+	page, err := o.cfg.Store.List(ctx, prefix)
 	if err != nil {
-		return world{}, readError(err)
+		return readError(err)
 	}
-	w := world{contracts: map[string]Stored{}, zones: map[string]State{}, backends: map[string]State{}}
 	for _, e := range page.Entries {
 		if err := w.add(e); err != nil {
-			return world{}, err
+			return err
 		}
 	}
-	w.processes, w.statusErr = o.processes(ctx)
-	return w, nil
+	return nil
 }
 
 // readError describes a failed read. A read changes nothing, so it is never left open whether it took effect.
@@ -96,12 +127,6 @@
 	return nil
 }
 
-// readFor reads the world and the contract of one service.
-func (o *Operator) readFor(ctx context.Context, service string) (world, Stored, error) {
-	w, err := o.read(ctx)
-	return w, w.contracts[service], err
-}
-
 func (w world) withContract(c contract.Contract) world {
 	w.contracts = maps.Clone(w.contracts)
 	w.contracts[c.Service()] = Stored{revision: w.contracts[c.Service()].revision, value: configvalue.Contract{Contract: c}}
--- a/internal/operator/write_test.go
+++ b/internal/operator/write_test.go
@@ -55,7 +55,7 @@
 // Guards against two operators of whom both are told that their contract is in force,
 // whether the other change comes before the second operator reads the store or between the read and the write.
 func TestApplyByTwoOperatorsAtOnce(t *testing.T) {
-	for name, call := range map[string]int{"before the read": 1, "between read and write": 2} {
+	for name, call := range map[string]int{"before the read": 1, "between read and write": 4} {
 		t.Run(name, func(t *testing.T) {
 			f := newFake()
 			ann, ben := newOperator("ann", f, nil), newOperator("ben", f, nil)
@@ -115,13 +115,13 @@
 	f.next = plan(lostBefore, none)
 	calls := 0
 	f.before = func() {
-		if calls++; calls == 4 { // after the read, the first attempt and the read that is to resolve it
+		if calls++; calls == 6 { // after three reads, the first attempt and the read that is to resolve it
 			f.before = func() {}
 			newOperator("other", f, nil).Apply(context.Background(), orders(t, 9, "a"), 0, false)
 		}
 	}
 	f.reads = func() error {
-		if calls == 3 {
+		if calls == 5 {
 			return store.ErrUnavailable
 		}
 		return nil
