feat: show in an outage what a balancer has applied

Cause: while the store is down, status showed the processes, but not which zones are out and which contract revisions are in force.

Change: when the configuration cannot be read, status shows the records of the first balancer that answers.

--- a/internal/cmd/output.go
+++ b/internal/cmd/output.go
@@ -40,6 +40,7 @@
 	authorHeader   = "AUTHOR"
 	serviceHeader  = "SERVICE"
 	revisionHeader = "REVISION"
+	stateHeader    = "STATE"
 )
 
 // none stands for an empty cell.
--- a/internal/cmd/session_test.go
+++ b/internal/cmd/session_test.go
@@ -101,6 +101,14 @@
 // Processes is the fleet of the session.
 func (s *session) Processes(context.Context) ([]operator.Process, error) { return s.processes, nil }
 
+// Known is what a balancer of the session has applied.
+func (s *session) Known(context.Context) ([]operator.Known, error) {
+	return []operator.Known{
+		{Kind: "contract", Name: "orders", Revision: 1},
+		{Kind: "zone", Name: "zone-a", Revision: 2, Out: true, Author: "ann", Reason: "power work"},
+	}, nil
+}
+
 // Progress says that every process has applied everything, but for those that lag.
 func (s *session) Progress(ctx context.Context, balancers []netip.AddrPort, key string) []operator.Answer {
 	e, err := s.store.Get(ctx, key)
--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -47,10 +47,21 @@
 	InService bool   `json:"in_service"`
 }
 
+// knownJSON is a contract or a state that a balancer has applied; it is given when the store cannot be read.
+type knownJSON struct {
+	Kind     string `json:"kind"`
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	Out      bool   `json:"out"`
+	Author   string `json:"author"`
+	Reason   string `json:"reason"`
+}
+
 type statusJSON struct {
 	Services    []serviceStatusJSON `json:"services"`
 	Zones       []stateJSON         `json:"zones"`
 	Processes   []processJSON       `json:"processes"`
+	Known       []knownJSON         `json:"known_to_balancer,omitempty"`
 	StoreError  string              `json:"store_error,omitempty"`
 	StatusError string              `json:"status_error,omitempty"`
 }
@@ -98,6 +109,9 @@
 	for _, p := range v.Processes() {
 		j.Processes = append(j.Processes, processJSON{string(p.Kind), p.ID, p.Zone, p.Service, p.State, p.InService})
 	}
+	for _, k := range v.Known() {
+		j.Known = append(j.Known, knownJSON{k.Kind, k.Name, uint64(k.Revision), k.Out, k.Author, k.Reason})
+	}
 	return j
 }
 
@@ -113,18 +127,35 @@
 		e.services(v)
 		e.printf("\n")
 		e.table(zoneRows(v.Zones()))
+	} else if v.StatusErr() == nil {
+		e.known(v.Known())
 	}
 	if v.StatusErr() != nil {
 		return
 	}
 	e.printf("\n")
-	rows := [][]string{{"PROCESS", "ID", "ZONE", serviceHeader, "STATE"}}
+	rows := [][]string{{"PROCESS", "ID", "ZONE", serviceHeader, stateHeader}}
 	for _, p := range v.Processes() {
 		rows = append(rows, []string{string(p.Kind), p.ID, p.Zone, cell(p.Service), p.State})
 	}
 	e.table(rows)
 }
 
+// known writes what a balancer has applied.
+func (e environment) known(ks []operator.Known) {
+	e.printf("The store cannot be read. A balancer has applied:\n")
+	rows := make([][]string, 0, len(ks)+1)
+	rows = append(rows, []string{"KIND", "NAME", revisionHeader, stateHeader, authorHeader, "REASON"})
+	for _, k := range ks {
+		state := none
+		if k.Kind != "contract" {
+			state = stateWord(k.Out)
+		}
+		rows = append(rows, []string{k.Kind, k.Name, revisionCell(k.Revision), state, cell(k.Author), cell(k.Reason)})
+	}
+	e.table(rows)
+}
+
 func (e environment) services(v operator.Overview) {
 	rows := make([][]string, 0, len(v.Services())+1)
 	rows = append(rows, []string{serviceHeader, revisionHeader, "RUNS IN", "BACKENDS", "LEAST", "NOTE"})
--- a/internal/cmd/status_test.go
+++ b/internal/cmd/status_test.go
@@ -18,5 +18,6 @@
 	s.run("status --settings ann.json")
 	s.wrap = func(store.Store) store.Store { return downStore{} }
 	s.run("status --settings ann.json")
+	s.run("status --settings ann.json --output json")
 	s.assert()
 }
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -175,6 +175,8 @@
 	return slices.Clone(s.processes), s.err
 }
 
+func (s *fakeStatus) Known(context.Context) ([]operator.Known, error) { return nil, s.err }
+
 func (s *fakeStatus) Progress(_ context.Context, balancers []netip.AddrPort, _ string) []operator.Answer {
 	answers := make([]operator.Answer, len(balancers))
 	for i := range answers {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -49,11 +49,24 @@
 type StatusSource interface {
 	// Processes returns the processes that are known to one of the balancers, the first that answers.
 	Processes(ctx context.Context) ([]Process, error)
+	// Known returns the configuration as the first answering balancer has it.
+	Known(ctx context.Context) ([]Known, error)
 	// Progress asks all the balancers at once for what each, and the agents for which it is a home, have applied of
 	// a configuration key; the answers are in the order of the balancers.
 	Progress(ctx context.Context, balancers []netip.AddrPort, key string) []Answer
 }
 
+// Known is a contract or a state that a balancer has applied.
+type Known struct {
+	// Kind is "contract", "zone" or "backend".
+	Kind     string
+	Name     string
+	Revision store.Revision
+	Out      bool
+	Author   string
+	Reason   string
+}
+
 // Answer is what one balancer tells about a configuration key, or why it tells nothing.
 type Answer struct {
 	Progress []Progress
@@ -225,6 +238,7 @@
 	services  []ServiceStatus
 	zones     []State
 	processes []Process
+	known     []Known
 	storeErr  error
 	statusErr error
 }
@@ -238,6 +252,9 @@
 // Processes returns the balancers and agents.
 func (v Overview) Processes() []Process { return v.processes }
 
+// Known returns what a balancer has applied, when the store could not be read.
+func (v Overview) Known() []Known { return v.known }
+
 // StoreErr returns why the configuration is not known, if so.
 func (v Overview) StoreErr() error { return v.storeErr }
 
@@ -248,8 +265,11 @@
 func (o *Operator) Overview(ctx context.Context) Overview {
 	w, err := o.read(ctx)
 	if err != nil {
-		ps, statusErr := o.processes(ctx)
-		return Overview{processes: ps, storeErr: err, statusErr: statusErr}
+		v := Overview{storeErr: err}
+		if v.processes, v.statusErr = o.processes(ctx); v.statusErr == nil {
+			v.known, v.statusErr = o.cfg.Status.Known(ctx)
+		}
+		return v
 	}
 	v := Overview{processes: w.processes, statusErr: w.statusErr}
 	for _, service := range w.services() {
--- a/internal/statusclient/statusclient.go
+++ b/internal/statusclient/statusclient.go
@@ -39,19 +39,39 @@
 
 // Processes returns the processes that the first answering balancer knows.
 func (c *Client) Processes(ctx context.Context) ([]operator.Process, error) {
+	reply, err := c.status(ctx)
+	ps := make([]operator.Process, 0, len(reply.Members))
+	for _, m := range reply.Members {
+		ps = append(ps, process(m))
+	}
+	return ps, err
+}
+
+// Known returns the configuration as the first answering balancer has it.
+func (c *Client) Known(ctx context.Context) ([]operator.Known, error) {
+	reply, err := c.status(ctx)
+	ks := make([]operator.Known, 0, len(reply.Records))
+	for _, r := range reply.Records {
+		if r.Kind == board.KindRelay.String() {
+			continue
+		}
+		ks = append(ks, operator.Known{
+			Kind: r.Kind, Name: r.Key, Revision: store.Revision(r.Revision), Out: r.Out, Author: r.Author, Reason: r.Reason,
+		})
+	}
+	return ks, err
+}
+
+// status asks the balancers in the order of the settings until one answers.
+func (c *Client) status(ctx context.Context) (control.StatusReply, error) {
 	last := error(operator.ErrNoStatus)
 	for _, b := range c.balancers {
 		var reply control.StatusReply
-		if last = c.call(ctx, b, "Control.Status", control.StatusArgs{}, &reply); last != nil {
-			continue
-		}
-		ps := make([]operator.Process, 0, len(reply.Members))
-		for _, m := range reply.Members {
-			ps = append(ps, process(m))
+		if last = c.call(ctx, b, "Control.Status", control.StatusArgs{}, &reply); last == nil {
+			return reply, nil
 		}
-		return ps, nil
 	}
-	return nil, last
+	return control.StatusReply{}, last
 }
 
 // Progress asks all the balancers at once what they have applied of a configuration key.
