fix: name the upper bound alone where a list has no lower one

Cause: the first direct test of strictjson showed "allowed: - to 2 items" for a list with too many items.

Change: such a bound is printed as "at most 2".

--- a/internal/strictjson/fields.go
+++ b/internal/strictjson/fields.go
@@ -107,6 +107,8 @@
 
 func (b bounds) allowed() string {
 	switch {
+	case b.greatest != math.MaxInt64 && b.least == math.MinInt64:
+		return fmt.Sprintf("at most %d", b.greatest)
 	case b.greatest != math.MaxInt64:
 		return fmt.Sprintf("%d to %d", b.least, b.greatest)
 	case b.least != math.MinInt64:
