feat: tell a balancer the zone states it lacks, and answer from the address used

Reading that path showed that return datagrams carried no service address, so a balancer could answer only while a service had one address.

Ruled out: letting the balancer guess the address from its sockets; another balancer than the one that took the packet may carry the answer.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -51,6 +51,8 @@
 	SendLoad(l Load)
 	// OnLoad registers the function that receives the loads of co-members.
 	OnLoad(f func(agent string, l Load))
+	// TellZones sends the zone states to a process that lacks the newest one.
+	TellZones(to netip.AddrPort)
 	// Register adds a net/rpc service; it must be called before the control process runs.
 	Register(name string, receiver any) error
 	// Call calls a net/rpc method at another process.
@@ -92,6 +94,7 @@
 	tenure   atomic.Pointer[tenure]
 
 	zoneRevision atomic.Uint64
+	zoneGaps     zoneGaps
 	changed      chan struct{}
 	// draining is set by Drain; leaving and closed follow the board too.
 	draining, leaving, closed atomic.Bool
@@ -116,6 +119,7 @@
 		cfg: cfg, service: flow.ServiceIDOf(cfg.Service), short: flow.ShortIDOf(cfg.ID), sealer: sealer,
 		gate: newGate(time.Now()), changed: make(chan struct{}, 1),
 	}
+	a.zoneGaps.tell = cfg.Control.TellZones
 	a.steering.tag, a.steering.self = newConnTag(cfg.ID, cfg.Incarnation), a.short
 	if a.metrics, err = newMetrics(cfg.Registerer, a.gate); err != nil {
 		return nil, err
@@ -329,9 +333,12 @@
 
 // waysOf derives the balancers that can carry answers from the board.
 func waysOf(b *board.Board, closed func(zone string) bool) *ways {
-	w := &ways{lost: make(map[netip.AddrPort]struct{})}
+	w := &ways{lost: make(map[netip.AddrPort]struct{}), control: make(map[netip.AddrPort]netip.AddrPort)}
 	for _, r := range b.Records(board.KindBalancer) {
 		m, ok := r.Value.(board.Balancer)
+		if ok {
+			w.control[m.Data] = m.Control
+		}
 		switch {
 		case !ok:
 		case m.Leaving || r.Version.Verdict == board.Dead || closed(m.Zone):
--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -19,10 +19,19 @@
 	silence = 200 * time.Millisecond
 )
 
+// origin is how a packet of a caller came to the agent.
+type origin struct {
+	// balancer is the data address of the balancer that forwarded it.
+	balancer netip.AddrPort
+	// address is the service address that the caller used, from which answers must come.
+	address netip.AddrPort
+}
+
 // flowRecord is what an agent knows of a flow that it has accepted.
 type flowRecord struct {
 	// balancer is the one from which the flow's last packet came, or to which the way back was moved.
 	balancer netip.AddrPort
+	address  netip.AddrPort
 	// first identifies the packet that opened the newest connection of the flow.
 	first uint64
 	// unanswered is when the first packet was sent since the last one from the caller; zero when there is none.
@@ -36,8 +45,9 @@
 	finished bool
 }
 
-func (r *flowRecord) heard(balancer netip.AddrPort) {
-	r.balancer = balancer
+func (r *flowRecord) heard(from origin) {
+	r.balancer = from.balancer
+	r.address = from.address
 	r.unanswered = time.Time{}
 }
 
@@ -57,7 +67,7 @@
 
 // opens notes an opening packet and reports whether it belongs to a flow of the table. With newConnections,
 // a caller of the table may open a further connection.
-func (t *flowTable) opens(caller, balancer netip.AddrPort, first uint64, newConnections bool) bool {
+func (t *flowTable) opens(caller netip.AddrPort, from origin, first uint64, newConnections bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[caller]
@@ -65,15 +75,15 @@
 		return false
 	}
 	r.first = first
-	r.heard(balancer)
+	r.heard(from)
 	return true
 }
 
 // accept makes the record of a new flow.
-func (t *flowTable) accept(now time.Time, caller, balancer netip.AddrPort, first uint64) {
+func (t *flowTable) accept(now time.Time, caller netip.AddrPort, from origin, first uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.add(caller, &flowRecord{balancer: balancer, first: first, touched: now})
+	t.add(caller, &flowRecord{balancer: from.balancer, address: from.address, first: first, touched: now})
 }
 
 func (t *flowTable) add(caller netip.AddrPort, r *flowRecord) {
@@ -88,14 +98,14 @@
 
 // adopt notes a packet that carries the agent's tag. Its caller is unknown when the address of a caller has
 // changed; the way back then follows the packet.
-func (t *flowTable) adopt(now time.Time, caller, balancer netip.AddrPort) {
+func (t *flowTable) adopt(now time.Time, caller netip.AddrPort, from origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, ok := t.records[caller]; ok {
-		r.heard(balancer)
+		r.heard(from)
 		return
 	}
-	t.add(caller, &flowRecord{balancer: balancer, touched: now})
+	t.add(caller, &flowRecord{balancer: from.balancer, address: from.address, touched: now})
 }
 
 // connected counts a connection of a flow.
@@ -154,6 +164,8 @@
 	live []netip.AddrPort
 	// lost are the balancers that the board knows not to be usable: dead, leaving or in a closed zone.
 	lost map[netip.AddrPort]struct{}
+	// control holds the control address of each balancer by its data address.
+	control map[netip.AddrPort]netip.AddrPort
 }
 
 // after returns the live balancer that follows another one.
@@ -170,7 +182,7 @@
 
 // route is the way of a packet back to its caller.
 type route struct {
-	balancer    netip.AddrPort
+	origin
 	established bool
 	rotated     bool
 }
@@ -193,5 +205,5 @@
 		r.balancer = w.after(r.balancer)
 		r.unanswered = now
 	}
-	return route{balancer: r.balancer, established: r.established, rotated: rotated}, true
+	return route{origin: origin{r.balancer, r.address}, established: r.established, rotated: rotated}, true
 }
--- a/internal/agent/packetconn.go
+++ b/internal/agent/packetconn.go
@@ -105,6 +105,7 @@
 		a.metrics.drop(errUnknownService)
 		return false
 	}
+	a.zoneGaps.check(time.Now(), d, a.zoneRevision.Load(), a.ways.Load())
 	v := a.steering.decide(time.Now(), d, a.situation())
 	switch v.action {
 	case actionDeliver:
@@ -143,7 +144,7 @@
 		a.metrics.rotated.Inc()
 	}
 	d := wire.Datagram{
-		Kind: wire.KindReturn, Service: a.service, Caller: caller, Balancer: r.balancer,
+		Kind: wire.KindReturn, Service: a.service, Caller: caller, Balancer: r.balancer, Address: r.address,
 		ZoneRevision: a.zoneRevision.Load(), Owner: a.short, Established: r.established, Payload: p,
 	}
 	if err := a.conn.send(&d, r.balancer); err != nil {
--- a/internal/agent/rig_test.go
+++ b/internal/agent/rig_test.go
@@ -86,6 +86,7 @@
 }
 func (agentControl) SendLoad(Load)             {}
 func (agentControl) OnLoad(func(string, Load)) {}
+func (agentControl) TellZones(netip.AddrPort)  {}
 
 func (c agentControl) Register(name string, receiver any) error {
 	return c.server().RegisterName(name, receiver)
--- a/internal/agent/steering.go
+++ b/internal/agent/steering.go
@@ -75,14 +75,14 @@
 		return verdict{action: actionDrop, reason: errZoneOut}
 	}
 	if s.tag.owns(d.Payload) {
-		s.flows.adopt(now, d.Caller, d.Balancer)
+		s.flows.adopt(now, d.Caller, originOf(d))
 		return verdict{action: actionDeliver}
 	}
 	if !d.Opening {
 		return s.pass(d, at.view, false)
 	}
 	first := openingID(d.Payload)
-	if s.flows.opens(d.Caller, d.Balancer, first, at.opens) {
+	if s.flows.opens(d.Caller, originOf(d), first, at.opens) {
 		return verdict{action: actionDeliver}
 	}
 	return s.decideOpening(now, d, at, first)
@@ -151,8 +151,12 @@
 	return slices.ContainsFunc(tried.IDs(), func(id flow.ShortID) bool { return id != 0 })
 }
 
+func originOf(d *wire.Datagram) origin {
+	return origin{balancer: d.Balancer, address: d.Address}
+}
+
 func (s *steering) accept(now time.Time, d *wire.Datagram, first uint64) verdict {
-	s.flows.accept(now, d.Caller, d.Balancer, first)
+	s.flows.accept(now, d.Caller, originOf(d), first)
 	return verdict{action: actionDeliver}
 }
 
--- a/internal/agent/steering_test.go
+++ b/internal/agent/steering_test.go
@@ -172,7 +172,7 @@
 	w := &ways{live: b}
 	caller := callerNo(9)
 	var table flowTable
-	table.accept(testStart, caller, b[0], 1)
+	table.accept(testStart, caller, origin{balancer: b[0]}, 1)
 	via := func(after time.Duration, w *ways) netip.AddrPort {
 		r, ok := table.route(testStart.Add(after), caller, w)
 		assert.Assert(t, ok)
@@ -183,7 +183,7 @@
 	assert.Equal(t, via(200*time.Millisecond, w), b[1])
 	assert.Equal(t, via(399*time.Millisecond, w), b[1])
 	assert.Equal(t, via(400*time.Millisecond, w), b[2])
-	table.adopt(testStart, caller, b[0])
+	table.adopt(testStart, caller, origin{balancer: b[0]})
 	assert.Equal(t, via(time.Hour, w), b[0], "a pause without packets is no silence")
 	w = &ways{live: b[1:], lost: map[netip.AddrPort]struct{}{b[0]: {}}}
 	assert.Equal(t, via(time.Hour, w), b[1])
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -51,18 +51,21 @@
 	store     *store.Memory
 	balancers []*node.Balancer
 	host      netip.Addr
-	port      uint16
+	ports     [2]uint16
 }
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	pid := os.Getpid()
-	l, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	assert.NilError(t, err)
-	port := l.LocalAddr().(*net.UDPAddr).AddrPort().Port()
-	assert.NilError(t, l.Close())
+	var ports [2]uint16
+	for i := range ports {
+		l, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		assert.NilError(t, err)
+		ports[i] = l.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+		defer func() { assert.Check(t, l.Close()) }()
+	}
 	return &deployment{
-		t: t, ctx: t.Context(), store: &store.Memory{}, port: port,
+		t: t, ctx: t.Context(), store: &store.Memory{}, ports: ports,
 		host: netip.AddrFrom4([4]byte{127, 64 + byte(pid>>14)&63, byte(pid >> 7), 1}),
 	}
 }
@@ -79,7 +82,7 @@
 	return c
 }
 
-func (d *deployment) addBalancer(zone string) (*node.Balancer, netip.AddrPort) {
+func (d *deployment) addBalancer(zone string) (*node.Balancer, netip.Addr) {
 	d.t.Helper()
 	n := len(d.balancers) + 1
 	ip := d.host
@@ -92,7 +95,7 @@
 	assert.NilError(d.t, err)
 	d.balancers = append(d.balancers, b)
 	d.run(b.Run)
-	return b, netip.AddrPortFrom(ip, d.port)
+	return b, ip
 }
 
 // run starts a task that ends with the test, which waits for it.
@@ -120,8 +123,8 @@
 
 func (d *deployment) apply(service string) {
 	d.t.Helper()
-	text := fmt.Sprintf(`{"service":%q,"addresses":["127.0.0.1:%d"],"zones":["a","b"],
-		"backend":{"slots":4},"cold_start":{"slots":4}}`, service, d.port)
+	text := fmt.Sprintf(`{"service":%q,"addresses":["127.0.0.1:%d","127.0.0.1:%d"],"zones":["a","b"],
+		"backend":{"slots":4},"cold_start":{"slots":4}}`, service, d.ports[0], d.ports[1])
 	c, findings := contract.Decode("test", []byte(text))
 	assert.NilError(d.t, findings.Err())
 	var v configvalue.Contract
@@ -152,15 +155,15 @@
 }
 
 // Guards against parts that work alone and not together: a contract in the store must bring a request from a
-// caller through any balancer to the backend server of its service.
+// caller through any balancer and address to the backend server of its service, and the answer back from there.
 func TestRequestIsServedThroughEveryBalancer(t *testing.T) {
 	d := newDeployment(t)
 	d.apply("order-portal")
 	zones := []string{"a", "b", "a"}
-	fronts := make([]netip.AddrPort, 0, len(zones))
+	fronts := make([]netip.AddrPort, 0, 2*len(zones))
 	for _, zone := range zones {
-		_, front := d.addBalancer(zone)
-		fronts = append(fronts, front)
+		_, ip := d.addBalancer(zone)
+		fronts = append(fronts, netip.AddrPortFrom(ip, d.ports[0]), netip.AddrPortFrom(ip, d.ports[1]))
 	}
 	hello := func(name string) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, name) })
