feat: drop opening packets below 1,200 bytes

Cause: any sender could make agents start handshakes with packets of a few bytes. RFC 9000, section 14.1, has servers discard an Initial packet in a datagram below 1,200 bytes. Change: the balancer counts and drops them as short_opening. Ruled out: a limit on continuing packets without a cached owner, since after a balancer starts all of its flows send such packets. Run: go test -race ./internal/balancer ./internal/node .

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -286,6 +286,7 @@
 	at := serviceAddress(t, b, "orders", listed)
 	caller := listen(t)
 	send(t, caller, at, initial())
+	send(t, caller, at, initial()[:minOpening-1])
 	send(t, caller, at, nil)
 	send(t, caller, at, make([]byte, wire.MaxPayload+1))
 
@@ -307,7 +308,7 @@
 	send(t, a.conn, b.DataAddress(), make([]byte, wire.MaxDatagram+1))
 
 	want := map[string]int{
-		"forward no_member": 1, "forward malformed": 1, "forward oversized": 1,
+		"forward no_member": 1, "forward short_opening": 1, "forward malformed": 1, "forward oversized": 1,
 		"return unknown_service": 1, "return unknown_address": 1, "return malformed": 1,
 		"return unauthentic": 1, "return oversized": 1,
 	}
--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -9,6 +9,10 @@
 	"github.com/bramleymast/bramleymast/pkg/flow"
 )
 
+// minOpening is the least size in bytes of a datagram that opens a flow. RFC 9000, section 14.1, has servers discard
+// smaller ones, so that answers to invented callers are not much larger than what they cost.
+const minOpening = 1200
+
 // serveCallers forwards the packets that arrive at a service address until the socket is interrupted or closed.
 func (b *Balancer) serveCallers(k *socket) {
 	t := newThread(wire.MaxPayload, b.metrics.forwarded, b.metrics.forwardDrops.sendFailed)
@@ -40,6 +44,9 @@
 		return errUnknownService
 	}
 	opening := wire.Opens(packet)
+	if opening && len(packet) < minOpening {
+		return errShortOpening
+	}
 	choice, ok := b.steerer.Steer(now, s.view, caller, opening)
 	if !ok {
 		return errNoMember
--- a/internal/balancer/metrics.go
+++ b/internal/balancer/metrics.go
@@ -11,6 +11,7 @@
 const (
 	errUnknownService = errors.ConstError("unknown_service")
 	errUnknownAddress = errors.ConstError("unknown_address")
+	errShortOpening   = errors.ConstError("short_opening")
 	errNoMember       = errors.ConstError("no_member")
 	errSendFailed     = errors.ConstError("send_failed")
 	errReadFailed     = errors.ConstError("read_failed")
@@ -24,9 +25,9 @@
 
 // dropCounters holds one counter for each reason.
 type dropCounters struct {
-	malformed, oversized, unauthentic, unknownSender prometheus.Counter
-	unknownService, unknownAddress, noMember         prometheus.Counter
-	sendFailed, readFailed                           prometheus.Counter
+	malformed, oversized, unauthentic, unknownSender       prometheus.Counter
+	unknownService, unknownAddress, noMember, shortOpening prometheus.Counter
+	sendFailed, readFailed                                 prometheus.Counter
 }
 
 func newDropCounters(v *prometheus.CounterVec, direction string) dropCounters {
@@ -39,6 +40,7 @@
 		unknownService: of(errUnknownService),
 		unknownAddress: of(errUnknownAddress),
 		noMember:       of(errNoMember),
+		shortOpening:   of(errShortOpening),
 		sendFailed:     of(errSendFailed),
 		readFailed:     of(errReadFailed),
 	}
@@ -59,6 +61,8 @@
 		c.unknownService.Inc()
 	case errors.Is(reason, errUnknownAddress):
 		c.unknownAddress.Inc()
+	case errors.Is(reason, errShortOpening):
+		c.shortOpening.Inc()
 	case errors.Is(reason, errNoMember):
 		c.noMember.Inc()
 	case errors.Is(reason, errSendFailed):
