--- a/internal/standin/store/memory.go
+++ b/internal/standin/store/memory.go
@@ -41,6 +41,8 @@
 	Delay time.Duration
 	// LoseAnswers is the number of further writes that take effect and are not answered.
 	LoseAnswers int
+	// LoseOnly limits LoseAnswers to one kind of call; empty means every write.
+	LoseOnly Call
 }
 
 type lease struct {
@@ -128,8 +130,8 @@
 }
 
 // answer loses the answer of a write that took effect while that fault is set.
-func (m *Memory) answer() error {
-	if m.fault.LoseAnswers == 0 {
+func (m *Memory) answer(call Call) error {
+	if m.fault.LoseAnswers == 0 || m.fault.LoseOnly != "" && m.fault.LoseOnly != call {
 		return nil
 	}
 	m.fault.LoseAnswers--
@@ -236,7 +238,7 @@
 		return 0, store.ErrNotFound
 	}
 	r := m.write(entry{Entry: store.Entry{Key: key, Value: slices.Clone(value)}, lease: id})
-	if err := m.answer(); err != nil {
+	if err := m.answer(CallSwap); err != nil {
 		return 0, err
 	}
 	return r, nil
@@ -256,7 +258,7 @@
 		return store.ErrConflict
 	}
 	m.write(entry{Entry: store.Entry{Key: key, Deleted: true}})
-	return m.answer()
+	return m.answer(CallDelete)
 }
 
 // Watch waits until a key with the prefix changes after a revision.
@@ -315,7 +317,7 @@
 		m.leases = make(map[store.LeaseID]lease)
 	}
 	m.leases[m.lastLease] = lease{ttl: ttl, end: time.Now().Add(ttl)}
-	if err := m.answer(); err != nil {
+	if err := m.answer(CallGrant); err != nil {
 		return 0, err
 	}
 	return m.lastLease, nil
@@ -333,7 +335,7 @@
 	}
 	l.end = time.Now().Add(l.ttl)
 	m.leases[id] = l
-	return m.answer()
+	return m.answer(CallRenew)
 }
 
 // Revoke ends a lease and deletes the keys that were written under it.
@@ -346,5 +348,5 @@
 		return store.ErrNotFound
 	}
 	m.end(id)
-	return m.answer()
+	return m.answer(CallRevoke)
 }
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -43,9 +43,10 @@
 }
 
 type faultJSON struct {
-	Down        bool  `json:"down"`
-	DelayMS     int64 `json:"delay_ms"`
-	LoseAnswers int   `json:"lose_answers"`
+	Down        bool   `json:"down"`
+	DelayMS     int64  `json:"delay_ms"`
+	LoseAnswers int    `json:"lose_answers"`
+	LoseOnly    string `json:"lose_only"`
 }
 
 // Server serves a Memory over HTTP and JSON; the zero value is empty and ready to use.
@@ -69,7 +70,7 @@
 	if !readBody(w, r, &f) {
 		return
 	}
-	s.SetFault(Fault{Down: f.Down, Delay: time.Duration(f.DelayMS) * time.Millisecond, LoseAnswers: f.LoseAnswers})
+	s.SetFault(Fault{Down: f.Down, Delay: time.Duration(f.DelayMS) * time.Millisecond, LoseAnswers: f.LoseAnswers, LoseOnly: Call(f.LoseOnly)})
 }
 
 func (s *Server) serveCalls(w http.ResponseWriter, _ *http.Request) {
