--- a/internal/capacity/compute.go
+++ b/internal/capacity/compute.go
@@ -33,7 +33,10 @@
 	ticksPerSecond = 3.0
 	// framePayload is a typical payload in bytes.
 	framePayload = 80
-	mega         = 1e6
+	// recordsPerAgent is how many records of a balancer's heap slope come with one agent: itself,
+	// an eighth of a balancer and a quarter of a contract.
+	recordsPerAgent = 1.375
+	mega            = 1e6
 )
 
 // needed names the slopes that the computation uses.
@@ -135,7 +138,14 @@
 // steadyBytes is what a balancer sends and receives on an ordinary day.
 func (m model) steadyBytes() float64 {
 	return m.s.at("balancer_bytes_by_agents", m.agentsPerBalancer()) +
-		m.configChanges()*m.contractBytes() + m.memberChanges()*m.memberBytes()
+		m.configChanges()*m.contractBytes() + m.memberChanges()*m.memberBytes() + m.pullBytes()
+}
+
+// pullBytes is what a balancer sends and receives for the starts of processes: its own, that of
+// another balancer and those of its agents.
+func (m model) pullBytes() float64 {
+	agents := float64(m.size.Agents)
+	return m.pullLoad() * (2*m.s.at("pull_bytes_by_agents", agents) + m.agentsPerBalancer()*m.s.at("agent_pull_bytes_by_agents", agents))
 }
 
 // sampleContract stands for the contracts of a system; a contract with more addresses is larger.
@@ -199,6 +209,25 @@
 		2*loadReport*(m.memberChanges()*float64(m.size.Balancers)/float64(m.size.Balancers+m.size.Agents)+m.configChanges()/services)
 }
 
+// scopeAsAgents is the size of an agent's scope in terms of the slopes against agents.
+func (m model) scopeAsAgents() float64 {
+	return float64(m.size.Balancers+m.size.CoMembers+1) / recordsPerAgent
+}
+
+func (m model) agentCore() float64 {
+	scope := m.scopeAsAgents()
+	beats := 1 / m.size.Heartbeat.Seconds()
+	loads := 4.0 * float64(m.size.CoMembers) // Two sent and two received a second for each co-member.
+	records := 2 * m.memberChanges() * float64(m.size.Balancers) / float64(m.size.Balancers+m.size.Agents)
+	ns := (2*beats+loads)*m.s.at("heartbeat_ns_by_agents", scope) + records*m.s.at("push_ns_by_agents", scope) +
+		beats*m.s.at("beat_ns_by_agents", scope) + (4*beats+loads+records)*m.s.at("seal_ns_by_payload", framePayload)
+	return ns / 1e9 * 100
+}
+
+func (m model) agentMemory() float64 {
+	return m.s.at("balancer_heap_by_agents", m.scopeAsAgents())*heapToMemory/mega + runtimeMemory
+}
+
 // inForce is when the 99.9th percentile node holds a change.
 func (m model) inForce() float64 { return math.Log(missedAfterPush/0.001) / contactsPerSecond }
 
@@ -231,7 +260,7 @@
 	return []Line{
 		{
 			RoleBalancer, SituationSteady, quantityBytes, unitBytes, m.steadyBytes(), limitBytes,
-			"balancer_bytes_by_agents, balancer_bytes_for_contract_by_balancers, balancer_bytes_for_member_by_balancers",
+			"balancer_bytes_by_agents, balancer_bytes_for_contract_by_balancers, balancer_bytes_for_member_by_balancers, pull_bytes_by_agents",
 			"sums and incarnation left out of a heartbeat that repeats the last one",
 		},
 		{RoleBalancer, SituationSteady, quantitySent, unitBytes, m.steadyBytes() * sentShare, limitBytes, "half of the line above", ""},
@@ -240,6 +269,11 @@
 			"heartbeat_ns, push_ns, digest_ns, beat_ns, balancer_change_ns, pull_ns by agents; seal_ns_by_payload", "",
 		},
 		{RoleBalancer, SituationSteady, "memory", unitMB, m.memory(), limitMemory, "balancer_heap_by_agents, twice, and 25 MB", ""},
+		{
+			RoleBalancer, SituationSteady, "messages sent and received", unitRate,
+			m.s.at("balancer_messages_by_agents", m.agentsPerBalancer()) + 2*copiesOfChange*(m.memberChanges()+m.configChanges()), 0,
+			"balancer_messages_by_agents, fan-out for each change", "",
+		},
 		{RoleBalancer, SituationSteady, "state of the board in transfer", unitMB, m.s.at("pull_bytes_by_agents", agents) / mega, 0, "pull_bytes_by_agents", ""},
 		{RoleBalancer, SituationChange, "bytes for a contract", "B", m.contractBytes(), 0, "balancer_bytes_for_contract_by_balancers, largest point", ""},
 		{
@@ -257,6 +291,14 @@
 		},
 		{RoleRelay, SituationSteady, "processor time", unitCore, m.balancerCore() * 1.1, limitCorePercent, "balancer, and a tenth for decoding values", ""},
 		{RoleAgent, SituationSteady, quantityBytes, unitBytes, m.agentBytes(), limitBytes, "agent_bytes_by_agents, load reports to co-members, records of balancers", ""},
+		{
+			RoleAgent, SituationSteady, "processor time", unitCore, m.agentCore(), limitCorePercent,
+			"a balancer's heartbeat_ns, push_ns and beat_ns at the number of records in an agent's scope; seal_ns_by_payload", "",
+		},
+		{
+			RoleAgent, SituationSteady, "memory of control", unitMB, m.agentMemory(), limitMemory,
+			"balancer_heap_by_agents for the records of all balancers, twice, and 25 MB; without QUIC and requests", "",
+		},
 		{
 			RoleAgent, SituationSteady, "state pulled at its start", unitMB, m.s.at("agent_pull_bytes_by_agents", float64(m.size.Agents)) / mega, 0,
 			"agent_pull_bytes_by_agents: mostly the records of all balancers", "balancers of other zones left out of an agent's scope",
@@ -270,7 +312,12 @@
 	all := m.s.at("applied_bytes_by_services", float64(m.size.Services))
 	return []Line{
 		{RoleOperator, SituationChange, "answers to --wait for one key", unitMB, nodes * key / mega, 0, "applied_key_bytes_by_services times balancers", ""},
-		{RoleOperator, SituationChange, "the same without a key", unitMB, nodes * all / mega, 0, "applied_bytes_by_services times balancers", ""},
+		{RoleOperator, SituationChange, "messages for one --wait", "calls", nodes, 0, "one call to each balancer", ""},
+		{
+			RoleOperator, SituationChange, "memory if all answers are kept", unitMB, nodes*key*heapToMemory/mega + runtimeMemory, 0,
+			"answers for one key, twice, and 25 MB; its processor time is not measured", "",
+		},
+		{RoleOperator, SituationChange, "answers to --wait without a key", unitMB, nodes * all / mega, 0, "applied_bytes_by_services times balancers", ""},
 		{
 			RoleBalancer, SituationSteady, "with one --wait for each change", unitBytes, m.steadyBytes() + m.configChanges()*key, limitBytes,
 			"steady state and applied_key_bytes_by_services", "one balancer of a zone that asks the others for --wait",
