--- a/internal/cmd/session_test.go
+++ b/internal/cmd/session_test.go
@@ -101,8 +101,16 @@
 // Processes is the fleet of the session.
 func (s *session) Processes(context.Context) ([]operator.Process, error) { return s.processes, nil }
 
+// Known is what a balancer of the session has applied.
+func (s *session) Known(context.Context) ([]operator.Known, error) {
+	return []operator.Known{
+		{Kind: "contract", Name: "orders", Revision: 1},
+		{Kind: "zone", Name: "zone-a", Revision: 2, Out: true, Author: "ann", Reason: "power work"},
+	}, nil
+}
+
 // Progress says that every process has applied everything, but for those that lag.
-func (s *session) Progress(ctx context.Context, _ netip.AddrPort, key string) ([]operator.Progress, error) {
+func (s *session) Progress(ctx context.Context, balancers []netip.AddrPort, key string) []operator.Answer {
 	e, err := s.store.Get(ctx, key)
 	all := make([]operator.Progress, 0, len(s.processes))
 	for _, p := range s.processes {
@@ -112,7 +120,11 @@
 		}
 		all = append(all, operator.Progress{ID: p.ID, Applied: applied})
 	}
-	return all, err
+	answers := make([]operator.Answer, len(balancers))
+	for i := range answers {
+		answers[i] = operator.Answer{Progress: all, Err: err}
+	}
+	return answers
 }
 
 func (s *session) fleet() {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -49,8 +49,28 @@
 type StatusSource interface {
 	// Processes returns the processes that are known to one of the balancers, the first that answers.
 	Processes(ctx context.Context) ([]Process, error)
-	// Progress returns what a balancer, and the agents for which it is a home, have applied of a configuration key.
-	Progress(ctx context.Context, balancer netip.AddrPort, key string) ([]Progress, error)
+	// Known returns the configuration as the first answering balancer has it.
+	Known(ctx context.Context) ([]Known, error)
+	// Progress asks all the balancers at once for what each, and the agents for which it is a home, have applied of
+	// a configuration key; the answers are in the order of the balancers.
+	Progress(ctx context.Context, balancers []netip.AddrPort, key string) []Answer
+}
+
+// Known is a contract or a state that a balancer has applied.
+type Known struct {
+	// Kind is "contract", "zone" or "backend".
+	Kind     string
+	Name     string
+	Revision store.Revision
+	Out      bool
+	Author   string
+	Reason   string
+}
+
+// Answer is what one balancer tells about a configuration key, or why it tells nothing.
+type Answer struct {
+	Progress []Progress
+	Err      error
 }
 
 func (o *Operator) processes(ctx context.Context) ([]Process, error) {
@@ -138,17 +158,20 @@
 		return Coverage{}, err
 	}
 	ps = slices.DeleteFunc(ps, func(p Process) bool { return !p.Member || !concerns(key, p) })
-	seen := make(map[string]Progress)
-	failed := make(map[string]error)
+	var ids []string
+	var addresses []netip.AddrPort
 	for _, p := range ps {
-		if p.Kind != KindBalancer {
-			continue
+		if p.Kind == KindBalancer {
+			ids, addresses = append(ids, p.ID), append(addresses, p.Control)
 		}
-		answers, err := o.cfg.Status.Progress(ctx, p.Control, key)
-		if err != nil {
-			failed[p.ID] = err
+	}
+	seen := make(map[string]Progress)
+	failed := make(map[string]error)
+	for i, answer := range o.cfg.Status.Progress(ctx, addresses, key) {
+		if answer.Err != nil {
+			failed[ids[i]] = answer.Err
 		}
-		for _, a := range answers {
+		for _, a := range answer.Progress {
 			// An agent has several homes, and the newest answer counts.
 			if seen[a.ID].Applied <= a.Applied {
 				seen[a.ID] = a
@@ -215,6 +238,7 @@
 	services  []ServiceStatus
 	zones     []State
 	processes []Process
+	known     []Known
 	storeErr  error
 	statusErr error
 }
@@ -228,6 +252,9 @@
 // Processes returns the balancers and agents.
 func (v Overview) Processes() []Process { return v.processes }
 
+// Known returns what a balancer has applied, when the store could not be read.
+func (v Overview) Known() []Known { return v.known }
+
 // StoreErr returns why the configuration is not known, if so.
 func (v Overview) StoreErr() error { return v.storeErr }
 
@@ -238,8 +265,11 @@
 func (o *Operator) Overview(ctx context.Context) Overview {
 	w, err := o.read(ctx)
 	if err != nil {
-		ps, statusErr := o.processes(ctx)
-		return Overview{processes: ps, storeErr: err, statusErr: statusErr}
+		v := Overview{storeErr: err}
+		if v.processes, v.statusErr = o.processes(ctx); v.statusErr == nil {
+			v.known, v.statusErr = o.cfg.Status.Known(ctx)
+		}
+		return v
 	}
 	v := Overview{processes: w.processes, statusErr: w.statusErr}
 	for _, service := range w.services() {
