feat: test the graceful shutdown of an agent with a download in progress

Ruled out: a second signal to a balancer within its settle time. The test would depend on how fast the second signal follows.

Change: a script holds a download at the backend server, sends SIGTERM to the agent, waits until status shows draining, and releases the download; then the same with a second SIGTERM.

--- a/main_test.go
+++ b/main_test.go
@@ -46,6 +46,7 @@
 			"exits":     exits,
 			"sigterm":   sigterm,
 			"helps":     helps,
+			"until":     until,
 			"put":       put,
 			"waitmatch": waitMatch,
 			"waitheld":  waitHeld,
@@ -188,6 +189,19 @@
 	ts.Fatalf("%v answer %q, which does not match %s", urls, got, expression)
 }
 
+// until runs the program with arguments until its output matches a regular expression.
+func until(ts *testscript.TestScript, _ bool, args []string) {
+	want := regexp.MustCompile(args[0])
+	end := time.Now().Add(waitTime)
+	for time.Now().Before(end) {
+		if ts.Exec("bramleymast", args[1:]...) == nil && want.MatchString(ts.ReadFile("stdout")) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("the output of %v does not match %s", args[1:], args[0])
+}
+
 // put sends a PUT request and needs the status 200.
 func put(ts *testscript.TestScript, _ bool, args []string) {
 	r, err := http.NewRequest(http.MethodPut, args[0], http.NoBody)
