--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -42,8 +42,7 @@
 type Deployment struct {
 	Name  string
 	Zones []string
-	// Between and ToCallers are the one-way delays between two zones and to the callers.
-	Between   time.Duration
+	// ToCallers is the one-way delay between the callers and each zone.
 	ToCallers time.Duration
 	Services  []Service
 }
@@ -55,14 +54,14 @@
 	long := caller.Load{DownloadShare: 1, DownloadBytes: 4 << 20, DownloadRate: 1 << 20, RequestsPerFlow: 2}
 	return []Deployment{{
 		Name: "laca-verde", Zones: []string{"zone-a", "zone-b", "zone-c", "zone-d"},
-		Between: 5 * time.Millisecond, ToCallers: 3 * time.Millisecond,
+		ToCallers: 3 * time.Millisecond,
 		Services: []Service{
 			{Kind: backend.KindOrders, Servers: 7, Slots: 2, Callers: 20, Load: reads},
 			{Kind: backend.KindCatalogue, Servers: 4, Slots: 2, Callers: 4, Load: short, Downloaders: 3, Download: long},
 		},
 	}, {
 		Name: "notas", Zones: []string{"zone-a", "zone-b", "zone-c"},
-		Between: 4 * time.Millisecond, ToCallers: 3 * time.Millisecond,
+		ToCallers: 3 * time.Millisecond,
 		Services: []Service{
 			{Kind: backend.KindSummaries, Servers: 7, Slots: 7, Callers: 30, Load: reads},
 			{Kind: backend.KindBundles, Servers: 3, Slots: 7, Callers: 6, Load: short, Downloaders: 8, Download: long},
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -64,6 +64,8 @@
 	DurationMS int64  `json:"duration_ms"`
 	Figures
 	Services []ServiceReport `json:"services"`
+	// LateChanges names the operators' changes that were not in force everywhere in time, as the processes' boards show.
+	LateChanges []string `json:"late_changes"`
 	// BrokenPromises names each promise that the run has broken.
 	BrokenPromises []string `json:"broken_promises"`
 }
@@ -79,6 +81,7 @@
 		rep.add(sr.Figures)
 	}
 	rep.ZonePacketsAfter = r.world.marks.zonePackets
+	rep.LateChanges = r.world.late
 	rep.judge()
 	return rep
 }
@@ -251,6 +254,9 @@
 		broken(s.DrainedLate > 0, "promise 8: %d requests of %s went to a backend server that was leaving", s.DrainedLate, s.Service)
 		broken(s.Answered == 0, "no request of %s was answered", s.Service)
 	}
+	for _, l := range rep.LateChanges {
+		broken(true, "promise 10: %s", l)
+	}
 	broken(rep.ZonePacketsAfter > 0, "promise 4: %d packets reached a zone that was taken out", rep.ZonePacketsAfter)
 }
 
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -113,6 +113,7 @@
 	if err != nil {
 		return Report{}, err
 	}
+	r.world.waits.Wait()
 	return r.report(), nil
 }
 
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +35,8 @@
 	startTimeout      = 60 * time.Second
 	readyPollInterval = 20 * time.Millisecond
 	keyBytes          = 32
+	// inForceLimit is the time within which a change is in force everywhere.
+	inForceLimit = 14 * time.Second
 )
 
 // process is a part of the deployment that runs until it is killed.
@@ -110,8 +114,12 @@
 	hosts       []*host
 	changes     atomic.Int64
 	// say reports progress.
-	say      func(format string, args ...any)
-	marks    marks
+	say   func(format string, args ...any)
+	marks marks
+	// waits are the changes that are not in force yet.
+	waits    sync.WaitGroup
+	lateMu   sync.Mutex
+	late     []string
 	counters []*packetCounter
 }
 
@@ -332,20 +340,28 @@
 			waiting[h.id] = h.node.Board()
 		}
 	}
+	w.waits.Go(func() { w.waitInForce(t, id, revision, waiting) })
+}
+
+// waitInForce reports when no board is left that lacks a revision of a record.
+func (w *world) waitInForce(t operator.Target, id board.ID, revision uint64, waiting map[string]*board.Board) {
 	begin, n, last := time.Now(), len(waiting), ""
-	w.group.Go(func(ctx context.Context) error {
-		for ctx.Err() == nil && len(waiting) > 0 {
-			last = removeApplied(waiting, id, revision, last)
-			_ = pause(ctx, readyPollInterval)
-		}
-		if len(waiting) > 0 {
-			w.say("%s %s is not in force at %v at the end of the run", t.Noun(), t.Name(), slices.Sorted(maps.Keys(waiting)))
-			return nil
-		}
+	ctx := w.group.Context()
+	for ctx.Err() == nil && len(waiting) > 0 && time.Since(begin) <= inForceLimit {
+		last = removeApplied(waiting, id, revision, last)
+		_ = pause(ctx, readyPollInterval)
+	}
+	if len(waiting) == 0 {
 		w.say("%s %s is in force at %d balancers and agents after %v, last at %s",
 			t.Noun(), t.Name(), n, time.Since(begin).Round(time.Millisecond), last)
-		return nil
-	})
+		return
+	}
+	late := fmt.Sprintf("%s %s is not in force at %s after %v", t.Noun(), t.Name(),
+		strings.Join(slices.Sorted(maps.Keys(waiting)), ", "), time.Since(begin).Round(time.Millisecond))
+	w.say("%s", late)
+	w.lateMu.Lock()
+	defer w.lateMu.Unlock()
+	w.late = append(w.late, late)
 }
 
 // removeApplied removes the boards that have at least a revision of a record, and returns the last one removed.
