fix: measure the demo's imbalance by load, not by requests

Ruled out: a fault of placement as the whole cause; the figure was not of the quantity that the design balances.

--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -222,14 +222,15 @@
 	return ""
 }
 
-// imbalance is the largest share of requests of a backend server in steady state, relative to the mean.
+// imbalance is the largest load of a backend server in steady state, relative to the mean. The load is the number of
+// requests in progress averaged over time: a count of requests would weigh a read of 10 ms like a long download.
 func (r *run) imbalance(s Service) float64 {
-	largest, sum := 0, 0
+	var largest, sum time.Duration
 	for _, h := range r.world.hosts {
 		if h.service.Kind == s.Kind {
-			n := r.steadyTo[h.id] - r.steadyFrom[h.id]
-			largest = max(largest, n)
-			sum += n
+			busy := r.steadyTo[h.id] - r.steadyFrom[h.id]
+			largest = max(largest, busy)
+			sum += busy
 		}
 	}
 	if sum == 0 {
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -63,8 +63,8 @@
 	world   *world
 	started time.Time
 	tallies []*caller.Tally
-	// steadyFrom and steadyTo hold the requests of each backend server around the steady state.
-	steadyFrom, steadyTo map[string]int
+	// steadyFrom and steadyTo hold the busy time of each backend server around the steady state.
+	steadyFrom, steadyTo map[string]time.Duration
 	// steadySince and steadyUntil are the times at which they were counted.
 	steadySince, steadyUntil time.Time
 }
@@ -158,13 +158,13 @@
 	if err := pause(ctx, warmUp); err != nil {
 		return err
 	}
-	r.steadyFrom, r.steadySince = r.world.requests(), time.Now()
+	r.steadyFrom, r.steadySince = r.world.busy(), time.Now()
 	for _, s := range r.opts.Experiment.timeline(r.opts.Duration) {
 		if err := pause(ctx, time.Until(begin.Add(s.offset(r.opts.Duration)))); err != nil {
 			return err
 		}
 		if _, ok := s.Action.(DrainBackend); ok && r.steadyTo == nil {
-			r.steadyTo, r.steadyUntil = r.world.requests(), time.Now()
+			r.steadyTo, r.steadyUntil = r.world.busy(), time.Now()
 		}
 		r.say("%s", s.Action)
 		if err := s.Action.apply(ctx, r.world); err != nil {
@@ -175,7 +175,7 @@
 		return err
 	}
 	if r.steadyTo == nil {
-		r.steadyTo, r.steadyUntil = r.world.requests(), time.Now()
+		r.steadyTo, r.steadyUntil = r.world.busy(), time.Now()
 	}
 	return nil
 }
@@ -196,11 +196,11 @@
 	}
 }
 
-// requests returns how many requests each backend server has counted.
-func (w *world) requests() map[string]int {
-	counts := make(map[string]int, len(w.hosts))
+// busy returns the busy time of each backend server.
+func (w *world) busy() map[string]time.Duration {
+	busy := make(map[string]time.Duration, len(w.hosts))
 	for _, h := range w.hosts {
-		counts[h.id] = h.backend.Counts().Requests
+		busy[h.id] = h.backend.Counts().Busy
 	}
-	return counts
+	return busy
 }
