fix: close idle net/rpc connections, and never one with a call in progress

Cause, found by reading: a process kept its connection to each process that it had called once, and servers had no limit on idle time. With 256 connections for a server, a seed would have refused every further process after 256 starts. Making room for a new client could also close a connection with a call in progress; its ErrShutdown was taken for 'not run' and the call was repeated, although it may have run.

No test opens 256 connections.

--- a/internal/control/frame_test.go
+++ b/internal/control/frame_test.go
@@ -4,6 +4,9 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
+	"net/rpc"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -104,6 +107,10 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, text)
 
+	server.idle = time.Nanosecond
+	_, err = server.Read(got)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded, "an idle connection stays open")
+
 	client, server = sealedPair(t, []byte("another key, another key, another"), testKey)
 	_, err = client.Write([]byte("hello"))
 	assert.NilError(t, err)
@@ -129,3 +136,18 @@
 	assert.Equal(t, records[0].ID.Key, "a")
 	assert.Equal(t, records[1].Version.Seq, uint64(9))
 }
+
+// Guards against connections that are kept for ever, and against closing one that still has a call in progress.
+func TestIdleClientsAreClosed(t *testing.T) {
+	client, server := sealedPair(t, testKey, testKey)
+	to := netip.MustParseAddrPort("127.0.0.1:1")
+	conn := &connection{client: &Client{rpc: rpc.NewClient(client)}, used: time.Now().Add(-2 * clientIdle), calls: 1}
+	c := &clients{open: map[netip.AddrPort]*connection{to: conn}}
+	assert.Assert(t, c.find(netip.AddrPort{}) == nil)
+	assert.Equal(t, len(c.open), 1, "a connection with a call in progress was closed")
+	c.end(to, conn, false)
+	conn.used = time.Now().Add(-2 * clientIdle)
+	assert.Assert(t, c.find(to) == nil)
+	_, err := server.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
--- a/internal/control/sealed.go
+++ b/internal/control/sealed.go
@@ -25,6 +25,9 @@
 	maxRecord = 32 << 10
 	// handshakeTime bounds the exchange of nonces and the first record of a connection.
 	handshakeTime = 3 * time.Second
+	// serverIdle is how long a connection may stay without a call. Otherwise the connections of
+	// processes that called once would use up maxConnections.
+	serverIdle = time.Minute
 )
 
 // sealedConn seals every record of a TCP connection with a key for its direction and a counter as the nonce.
@@ -34,6 +37,8 @@
 	inCounter, outCounter uint64
 	rest                  []byte
 	authentic             bool
+	// idle is how long Read waits for a record; 0 means for ever.
+	idle time.Duration
 }
 
 // newSealedConn exchanges nonces and derives the keys of both directions.
@@ -69,6 +74,7 @@
 		s.in, s.out = toClient, toServer
 		return s, errors.Trace(c.SetDeadline(time.Time{}))
 	}
+	s.idle = serverIdle
 	return s, nil
 }
 
@@ -107,6 +113,11 @@
 }
 
 func (s *sealedConn) readRecord() error {
+	if s.authentic && s.idle > 0 {
+		if err := s.SetReadDeadline(time.Now().Add(s.idle)); err != nil {
+			return err
+		}
+	}
 	var header [4]byte
 	if _, err := io.ReadFull(s.Conn, header[:]); err != nil {
 		return err
