fix: send GOAWAY on flows whose handshake ends after a drain has begun

Cause: such flows were served by a server of their own that never sent GOAWAY, so a caller could send requests to a leaving backend server for as long as it liked. Ruled out: closing such connections at once, because their callers were accepted before the drain. Change: a tenure has a second HTTP/3 server for them, which is shut down one second after the first. Seen failing without the mechanism: the test fails when late connections are not handed to the second server.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -175,8 +175,8 @@
 	if err != nil {
 		return errors.Annotate(err, "cannot listen for QUIC")
 	}
-	s := &supervisor{agent: a, serving: func(t *tenure) {
-		g.Go(func(context.Context) error { return errors.Annotate(serveTenure(t), "HTTP/3 server") })
+	s := &supervisor{agent: a, serving: func(h *handoff) {
+		g.Go(func(context.Context) error { return h.serve() })
 	}}
 	s.step(time.Now())
 	a.announce()
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
@@ -33,33 +34,35 @@
 
 // tenure is one time in service of an agent, from its start or return until the end of its drain.
 type tenure struct {
-	agent  *Agent
-	server *http3.Server
-	conns  chan *quic.Conn
+	// server serves until the drain begins. late serves the connections whose handshake ends within settleTime
+	// after that, because their callers were accepted before; then it sends GOAWAY too.
+	server, late *handoff
 	// left is closed when the drain begins, finished when no flow of the tenure is left.
 	left, finished chan struct{}
 	limit          context.Context
 	cut            context.CancelFunc
+}
 
-	mu   sync.Mutex
-	late []*quic.Conn
+// handoff is an HTTP/3 server that gets its connections from the agent's listener.
+type handoff struct {
+	server  *http3.Server
+	conns   chan *quic.Conn
+	closing chan struct{}
+	address net.Addr
 }
 
-func (a *Agent) newTenure() *tenure {
-	t := &tenure{
-		agent: a, server: &http3.Server{Handler: a.requests}, conns: make(chan *quic.Conn),
-		left: make(chan struct{}), finished: make(chan struct{}),
+func newHandoff(h http.Handler, address net.Addr) *handoff {
+	return &handoff{
+		server: &http3.Server{Handler: h}, conns: make(chan *quic.Conn), closing: make(chan struct{}), address: address,
 	}
-	t.limit, t.cut = context.WithCancel(context.Background())
-	return t
 }
 
-// Accept returns the next connection of the tenure.
-func (t *tenure) Accept(ctx context.Context) (*quic.Conn, error) {
+// Accept returns the next connection.
+func (h *handoff) Accept(ctx context.Context) (*quic.Conn, error) {
 	select {
-	case c := <-t.conns:
+	case c := <-h.conns:
 		return c, nil
-	case <-t.finished:
+	case <-h.closing:
 		return nil, net.ErrClosed
 	case <-ctx.Done():
 		return nil, ctx.Err()
@@ -67,67 +70,77 @@
 }
 
 // Addr returns the address of the data socket.
-func (t *tenure) Addr() net.Addr { return t.agent.conn.LocalAddr() }
+func (h *handoff) Addr() net.Addr { return h.address }
+
+// Close does nothing: the agent's listener outlives the server.
+func (h *handoff) Close() error { return nil }
+
+// serve runs the server until it is shut down.
+func (h *handoff) serve() error {
+	err := h.server.ServeListener(h)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Annotate(err, "HTTP/3 server")
+}
+
+// shutdown sends GOAWAY and returns when all requests have ended or the limit is reached.
+func (h *handoff) shutdown(limit context.Context) {
+	close(h.closing)
+	_ = h.server.Shutdown(limit)
+}
 
-// Close does nothing: the listener outlives the tenure.
-func (t *tenure) Close() error { return nil }
+func newTenure(h http.Handler, address net.Addr) *tenure {
+	t := &tenure{
+		server: newHandoff(h, address), late: newHandoff(h, address),
+		left: make(chan struct{}), finished: make(chan struct{}),
+	}
+	t.limit, t.cut = context.WithCancel(context.Background())
+	return t
+}
 
-// hand gives a connection whose handshake is complete to the HTTP/3 server. A handshake that ends after the drain has
-// begun is served too, since the caller has been accepted before.
+// hand gives a connection whose handshake is complete to an HTTP/3 server.
 func (t *tenure) hand(ctx context.Context, c *quic.Conn) {
 	select {
-	case t.conns <- c:
+	case t.server.conns <- c:
 		return
 	case <-ctx.Done():
 		return
 	case <-t.left:
 	}
-	t.mu.Lock()
-	t.late = append(t.late, c)
-	t.mu.Unlock()
-	go func() { _ = (&http3.Server{Handler: t.agent.requests}).ServeQUICConn(c) }()
+	select {
+	case t.late.conns <- c:
+	case <-ctx.Done():
+	case <-t.late.closing:
+		_ = c.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "the agent is leaving")
+	}
 }
 
 // leave starts the drain: GOAWAY is sent, and flows go on until they end by themselves or cut is called.
-func (t *tenure) leave(reason leaveReason) {
+func (t *tenure) leave() {
 	select {
 	case <-t.left:
 		return
 	default:
 		close(t.left)
 	}
-	go t.drain(reason)
+	go t.drain()
 }
 
-func (t *tenure) drain(reason leaveReason) {
+func (t *tenure) drain() {
 	defer close(t.finished)
-	start := time.Now()
-	err := t.server.Shutdown(t.limit)
-	sleep(t.limit, settleTime-time.Since(start))
-	for c := t.nextLate(); c != nil && err == nil; c = t.nextLate() {
-		select {
-		case <-c.Context().Done():
-		case <-t.limit.Done():
-			err = t.limit.Err()
-			_ = c.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), string(reason))
-		}
-	}
-	_ = t.server.Close()
-	for c := t.nextLate(); c != nil; c = t.nextLate() {
-		_ = c.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), string(reason))
-	}
+	var wg sync.WaitGroup
+	wg.Go(func() { t.server.shutdown(t.limit) })
+	sleep(t.limit, settleTime)
+	t.late.shutdown(t.limit)
+	wg.Wait()
+	t.close()
 }
 
-// nextLate returns a late connection, once each.
-func (t *tenure) nextLate() *quic.Conn {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.late) == 0 {
-		return nil
-	}
-	c := t.late[0]
-	t.late = t.late[1:]
-	return c
+// close ends all flows at once.
+func (t *tenure) close() {
+	_ = t.server.server.Close()
+	_ = t.late.server.Close()
 }
 
 // reportCut logs and counts the flows that a drain ends at its limit.
@@ -151,7 +164,7 @@
 	// since is when the reason or its limit began to hold.
 	since   time.Time
 	cutDone bool
-	serving func(t *tenure)
+	serving func(h *handoff)
 }
 
 // step follows the state of the agent and reports whether the agent's work is over.
@@ -169,7 +182,7 @@
 		s.start()
 	case reason != leaveNone && s.reason == leaveNone:
 		for _, t := range s.tenures {
-			t.leave(reason)
+			t.leave()
 		}
 	}
 	s.reason = reason
@@ -181,10 +194,11 @@
 }
 
 func (s *supervisor) start() {
-	t := s.agent.newTenure()
+	t := newTenure(s.agent.requests, s.agent.conn.LocalAddr())
 	s.tenures = append(s.tenures, t)
 	s.agent.tenure.Store(t)
-	s.serving(t)
+	s.serving(t.server)
+	s.serving(t.late)
 }
 
 // cut ends the flows that are left at the limit of a drain.
@@ -205,7 +219,7 @@
 func (s *supervisor) close() {
 	for _, t := range s.tenures {
 		t.cut()
-		_ = t.server.Close()
+		t.close()
 	}
 }
 
@@ -235,15 +249,3 @@
 	}
 	return leaveNone, 0
 }
-
-// serveTenure runs the HTTP/3 server of a tenure.
-func serveTenure(t *tenure) error {
-	if err := t.server.ServeListener(t); err != nil && err != http.ErrServerClosed { //nolint:errorlint // The package returns it bare.
-		select {
-		case <-t.finished:
-		default:
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -1,12 +1,15 @@
 package agent
 
 import (
+	"crypto/tls"
 	"io"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
 	"gotest.tools/v3/assert"
 
 	"github.com/bramleymast/bramleymast/pkg/board"
@@ -131,3 +134,29 @@
 	r.phase("one", board.PhaseReady)
 	assert.Equal(t, string(do(t, r.caller(), http.MethodGet, "/", nil).body), "one")
 }
+
+// Guards against a handshake that a drain cuts, and against a caller that goes on sending requests to a leaving
+// backend server because it was never told.
+func TestLateConnectionIsServedAndToldToLeave(t *testing.T) {
+	tlsConfig := http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{selfSigned(t)}, MinVersion: tls.VersionTLS13})
+	l, err := quic.Listen(listenUDP(t), tlsConfig, quicConfig())
+	assert.NilError(t, err)
+	ten := newTenure(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }), l.Addr())
+	go func() { _ = ten.server.serve() }()
+	go func() { _ = ten.late.serve() }()
+	ten.leave()
+	go func() {
+		c, err := l.Accept(t.Context())
+		if err == nil {
+			ten.hand(t.Context(), c)
+		}
+	}()
+	conn, err := quic.DialAddr(t.Context(), l.Addr().String(), &tls.Config{InsecureSkipVerify: true, NextProtos: []string{http3.NextProtoH3}}, nil)
+	assert.NilError(t, err)
+	h := &http3.Transport{}
+	defer h.Close()
+	client := &http.Client{Transport: h.NewClientConn(conn)}
+	assert.Equal(t, string(do(t, client, http.MethodGet, "/", nil).body), "served")
+	<-ten.finished
+	assert.Assert(t, do(t, client, http.MethodGet, "/", nil).err != nil)
+}
