fix: repeat failed reads over HTTP/3

Cause: HTTP/3 callers state no length for a GET, so the agent took it for a request with a body and never repeated it; no test had sent a failing GET through QUIC. Ruled out: taking every GET without a length for empty, because a body would be dropped. Change: the agent reads one byte of an idempotent request without a length; the end of the stream means no body. The sentinel gets its connections through a function, so that its test runs on a fake clock. Seen failing without the mechanism: TestFailedReadIsRepeated (502 instead of 200) before the fix and with the probe removed; the sentinel test without the learned idle timeout, without the report of an end and of a refusal; the test of sent bytes without the note in Write.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -128,12 +128,13 @@
 	if err != nil {
 		return nil, err
 	}
+	server := newBackend(target)
 	a.requests = &requests{
-		gate: a.gate, backend: newBackend(target), tickets: t, metrics: a.metrics, budget: &admission.RetryBudget{},
+		gate: a.gate, backend: server, tickets: t, metrics: a.metrics, budget: &admission.RetryBudget{},
 		random: rand.Float64,
 	}
 	a.sentinel = &sentinel{
-		address: target.Host,
+		dial:    server.connect,
 		closed:  func() { a.markCold(admission.ColdRestarted) },
 		refused: func() { a.markCold(admission.ColdRefused) },
 	}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -149,6 +149,12 @@
 	return &backendConn{TCPConn: tcp, attempt: at}, nil
 }
 
+// connect opens a connection without a request.
+func (b *backend) connect(ctx context.Context) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", b.target.Host)
+}
+
 func (b *backend) roundTrip(r *http.Request, at *attempt) (*http.Response, error) {
 	r.URL.Scheme = b.target.Scheme
 	r.URL.Host = b.target.Host
@@ -167,7 +173,7 @@
 // Servers may also close idle connections after a fixed time. When two in a row have lived equally long, the
 // sentinel takes that for the server's idle timeout and opens its next connection before it.
 type sentinel struct {
-	address string
+	dial func(ctx context.Context) (net.Conn, error)
 	// closed and refused are called when the connection ends and when the server cannot be reached.
 	closed, refused func()
 	last, timeout   time.Duration
@@ -194,11 +200,6 @@
 	return nil
 }
 
-func (s *sentinel) dial(ctx context.Context) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, "tcp", s.address)
-}
-
 // watch returns when the connection has ended or must be renewed.
 func (s *sentinel) watch(ctx context.Context, c net.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
--- /dev/null
+++ b/internal/agent/backend_test.go
@@ -0,0 +1,105 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a read over HTTP/3 that is not repeated because it seems to have a body.
+func TestFailedReadIsRepeated(t *testing.T) {
+	r := newRig(t, plainContract)
+	var calls atomic.Int64
+	one, _ := r.addAgent("one", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if calls.Add(1)%2 == 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	c := r.caller()
+	assert.Equal(t, do(t, c, http.MethodGet, "/", nil).StatusCode, http.StatusBadGateway, "a retry without a budget")
+	assert.Equal(t, do(t, c, http.MethodGet, "/", nil).StatusCode, http.StatusOK)
+	one.requests.mu.Lock()
+	for range 10 {
+		one.requests.budget.Succeed()
+	}
+	one.requests.mu.Unlock()
+	assert.Equal(t, do(t, c, http.MethodGet, "/", nil).StatusCode, http.StatusOK)
+	assert.Equal(t, calls.Load(), int64(4))
+}
+
+// Guards against a restart of the backend server that nobody notices, and against an idle timeout of the server
+// that counts as a restart again and again.
+func TestSentinelTellsRestartsFromIdleTimeouts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const idle = time.Minute
+		var last net.Conn
+		closed, refused, down := 0, 0, false
+		s := &sentinel{closed: func() { closed++ }, refused: func() { refused++ }}
+		s.dial = func(context.Context) (net.Conn, error) {
+			if down {
+				return nil, io.EOF
+			}
+			here, there := net.Pipe()
+			time.AfterFunc(idle, func() { _ = there.Close() })
+			last = there
+			return here, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.run(ctx) }()
+		time.Sleep(2*idle + time.Second)
+		synctest.Wait()
+		assert.Equal(t, closed, 2, "the first two ends teach the idle timeout")
+		time.Sleep(time.Hour)
+		synctest.Wait()
+		assert.Equal(t, closed, 2, "an idle timeout counts as a restart")
+		down = true
+		_ = last.Close()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, closed, 3)
+		assert.Assert(t, refused > 0)
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
+
+func mustParse(t *testing.T, text string) *url.URL {
+	t.Helper()
+	u, err := url.Parse(text)
+	assert.NilError(t, err)
+	return u
+}
+
+// Guards against a sent byte that is not noticed, on which "not run" and retries of orders depend.
+func TestSentIsNotedBeforeTheWrite(t *testing.T) {
+	l, err := net.Listen("tcp", loopback.String())
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_, _ = c.Read(make([]byte, 1))
+			_ = c.Close()
+		}
+	}()
+	b := newBackend(mustParse(t, "http://"+l.Addr().String()))
+	for _, sent := range []bool{true, false} {
+		at := &attempt{}
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "/", io.NopCloser(strings.NewReader("order")))
+		assert.NilError(t, err)
+		_, err = b.roundTrip(req, at) //nolint:bodyclose // There is no response.
+		assert.Assert(t, err != nil)
+		assert.Equal(t, at.sent.Load(), sent)
+		_ = l.Close()
+	}
+}
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -58,6 +59,20 @@
 	deadline time.Time
 	// body replaces the body of the request when it was read before.
 	body io.Reader
+	// empty is true when the request is known to have no body.
+	empty bool
+}
+
+// probe finds out whether a request without a stated length has a body. HTTP/3 callers state none for a GET.
+func (x *exchange) probe() {
+	x.empty = x.r.ContentLength == 0
+	if x.r.ContentLength >= 0 {
+		return
+	}
+	var b [1]byte
+	n, err := io.ReadFull(x.r.Body, b[:])
+	x.empty = errors.Is(err, io.EOF)
+	x.body = io.MultiReader(bytes.NewReader(b[:n]), x.r.Body)
 }
 
 // ServeHTTP answers a request of a caller.
@@ -85,6 +100,9 @@
 }
 
 func (q *requests) servePlain(x *exchange) {
+	if idempotent(x.r.Method) {
+		x.probe()
+	}
 	for n := 0; ; n++ {
 		t := q.try(x.r.Context(), x)
 		if reason := t.retryReason(); reason != nil && q.retry(x, n, reason) {
@@ -111,7 +129,7 @@
 // retry waits before a further attempt and reports whether there is one. It is for requests that may run twice,
 // without a body that was already used, within the budget and the deadline.
 func (q *requests) retry(x *exchange, n int, reason error) bool {
-	if !idempotent(x.r.Method) || x.r.ContentLength != 0 {
+	if !idempotent(x.r.Method) || !x.empty {
 		return false
 	}
 	delay := q.backoff.Delay(n, q.random())
@@ -266,8 +284,8 @@
 	out.Header.Set(headerRequestID, requestID)
 	out.Header.Set(headerDeadline, strconv.FormatInt(time.Until(x.deadline).Milliseconds(), 10))
 	out.Body = io.NopCloser(x.body)
-	if x.r.ContentLength == 0 {
-		out.Body = http.NoBody
+	if x.empty || x.r.ContentLength == 0 {
+		out.Body, out.ContentLength = http.NoBody, 0
 	}
 	return out
 }
