--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -128,12 +128,13 @@
 	if err != nil {
 		return nil, err
 	}
+	server := newBackend(target)
 	a.requests = &requests{
-		gate: a.gate, backend: newBackend(target), tickets: t, metrics: a.metrics, budget: &admission.RetryBudget{},
+		gate: a.gate, backend: server, tickets: t, metrics: a.metrics, budget: &admission.RetryBudget{},
 		random: rand.Float64,
 	}
 	a.sentinel = &sentinel{
-		address: target.Host,
+		dial:    server.connect,
 		closed:  func() { a.markCold(admission.ColdRestarted) },
 		refused: func() { a.markCold(admission.ColdRefused) },
 	}
@@ -179,8 +180,8 @@
 	if err != nil {
 		return errors.Annotate(err, "cannot listen for QUIC")
 	}
-	s := &supervisor{agent: a, serving: func(t *tenure) {
-		g.Go(func(context.Context) error { return errors.Annotate(serveTenure(t), "HTTP/3 server") })
+	s := &supervisor{agent: a, serving: func(h *handoff) {
+		g.Go(func(context.Context) error { return h.serve() })
 	}}
 	s.step(time.Now())
 	a.announce()
