feat: keep earlier contracts outside config/

Cause: a value at config/contracts/<service> held its 20 earlier contracts. That is 496 bytes a service without and 10,849 with them. With 5,700 services, config/ held 61.8 MB, 82 MB in base64, above the 64 MB that the store's client accepts, so `contract list` failed.

Ruled out: keeping differences only. A change of one field takes some 200 bytes with author, time and operation id, so 20 of them still take 4 KB a service (estimate), and reading a contract means applying differences backwards. Also ruled out: writing the history after the swap, because a crash in between loses a contract; and a larger limit in the client, because the relays still read everything.

Change: `apply` creates the contract that it replaces at history/contracts/<service>/<revision>, then swaps the value in config/, which names the revisions and operation ids of the last 20 changes. A history value never changes, so creating it twice is harmless, and one that no change names is not shown. After an accepted change the values older than the 20 changes are deleted. Values in the first form are read as before; the next `apply` moves their contracts with 21 creations.

Now 4 for a new service, 5 for a change, and 7 once 20 earlier contracts are kept, with a list of 21 values and a deletion.

Tests: revisions in golden files and scripts rise, because the history's writes count in the store. Two tests of internal/operator are adapted: the fake store draws faults for history writes apart from those of config/, and the 22 later changes use the contract's revision as their base in place of the store's, and must be accepted.

Not solved: a store full of values in the first form still exceeds the limit until enough contracts have been applied again.

--- a/internal/capacity/compute.go
+++ b/internal/capacity/compute.go
@@ -152,7 +152,7 @@
 const sampleContract = `{"service":"service-0000","addresses":["10.0.0.1:443","10.0.0.2:443"],"zones":["zone-a","zone-b","zone-c"],` +
 	`"backend":{"slots":7},"cold_start":{"slots":2}}`
 
-// contractValue returns the size of a contract's value in the store, with its full history, in base64.
+// contractValue returns the size of a contract's value in the store, with all the changes that it names, in base64.
 func contractValue() float64 {
 	c, _ := contract.Decode("", []byte(sampleContract))
 	v := configvalue.Contract{OperationID: "0123456789abcdef", Author: "operator", Contract: c}
@@ -287,7 +287,7 @@
 	return []Line{
 		{
 			RoleRelay, SituationSteady, "sent and received, with the store", unitBytes, m.steadyBytes() + m.relayBytes(), limitBytes,
-			"balancer, and the value of a contract with 20 earlier revisions in base64 for each change", "the history of a contract under a key of its own that no relay watches",
+			"balancer, and the value of a contract that names 20 earlier changes in base64 for each change", "fewer changes named in the value of a contract",
 		},
 		{RoleRelay, SituationSteady, "processor time", unitCore, m.balancerCore() * 1.1, limitCorePercent, "balancer, and a tenth for decoding values", ""},
 		{RoleAgent, SituationSteady, quantityBytes, unitBytes, m.agentBytes(), limitBytes, "agent_bytes_by_agents, load reports to co-members, records of balancers", ""},
--- a/internal/cmd/contract_apply.go
+++ b/internal/cmd/contract_apply.go
@@ -154,11 +154,14 @@
 	}
 	e.printf("conflict, nothing changed: the contract of %s is at revision %d by %s at %s, not at %d\n",
 		a.Service(), w.Revision, w.Author, timeText(w.Time), a.Base())
-	if a.BaseKnown() {
+	switch {
+	case a.BaseKnown():
 		e.printf("changed since revision %d by others:\n", a.Base())
 		e.changes(a.Theirs())
 		e.printf("changed since revision %d by your file:\n", a.Base())
-	} else {
+	case a.Cause() != nil:
+		e.printf("revision %d cannot be read: %v; your file differs from revision %d by:\n", a.Base(), a.Cause(), w.Revision)
+	default:
 		e.printf("revision %d is not in the history; your file differs from revision %d by:\n", a.Base(), w.Revision)
 	}
 	e.changes(a.Ours())
--- a/internal/cmd/contract_diff.go
+++ b/internal/cmd/contract_diff.go
@@ -61,7 +61,7 @@
 		}
 		file = f
 	}
-	s, code := c.stored(ctx, e, c.service)
+	s, code := c.stored(ctx, e, c.service, (*operator.Operator).ContractHistory)
 	if code != ExitSuccess {
 		return code
 	}
--- a/internal/cmd/contract_history.go
+++ b/internal/cmd/contract_history.go
@@ -7,6 +7,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/bramleymast/bramleymast/internal/configvalue"
+	"github.com/bramleymast/bramleymast/internal/operator"
 	"github.com/bramleymast/bramleymast/pkg/contract"
 )
 
@@ -42,7 +43,7 @@
 }
 
 func (c *contractHistory) run(ctx context.Context, e environment) int {
-	s, code := c.stored(ctx, e, c.service)
+	s, code := c.stored(ctx, e, c.service, (*operator.Operator).ContractHistory)
 	if code != ExitSuccess {
 		return code
 	}
--- a/internal/cmd/contract_history_test.go
+++ b/internal/cmd/contract_history_test.go
@@ -19,7 +19,7 @@
 	s.run("contract history orders --settings ann.json")
 	s.run("contract history orders --settings ann.json --output json")
 	s.run("contract diff orders --settings ann.json")
-	s.run("contract diff orders --settings ann.json --from 2 --to 1 --output json")
+	s.run("contract diff orders --settings ann.json --from 3 --to 1 --output json")
 	s.run("contract diff orders --settings ann.json --file orders.json")
 	s.run("contract diff orders --settings ann.json --from 9 --to x")
 	s.assert()
--- a/internal/cmd/contract_show.go
+++ b/internal/cmd/contract_show.go
@@ -30,7 +30,7 @@
 }
 
 func (c *contractShow) run(ctx context.Context, e environment) int {
-	s, code := c.stored(ctx, e, c.service)
+	s, code := c.stored(ctx, e, c.service, (*operator.Operator).Contract)
 	if code != ExitSuccess {
 		return code
 	}
@@ -60,8 +60,11 @@
 	return ExitSuccess
 }
 
+// storedReader reads the contract of a service, with or without its earlier contracts.
+type storedReader func(op *operator.Operator, ctx context.Context, service string) (operator.Stored, error)
+
 // stored reads the contract of a service, or reports why that is not possible.
-func (o *operatorOptions) stored(ctx context.Context, e environment, service string) (operator.Stored, int) {
+func (o *operatorOptions) stored(ctx context.Context, e environment, service string, read storedReader) (operator.Stored, int) {
 	var l finding.List
 	o.check(&l)
 	if e.badInput(l) {
@@ -71,7 +74,7 @@
 	if !ok {
 		return operator.Stored{}, ExitBadInput
 	}
-	s, err := op.Contract(ctx, service)
+	s, err := read(op, ctx, service)
 	if err != nil {
 		e.fail(err)
 		return operator.Stored{}, ExitFailure
--- a/internal/cmd/session_test.go
+++ b/internal/cmd/session_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/bramleymast/bramleymast/internal/configvalue"
 	"github.com/bramleymast/bramleymast/internal/operator"
 	"github.com/bramleymast/bramleymast/internal/settings"
 	standin "github.com/bramleymast/bramleymast/internal/standin/store"
@@ -136,13 +137,16 @@
 	}
 }
 
-// cutOff is a store that loses every answer after the first write was sent.
+// cutOff is a store that loses every answer after the first write to the configuration was sent.
 type cutOff struct {
 	store.Store
 	sent bool
 }
 
-func (c *cutOff) Swap(context.Context, string, []byte, store.Revision, store.LeaseID) (store.Revision, error) {
+func (c *cutOff) Swap(ctx context.Context, key string, value []byte, expected store.Revision, lease store.LeaseID) (store.Revision, error) {
+	if !strings.HasPrefix(key, configvalue.Prefix) {
+		return c.Store.Swap(ctx, key, value, expected, lease)
+	}
 	c.sent = true
 	return 0, store.ErrUnknownOutcome
 }
--- a/internal/configvalue/configvalue.go
+++ b/internal/configvalue/configvalue.go
@@ -1,4 +1,4 @@
-// Package configvalue encodes and decodes the values that the platform's store holds under config/.
+// Package configvalue encodes and decodes the values that the platform's store holds under config/ and history/.
 package configvalue
 
 import (
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -25,14 +26,24 @@
 	ZonesPrefix     = Prefix + "zones/"
 	BackendsPrefix  = Prefix + "backends/"
 	RelayPrefix     = "relay/"
+	// HistoryPrefix is outside Prefix, so that reading or watching the configuration does not read the earlier contracts.
+	HistoryPrefix = "history/contracts/"
 )
 
-// MaxHistory is the number of earlier revisions that the value of a contract keeps.
+// MaxHistory is the number of earlier revisions that are kept of a contract.
 const MaxHistory = 20
 
 // ContractKey returns the store key of a service's contract.
 func ContractKey(service string) string { return ContractsPrefix + service }
 
+// ServiceHistoryPrefix returns the prefix of the store keys of a service's earlier contracts.
+func ServiceHistoryPrefix(service string) string { return HistoryPrefix + service + "/" }
+
+// HistoryKey returns the store key of the contract that a service had at a revision.
+func HistoryKey(service string, revision store.Revision) string {
+	return ServiceHistoryPrefix(service) + strconv.FormatUint(uint64(revision), 10)
+}
+
 // ZoneKey returns the store key of the operators' state of an availability zone.
 func ZoneKey(zone string) string { return ZonesPrefix + zone }
 
@@ -75,29 +86,44 @@
 	Contract    contract.Contract
 }
 
-// Contract is the value of a service's contract: the one in force and its earlier revisions, newest first.
+// Change names the operation that put a revision in force.
+type Change struct {
+	Revision    store.Revision
+	OperationID string
+}
+
+// Contract is the value of a service's contract: the one in force and the changes before it, newest first.
+//
+// The changes resolve the outcome of a write whose answer was lost. The earlier contracts are values of their own
+// under HistoryKey, because in this value they would take twenty times the space of the contract in force.
 type Contract struct {
 	OperationID string
 	Author      string
 	Time        time.Time
 	Contract    contract.Contract
-	History     []Revision
+	Changes     []Change
+	// Inline holds the earlier contracts of a value in the first form, which kept them itself.
+	Inline []Revision
 }
 
-// Next returns the value that replaces c, which is in the store at a revision; the oldest history is dropped.
-// At revision 0 there is nothing to replace, so the history stays empty.
+// At returns the contract in force as the revision that it becomes once it is replaced.
+func (c Contract) At(revision store.Revision) Revision {
+	return Revision{Revision: revision, OperationID: c.OperationID, Author: c.Author, Time: c.Time, Contract: c.Contract}
+}
+
+// Next returns the value that replaces c, which is in the store at a revision; the oldest change is dropped.
+// At revision 0 there is nothing to replace, so there are no changes before it.
 func (c Contract) Next(at store.Revision, operationID, author string, now time.Time, next contract.Contract) Contract {
-	history := c.History
+	changes := c.Changes
 	if at != 0 {
-		old := Revision{Revision: at, OperationID: c.OperationID, Author: c.Author, Time: c.Time, Contract: c.Contract}
-		history = slices.Concat([]Revision{old}, history)
+		changes = slices.Concat([]Change{{Revision: at, OperationID: c.OperationID}}, changes)
 	}
 	return Contract{
 		OperationID: operationID,
 		Author:      author,
 		Time:        now,
 		Contract:    next,
-		History:     history[:min(len(history), MaxHistory)],
+		Changes:     changes[:min(len(changes), MaxHistory)],
 	}
 }
 
@@ -114,12 +140,19 @@
 	return contract.NewAvailability(s.Out, s.Author, s.Reason)
 }
 
+// contractValue has Changes, or History in the first form.
 type contractValue struct {
 	OperationID string          `json:"operation_id"`
 	Author      string          `json:"author"`
 	Time        time.Time       `json:"time"`
 	Contract    json.RawMessage `json:"contract"`
-	History     []revisionValue `json:"history"`
+	Changes     []changeValue   `json:"changes,omitempty"`
+	History     []revisionValue `json:"history,omitempty"`
+}
+
+type changeValue struct {
+	Revision    uint64 `json:"revision"`
+	OperationID string `json:"operation_id"`
 }
 
 type revisionValue struct {
@@ -137,21 +170,15 @@
 	Out         bool   `json:"out"`
 }
 
-// EncodeContract returns the store value of a contract, or store.ErrTooLarge.
+// EncodeContract returns the store value of a contract, or store.ErrTooLarge; it leaves out Inline.
 func EncodeContract(c Contract) ([]byte, error) {
 	body, err := c.Contract.Encode()
 	if err != nil {
 		return nil, errors.Annotate(err, "cannot encode the contract")
 	}
-	v := contractValue{OperationID: c.OperationID, Author: c.Author, Time: c.Time, Contract: body, History: []revisionValue{}}
-	for _, r := range c.History {
-		old, err := r.Contract.Encode()
-		if err != nil {
-			return nil, errors.Annotatef(err, "cannot encode the contract of revision %d", r.Revision)
-		}
-		v.History = append(v.History, revisionValue{
-			Revision: uint64(r.Revision), OperationID: r.OperationID, Author: r.Author, Time: r.Time, Contract: old,
-		})
+	v := contractValue{OperationID: c.OperationID, Author: c.Author, Time: c.Time, Contract: body}
+	for _, change := range c.Changes {
+		v.Changes = append(v.Changes, changeValue{Revision: uint64(change.Revision), OperationID: change.OperationID})
 	}
 	return encode(v)
 }
@@ -162,23 +189,58 @@
 	if err := decode(data, &v); err != nil {
 		return Contract{}, err
 	}
+	if len(v.Changes) > 0 && len(v.History) > 0 {
+		return Contract{}, errors.New("cannot decode the value: it has both changes and history")
+	}
 	c := Contract{OperationID: v.OperationID, Author: v.Author, Time: v.Time}
 	var err error
 	if c.Contract, err = decodeBody(v.Contract); err != nil {
 		return Contract{}, err
 	}
+	for _, change := range v.Changes {
+		c.Changes = append(c.Changes, Change{Revision: store.Revision(change.Revision), OperationID: change.OperationID})
+	}
 	for _, r := range v.History {
-		old, err := decodeBody(r.Contract)
+		old, err := r.revision()
 		if err != nil {
-			return Contract{}, errors.Annotatef(err, "revision %d", r.Revision)
+			return Contract{}, err
 		}
-		c.History = append(c.History, Revision{
-			Revision: store.Revision(r.Revision), OperationID: r.OperationID, Author: r.Author, Time: r.Time, Contract: old,
-		})
+		c.Inline = append(c.Inline, old)
+		c.Changes = append(c.Changes, Change{Revision: old.Revision, OperationID: old.OperationID})
 	}
 	return c, nil
 }
 
+// EncodeRevision returns the store value of an earlier contract.
+func EncodeRevision(r Revision) ([]byte, error) {
+	body, err := r.Contract.Encode()
+	if err != nil {
+		return nil, errors.Annotatef(err, "cannot encode the contract of revision %d", r.Revision)
+	}
+	return encode(revisionValue{
+		Revision: uint64(r.Revision), OperationID: r.OperationID, Author: r.Author, Time: r.Time, Contract: body,
+	})
+}
+
+// DecodeRevision reads the store value of an earlier contract.
+func DecodeRevision(data []byte) (Revision, error) {
+	var v revisionValue
+	if err := decode(data, &v); err != nil {
+		return Revision{}, err
+	}
+	return v.revision()
+}
+
+func (r revisionValue) revision() (Revision, error) {
+	c, err := decodeBody(r.Contract)
+	if err != nil {
+		return Revision{}, errors.Annotatef(err, "revision %d", r.Revision)
+	}
+	return Revision{
+		Revision: store.Revision(r.Revision), OperationID: r.OperationID, Author: r.Author, Time: r.Time, Contract: c,
+	}, nil
+}
+
 func decodeBody(data []byte) (contract.Contract, error) {
 	c, list := contract.Decode("", data)
 	return c, list.Err()
--- a/internal/configvalue/configvalue_test.go
+++ b/internal/configvalue/configvalue_test.go
@@ -1,6 +1,7 @@
 package configvalue_test
 
 import (
+	"encoding/base64"
 	"strings"
 	"testing"
 	"time"
@@ -23,8 +24,8 @@
 	for i := range configvalue.MaxHistory + 5 {
 		v = v.Next(store.Revision(i+1), "op", "ben", now, c)
 	}
-	assert.Equal(t, len(v.History), configvalue.MaxHistory)
-	assert.Equal(t, v.History[0].Revision, store.Revision(configvalue.MaxHistory+5))
+	assert.Equal(t, len(v.Changes), configvalue.MaxHistory)
+	assert.Equal(t, v.Changes[0].Revision, store.Revision(configvalue.MaxHistory+5))
 	data, err := configvalue.EncodeContract(v)
 	assert.NilError(t, err)
 	back, err := configvalue.DecodeContract(data)
@@ -55,3 +56,19 @@
 	_, _, err = configvalue.ParseKey("config/zones/")
 	assert.ErrorIs(t, err, configvalue.ErrKey)
 }
+
+// Guards against values that make a list of 5,700 services larger than the store's client accepts.
+func TestValueWithAllChangesIsSmall(t *testing.T) {
+	c, list := contract.Decode("", []byte(`{"service":"service-0000","addresses":["10.0.0.1:443","10.0.0.2:443"],
+  "zones":["zone-a","zone-b","zone-c"],"backend":{"slots":7},"cold_start":{"slots":2}}`))
+	assert.NilError(t, list.Err())
+	v := configvalue.Contract{OperationID: "0123456789abcdef", Author: "operator", Time: time.Unix(1767323045, 123456789).UTC(), Contract: c}
+	for n := range configvalue.MaxHistory + 1 {
+		data, err := configvalue.EncodeContract(v)
+		assert.NilError(t, err)
+		all := 5700 * base64.StdEncoding.EncodedLen(len(data))
+		t.Logf("%d changes: %d bytes, %d for 5,700 services in base64", n, len(data), all)
+		assert.Assert(t, all < 16<<20)
+		v = v.Next(store.Revision(1000000+n), v.OperationID, v.Author, v.Time, c)
+	}
+}
--- a/internal/operator/contracts.go
+++ b/internal/operator/contracts.go
@@ -14,6 +14,8 @@
 type Stored struct {
 	revision store.Revision
 	value    configvalue.Contract
+	// earlier holds the earlier contracts that were read, newest first.
+	earlier []configvalue.Revision
 }
 
 // Revision returns the revision at which the contract is in the store; 0 means that there is none.
@@ -22,24 +24,21 @@
 // Contract returns the contract.
 func (s Stored) Contract() contract.Contract { return s.value.Contract }
 
-// Value returns the contract with its author, time, operation id and history.
+// Value returns the contract with its author, time, operation id and the changes before it.
 func (s Stored) Value() configvalue.Contract { return s.value }
 
-// chain returns the known revisions, newest first.
-func (s Stored) chain() []configvalue.Revision {
+// changes returns the known changes, newest first.
+func (s Stored) changes() []configvalue.Change {
 	if s.revision == 0 {
 		return nil
 	}
-	v := s.value
-	current := configvalue.Revision{
-		Revision: s.revision, OperationID: v.OperationID, Author: v.Author, Time: v.Time, Contract: v.Contract,
-	}
-	return append([]configvalue.Revision{current}, v.History...)
+	current := configvalue.Change{Revision: s.revision, OperationID: s.value.OperationID}
+	return append([]configvalue.Change{current}, s.value.Changes...)
 }
 
 // At returns the contract that was in force at a revision; the zero contract stands for revision 0.
 func (s Stored) At(revision store.Revision) (contract.Contract, bool) {
-	for _, r := range s.chain() {
+	for _, r := range s.Revisions() {
 		if r.Revision == revision {
 			return r.Contract, true
 		}
@@ -47,22 +46,24 @@
 	return contract.Contract{}, revision == 0
 }
 
-// Revisions returns the contract in force and its earlier revisions, newest first.
-func (s Stored) Revisions() []configvalue.Revision { return s.chain() }
+// Revisions returns the contract in force and the earlier contracts that were read, newest first.
+func (s Stored) Revisions() []configvalue.Revision {
+	if s.revision == 0 {
+		return nil
+	}
+	return append([]configvalue.Revision{s.value.At(s.revision)}, s.earlier...)
+}
 
-// winner returns the revision that replaced a base, if the chain still tells.
-func (s Stored) winner(base store.Revision) (configvalue.Revision, bool) {
-	chain := s.chain()
-	for i, r := range chain {
-		if r.Revision == base {
-			return chain[max(i-1, 0)], i > 0
+// isBaseReplaced reports whether another operation replaced a base, if the changes still tell.
+func (s Stored) isBaseReplaced(base store.Revision) bool {
+	changes := s.changes()
+	for i, c := range changes {
+		if c.Revision == base {
+			return i > 0
 		}
 	}
-	complete := len(s.value.History) < configvalue.MaxHistory
-	if base != 0 || !complete || len(chain) == 0 {
-		return configvalue.Revision{}, false
-	}
-	return chain[len(chain)-1], true
+	complete := len(s.value.Changes) < configvalue.MaxHistory
+	return base == 0 && complete && len(changes) > 0
 }
 
 // Contract returns the contract of a service; its revision is 0 when there is none.
@@ -85,7 +86,7 @@
 	if err != nil {
 		return Stored{}, errors.Annotatef(err, "the store's value of %s", e.Key)
 	}
-	return Stored{revision: e.Revision, value: v}, nil
+	return Stored{revision: e.Revision, value: v, earlier: v.Inline}, nil
 }
 
 // Contracts returns the contracts of all services, sorted by service.
@@ -162,19 +163,24 @@
 		a.verdict, a.cause = NotAccepted, err
 		return a
 	}
+	current, baseErr := o.withRevision(ctx, current, base)
 	a = a.compare(current)
 	if current.revision != 0 && len(contract.Diff(current.Contract(), c)) == 0 {
 		a.verdict, a.revision = Unchanged, current.revision
 		return a
 	}
 	if current.revision != base {
-		return a.lost(current)
+		return a.lost(current, baseErr)
 	}
 	if a.losses = world.losses(world.withContract(c)); len(a.losses) > 0 && !confirmed {
 		a.verdict = Refused
 		return a
 	}
-	value, err := configvalue.EncodeContract(o.next(current, a.operationID, c))
+	next := o.next(current, a.operationID, c)
+	value, err := configvalue.EncodeContract(next)
+	if err == nil {
+		err = o.keep(ctx, current)
+	}
 	if err != nil {
 		a.verdict, a.cause = NotAccepted, err
 		return a
@@ -183,6 +189,9 @@
 		key: configvalue.ContractKey(a.service), value: value, base: base, judge: judgeContract(a.operationID, base),
 	})
 	a.verdict, a.revision, a.cause = w.verdict, w.revision, w.cause
+	if w.verdict == Accepted {
+		o.prune(ctx, a.service, next.Changes)
+	}
 	if w.verdict != Conflict {
 		return a
 	}
@@ -191,7 +200,8 @@
 		a.cause = err
 		return a
 	}
-	return a.lost(now)
+	now, err = o.withRevision(ctx, now, base)
+	return a.lost(now, err)
 }
 
 func (o *Operator) next(current Stored, operationID string, c contract.Contract) configvalue.Contract {
@@ -201,11 +211,11 @@
 	return current.value.Next(current.revision, operationID, o.cfg.Author, o.cfg.Now(), c)
 }
 
-// lost returns the conflict with the contract that the store has instead.
-func (a Applied) lost(now Stored) Applied {
-	a.verdict = Conflict
-	if chain := now.chain(); len(chain) > 0 {
-		a.winner = chain[0]
+// lost returns the conflict with the contract that the store has instead, and why the base could not be read, if so.
+func (a Applied) lost(now Stored, baseErr error) Applied {
+	a.verdict, a.cause = Conflict, baseErr
+	if revisions := now.Revisions(); len(revisions) > 0 {
+		a.winner = revisions[0]
 	}
 	return a.compare(now)
 }
@@ -222,22 +232,22 @@
 	return a
 }
 
-// judgeContract looks for the operation in the contract's history.
+// judgeContract looks for the operation in the contract's changes.
 func judgeContract(operationID string, base store.Revision) judge {
 	return func(e store.Entry) (evidence, store.Revision) {
 		s, err := storedContract(e)
 		if err != nil || s.revision == 0 {
 			return evidenceGone, 0
 		}
-		for _, r := range s.chain() {
-			if r.OperationID == operationID {
-				return evidenceOurs, r.Revision
+		for _, c := range s.changes() {
+			if c.OperationID == operationID {
+				return evidenceOurs, c.Revision
 			}
 		}
 		if s.revision == base {
 			return evidenceNone, 0
 		}
-		if _, known := s.winner(base); !known {
+		if !s.isBaseReplaced(base) {
 			return evidenceGone, 0
 		}
 		return evidenceOther, 0
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -29,10 +29,12 @@
 	down
 )
 
-// effect is a write that took effect, with the revision that it replaced.
+// effect is a write that took effect, with the revision that it replaced and its own.
 type effect struct {
 	operation string
 	replaced  store.Revision
+	revision  store.Revision
+	value     []byte
 }
 
 // fakeStore is a store whose writes fail by plan; it records the operation of every write that takes effect.
@@ -43,18 +45,19 @@
 	effects  []effect
 	late     []func()
 	faults   []fault
-	// next returns the fault of a write, and before is called ahead of every call.
-	next   func() fault
-	before func()
-	reads  func() error
+	// next returns the fault of a write, nextKept that of a write to the history, and before is called ahead of every call.
+	next, nextKept func() fault
+	before         func()
+	reads          func() error
 }
 
 func newFake() *fakeStore {
 	return &fakeStore{
-		entries: map[string]store.Entry{},
-		next:    func() fault { return none },
-		before:  func() {},
-		reads:   func() error { return nil },
+		entries:  map[string]store.Entry{},
+		next:     func() fault { return none },
+		nextKept: func() fault { return none },
+		before:   func() {},
+		reads:    func() error { return nil },
 	}
 }
 
@@ -64,7 +67,9 @@
 	}
 	f.revision++
 	f.entries[key] = store.Entry{Key: key, Value: value, Revision: f.revision}
-	f.effects = append(f.effects, effect{operationOf(key, value), expected})
+	if !strings.HasPrefix(key, configvalue.HistoryPrefix) {
+		f.effects = append(f.effects, effect{operationOf(key, value), expected, f.revision, value})
+	}
 	return f.revision, nil
 }
 
@@ -79,8 +84,13 @@
 
 func (f *fakeStore) Swap(_ context.Context, key string, value []byte, expected store.Revision, _ store.LeaseID) (store.Revision, error) {
 	f.before()
-	next := f.next()
-	f.faults = append(f.faults, next)
+	var next fault
+	if strings.HasPrefix(key, configvalue.HistoryPrefix) {
+		next = f.nextKept()
+	} else {
+		next = f.next()
+		f.faults = append(f.faults, next)
+	}
 	switch next {
 	case lostAfter:
 		_, _ = f.swap(key, value, expected)
@@ -114,12 +124,12 @@
 	}
 	var before func()
 	before = func() {
-		f.before, f.next, f.reads = func() {}, plan(none), func() error { return nil }
+		f.before, f.next, f.nextKept, f.reads = func() {}, plan(none), plan(none), func() error { return nil }
 		others()
 		if rapid.Bool().Draw(rt, "late writes land") {
 			f.land()
 		}
-		f.before, f.next, f.reads = before, next, reads
+		f.before, f.next, f.nextKept, f.reads = before, next, next, reads
 	}
 	f.before = before
 }
@@ -150,6 +160,20 @@
 	return e, nil
 }
 
+// Delete fails as reads do; a lost answer of a deletion has no consequence that a failed one has not.
+func (f *fakeStore) Delete(_ context.Context, key string, expected store.Revision) error {
+	f.before()
+	if err := f.reads(); err != nil {
+		return err
+	}
+	if f.entries[key].Revision != expected {
+		return store.ErrConflict
+	}
+	f.revision++
+	delete(f.entries, key)
+	return nil
+}
+
 func (f *fakeStore) List(_ context.Context, prefix string) (store.Page, error) {
 	f.before()
 	if err := f.reads(); err != nil {
--- a/internal/operator/world.go
+++ b/internal/operator/world.go
@@ -65,7 +65,7 @@
 }
 
 // readFor reads what a change of one contract concerns: this contract, the states and the processes.
-// The contracts of all services with their histories may be tens of megabytes.
+// The contracts of all services may be some ten megabytes.
 func (o *Operator) readFor(ctx context.Context, service string) (world, Stored, error) {
 	current, err := o.Contract(ctx, service)
 	if err != nil {
--- a/internal/operator/wrap.go
+++ b/internal/operator/wrap.go
@@ -68,3 +68,9 @@
 	d.log.Debug("store swap", "key", key, "bytes", len(value), "expected", uint64(expected), "revision", uint64(r), "error", err)
 	return r, err
 }
+
+func (d debug) Delete(ctx context.Context, key string, expected store.Revision) error {
+	err := d.Store.Delete(ctx, key, expected)
+	d.log.Debug("store delete", "key", key, "expected", uint64(expected), "error", err)
+	return err
+}
--- a/internal/operator/write_test.go
+++ b/internal/operator/write_test.go
@@ -100,7 +100,8 @@
 			}
 			f.before = func() {}
 			for i := range later {
-				other.Apply(context.Background(), orders(t, i+3, "a"), f.revision, false)
+				now := f.entries[configvalue.ContractKey("orders")].Revision
+				assert.Equal(t, other.Apply(context.Background(), orders(t, i+3, "a"), now, false).Verdict(), operator.Accepted)
 			}
 		}
 		a := newOperator("ann", f, nil).Apply(context.Background(), orders(t, 2, "a"), base, false)
