--- a/internal/cmd/availability_list.go
+++ b/internal/cmd/availability_list.go
@@ -58,7 +58,7 @@
 
 func zoneRows(zones []operator.State) [][]string {
 	rows := make([][]string, 0, len(zones)+1)
-	rows = append(rows, []string{"ZONE", stateHeader, revisionHeader, authorHeader, "REASON", "OPERATION"})
+	rows = append(rows, []string{"ZONE", stateHeader, revisionHeader, authorHeader, reasonHeader, "OPERATION"})
 	for _, z := range zones {
 		rows = append(rows, []string{
 			z.Name(), stateWord(z.Out()), revisionCell(z.Revision()), cell(z.Author()), cell(z.Reason()), cell(z.OperationID()),
@@ -111,7 +111,7 @@
 		return ExitFailure
 	}
 	j := backendListJSON{Backends: []backendJSON{}, Error: errorText(statusErr)}
-	rows := [][]string{{"BACKEND", serviceHeader, "ZONE", "PROCESS", stateHeader, revisionHeader, authorHeader, "REASON", "OPERATION"}}
+	rows := [][]string{{"BACKEND", serviceHeader, "ZONE", "PROCESS", stateHeader, revisionHeader, authorHeader, reasonHeader, "OPERATION"}}
 	for _, b := range backends {
 		p, seen := b.Process()
 		if !seen {
--- a/internal/cmd/output.go
+++ b/internal/cmd/output.go
@@ -41,6 +41,7 @@
 	serviceHeader  = "SERVICE"
 	revisionHeader = "REVISION"
 	stateHeader    = "STATE"
+	reasonHeader   = "REASON"
 )
 
 // none stands for an empty cell.
--- a/internal/cmd/session_test.go
+++ b/internal/cmd/session_test.go
@@ -128,6 +128,24 @@
 	return answers
 }
 
+// Counters gives each process its control port as a count; the processes that lag do not answer.
+func (s *session) Counters(_ context.Context, processes []netip.AddrPort) []operator.CounterAnswer {
+	answers := make([]operator.CounterAnswer, len(processes))
+	for i, p := range processes {
+		answers[i].Counters = []operator.Counter{
+			{Name: "bramleymast_control_refused_total", Reason: "unauthentic", Value: float64(p.Port())},
+			{Name: "bramleymast_control_refused_total", Reason: "malformed"},
+			{Name: "bramleymast_agent_retries_total", Reason: fmt.Sprintf("reason_%d", p.Port()), Value: 1},
+		}
+		for _, known := range s.processes {
+			if _, lags := s.lag[known.ID]; lags && known.Control == p {
+				answers[i] = operator.CounterAnswer{Err: context.DeadlineExceeded}
+			}
+		}
+	}
+	return answers
+}
+
 func (s *session) fleet() {
 	s.processes = []operator.Process{{Kind: operator.KindBalancer, ID: "lb-1", Zone: "zone-a", State: "serving", Member: true, InService: true}}
 	for _, id := range []string{"orders-a1", "orders-a2", "orders-b1"} {
@@ -135,6 +153,9 @@
 			Kind: operator.KindAgent, ID: id, Zone: "zone-" + id[7:8], Service: "orders", State: "ready", Member: true, InService: true,
 		})
 	}
+	for i := range s.processes {
+		s.processes[i].Control = netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(1<<i))
+	}
 }
 
 // cutOff is a store that loses every answer after the first write to the configuration was sent.
--- a/internal/cmd/status.go
+++ b/internal/cmd/status.go
@@ -14,18 +14,24 @@
 // status is "status".
 type status struct {
 	operatorOptions
+	counters bool
+	process  string
 }
 
 func (c *status) declare() *flaggy.Subcommand {
 	sc := flaggy.NewSubcommand("status")
 	sc.Description = "shows services, availability zones, balancers and agents"
+	sc.Bool(&c.counters, "c", "counters", "show the counters with a reason, summed over the balancers and agents")
+	sc.String(&c.process, "p", "process", "id of the only process whose counters are shown")
 	c.operatorOptions.declare(sc)
 	sc.AdditionalHelpAppend = `
 Examples:
   bramleymast status
   bramleymast status --output json
+  bramleymast status --counters
+  bramleymast status --counters --process orders-a1
 
-Exit codes: 0 everything was read, 1 the store or the balancers did not answer; what is known is shown.`
+Exit codes: 0 everything was read, 1 the store or a process did not answer; what is known is shown.`
 	return sc
 }
 
@@ -69,6 +75,9 @@
 func (c *status) run(ctx context.Context, e environment) int {
 	var l finding.List
 	c.check(&l)
+	if c.process != "" && !c.counters {
+		l.Addf("--process", "--process with --counters", "is given without --counters")
+	}
 	if e.badInput(l) {
 		return ExitBadInput
 	}
@@ -76,6 +85,9 @@
 	if !ok {
 		return ExitBadInput
 	}
+	if c.counters {
+		return c.runCounters(ctx, e, op)
+	}
 	v := op.Overview(ctx)
 	if c.json() {
 		e.json(newStatus(v))
@@ -145,7 +157,7 @@
 func (e environment) known(ks []operator.Known) {
 	e.printf("The store cannot be read. A balancer has applied:\n")
 	rows := make([][]string, 0, len(ks)+1)
-	rows = append(rows, []string{"KIND", "NAME", revisionHeader, stateHeader, authorHeader, "REASON"})
+	rows = append(rows, []string{"KIND", "NAME", revisionHeader, stateHeader, authorHeader, reasonHeader})
 	for _, k := range ks {
 		state := none
 		if k.Kind != "contract" {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -200,8 +200,11 @@
 	return req, nil
 }
 
-// StatusArgs is the argument of Control.Status.
-type StatusArgs struct{}
+// StatusArgs is the argument of Control.Status. RefusalsOnly leaves out the members and records, which at the
+// design size are some megabytes for each balancer.
+type StatusArgs struct {
+	RefusalsOnly bool
+}
 
 // StatusReply is what a process tells operators.
 type StatusReply struct {
@@ -277,16 +280,20 @@
 }
 
 // Status tells what the process knows.
-func (s *service) Status(_ StatusArgs, reply *StatusReply) error {
+func (s *service) Status(args StatusArgs, reply *StatusReply) error {
 	cfg := &s.p.cfg
 	*reply = StatusReply{
 		ID: cfg.ID, Kind: board.KindBalancer.String(), Zone: cfg.Zone, Service: cfg.Service, Incarnation: cfg.Incarnation,
 		Synchronised: s.p.Synchronised(), Relay: s.p.holding.Load(),
-		Records: configStatus(cfg.Board), Refusals: refusals(cfg.Registerer),
+		Refusals: refusals(cfg.Registerer),
 	}
 	if cfg.Service != "" {
 		reply.Kind = board.KindAgent.String()
 	}
+	if args.RefusalsOnly {
+		return nil
+	}
+	reply.Records = configStatus(cfg.Board)
 	for _, r := range cfg.Board.Records(board.KindBalancer, board.KindAgent) {
 		reply.Members = append(reply.Members, memberStatus(r))
 	}
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -209,6 +209,8 @@
 	return answers
 }
 
+func (s *fakeStatus) Counters(context.Context, []netip.AddrPort) []operator.CounterAnswer { return nil }
+
 // clock is a clock that moves only when an operator pauses.
 type clock struct{ now time.Time }
 
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -35,7 +35,7 @@
 	Member bool
 	// InService reports whether it takes new flows unless operators have taken it or its zone out.
 	InService bool
-	// Control is the address of a balancer's net/rpc services.
+	// Control is the address of the net/rpc services of the process.
 	Control netip.AddrPort
 }
 
@@ -54,6 +54,9 @@
 	// Progress asks all the balancers at once for what each, and the agents for which it is a home, have applied of
 	// a configuration key; the answers are in the order of the balancers.
 	Progress(ctx context.Context, balancers []netip.AddrPort, key string) []Answer
+	// Counters asks processes at their control addresses for their counters with a reason; the answers are in the
+	// order of the processes.
+	Counters(ctx context.Context, processes []netip.AddrPort) []CounterAnswer
 }
 
 // Known is a contract or a state that a balancer has applied.
--- a/internal/statusclient/statusclient.go
+++ b/internal/statusclient/statusclient.go
@@ -24,6 +24,9 @@
 // callTime bounds one question, so that a silent balancer does not hold up the others.
 const callTime = 3 * time.Second
 
+// statusMethod is the net/rpc method that every balancer and agent answers.
+const statusMethod = "Control.Status"
+
 // Client asks the balancers of the operator settings.
 type Client struct {
 	balancers []netip.AddrPort
@@ -67,7 +70,7 @@
 	last := error(operator.ErrNoStatus)
 	for _, b := range c.balancers {
 		var reply control.StatusReply
-		if last = c.call(ctx, b, "Control.Status", control.StatusArgs{}, &reply); last == nil {
+		if last = c.call(ctx, b, statusMethod, control.StatusArgs{}, &reply); last == nil {
 			return reply, nil
 		}
 	}
@@ -76,21 +79,45 @@
 
 // Progress asks all the balancers at once what they have applied of a configuration key.
 func (c *Client) Progress(ctx context.Context, balancers []netip.AddrPort, key string) []operator.Answer {
-	answers := make([]operator.Answer, len(balancers))
+	return askAll(balancers, func(b netip.AddrPort, err error) operator.Answer {
+		if err != nil {
+			return operator.Answer{Err: err}
+		}
+		return c.applied(ctx, b, key)
+	})
+}
+
+// Counters asks processes for their counters with a reason.
+func (c *Client) Counters(ctx context.Context, processes []netip.AddrPort) []operator.CounterAnswer {
+	return askAll(processes, func(p netip.AddrPort, err error) operator.CounterAnswer {
+		if err != nil {
+			return operator.CounterAnswer{Err: err}
+		}
+		return c.counters(ctx, p)
+	})
+}
+
+// askAll asks concurrentCalls processes at a time; the answers are in their order.
+// A process that cannot be asked is given to ask with the reason.
+func askAll[A any](processes []netip.AddrPort, ask func(p netip.AddrPort, err error) A) []A {
+	answers := make([]A, len(processes))
 	pool, err := ants.NewPool(concurrentCalls)
 	if err != nil {
-		return failed(answers, err)
+		for i, p := range processes {
+			answers[i] = ask(p, err)
+		}
+		return answers
 	}
 	defer pool.Release()
 	var wg sync.WaitGroup
-	for i, b := range balancers {
+	for i, p := range processes {
 		wg.Add(1)
 		err := pool.Submit(func() {
 			defer wg.Done()
-			answers[i] = c.applied(ctx, b, key)
+			answers[i] = ask(p, nil)
 		})
 		if err != nil {
-			answers[i].Err = err
+			answers[i] = ask(p, err)
 			wg.Done()
 		}
 	}
@@ -98,11 +125,16 @@
 	return answers
 }
 
-func failed(answers []operator.Answer, err error) []operator.Answer {
-	for i := range answers {
-		answers[i].Err = err
+func (c *Client) counters(ctx context.Context, process netip.AddrPort) operator.CounterAnswer {
+	var reply control.StatusReply
+	if err := c.call(ctx, process, statusMethod, control.StatusArgs{RefusalsOnly: true}, &reply); err != nil {
+		return operator.CounterAnswer{Err: err}
 	}
-	return answers
+	a := operator.CounterAnswer{Counters: make([]operator.Counter, 0, len(reply.Refusals))}
+	for _, n := range reply.Refusals {
+		a.Counters = append(a.Counters, operator.Counter(n))
+	}
+	return a
 }
 
 func (c *Client) applied(ctx context.Context, balancer netip.AddrPort, key string) operator.Answer {
