--- a/internal/cmd/session_test.go
+++ b/internal/cmd/session_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/bramleymast/bramleymast/internal/configvalue"
 	"github.com/bramleymast/bramleymast/internal/operator"
 	"github.com/bramleymast/bramleymast/internal/settings"
 	standin "github.com/bramleymast/bramleymast/internal/standin/store"
@@ -127,6 +128,24 @@
 	return answers
 }
 
+// Counters gives each process its control port as a count; the processes that lag do not answer.
+func (s *session) Counters(_ context.Context, processes []netip.AddrPort) []operator.CounterAnswer {
+	answers := make([]operator.CounterAnswer, len(processes))
+	for i, p := range processes {
+		answers[i].Counters = []operator.Counter{
+			{Name: "bramleymast_control_refused_total", Reason: "unauthentic", Value: float64(p.Port())},
+			{Name: "bramleymast_control_refused_total", Reason: "malformed"},
+			{Name: "bramleymast_agent_retries_total", Reason: fmt.Sprintf("reason_%d", p.Port()), Value: 1},
+		}
+		for _, known := range s.processes {
+			if _, lags := s.lag[known.ID]; lags && known.Control == p {
+				answers[i] = operator.CounterAnswer{Err: context.DeadlineExceeded}
+			}
+		}
+	}
+	return answers
+}
+
 func (s *session) fleet() {
 	s.processes = []operator.Process{{Kind: operator.KindBalancer, ID: "lb-1", Zone: "zone-a", State: "serving", Member: true, InService: true}}
 	for _, id := range []string{"orders-a1", "orders-a2", "orders-b1"} {
@@ -134,15 +153,21 @@
 			Kind: operator.KindAgent, ID: id, Zone: "zone-" + id[7:8], Service: "orders", State: "ready", Member: true, InService: true,
 		})
 	}
+	for i := range s.processes {
+		s.processes[i].Control = netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(1<<i))
+	}
 }
 
-// cutOff is a store that loses every answer after the first write was sent.
+// cutOff is a store that loses every answer after the first write to the configuration was sent.
 type cutOff struct {
 	store.Store
 	sent bool
 }
 
-func (c *cutOff) Swap(context.Context, string, []byte, store.Revision, store.LeaseID) (store.Revision, error) {
+func (c *cutOff) Swap(ctx context.Context, key string, value []byte, expected store.Revision, lease store.LeaseID) (store.Revision, error) {
+	if !strings.HasPrefix(key, configvalue.Prefix) {
+		return c.Store.Swap(ctx, key, value, expected, lease)
+	}
 	c.sent = true
 	return 0, store.ErrUnknownOutcome
 }
