fix: end a call to a paused process at the deadline of its caller

Cause: control.Dial bounded the exchange of nonces by 3 s only and not by its context. A stopped process still accepts TCP connections, so an agent that asked a stopped issuer for the outcome of an order answered after 3 s although the deadline of the request was 2 s, and a caller with a timeout of 2.5 s never got its "unknown". Ruled out: steering to the stopped agent; the retry reached the other agent, whose backend server saw nothing. Change: the end of the context closes the connection during the exchange.

--- a/internal/control/sealed.go
+++ b/internal/control/sealed.go
@@ -144,7 +144,12 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "cannot reach %s", to)
 	}
+	// A paused process accepts connections without answering, and the caller may have less time than handshakeTime.
+	stop := context.AfterFunc(ctx, func() { c.Close() })
 	s, err := newSealedConn(c, shared, true)
+	if !stop() {
+		return nil, errors.Annotatef(ctx.Err(), "cannot open a sealed connection to %s", to)
+	}
 	if err != nil {
 		c.Close()
 		return nil, errors.Annotatef(err, "cannot open a sealed connection to %s", to)
