feat: prove at most once with agents that are killed, restarted, stopped and continued

Change: the script at_most_once runs real processes. The sample backend server holds the answer of an order after it has executed it (hold with 0 bytes); the caller repeats the order with the same ticket and key on new flows. The agent that issued the ticket is killed and restarted twice, then stopped by SIGSTOP until its caller has given up and continued, twice: once with the answer of the backend server waiting for it, once without. Ruled out: ending the agents gracefully; a flow whose caller left while its agent was stopped ends by the idle timeout of 30 s only, which made the script last 39 s, so they are killed at the end.

--- a/internal/standin/backend/hold.go
+++ b/internal/standin/backend/hold.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 )
 
-// hold stops downloads at a number of bytes; the zero value stops none.
+// hold stops downloads at a number of bytes, and writes at 0 bytes; the zero value stops none.
 type hold struct {
 	mu       sync.Mutex
 	after    int64
@@ -46,7 +46,7 @@
 	h.count += n
 }
 
-// wait blocks a download that has sent enough bytes until it is released or cancelled.
+// wait blocks a response that has sent enough bytes until it is released or cancelled.
 func (h *hold) wait(ctx context.Context, sent int64, f *http.ResponseController) error {
 	h.mu.Lock()
 	released, after := h.released, h.after
@@ -54,8 +54,10 @@
 	if released == nil || sent < after {
 		return nil
 	}
-	if err := f.Flush(); err != nil {
-		return errors.Trace(err)
+	if sent > 0 {
+		if err := f.Flush(); err != nil {
+			return errors.Trace(err)
+		}
 	}
 	h.add(1)
 	defer h.add(-1)
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -191,6 +191,7 @@
 }
 
 // Hold makes downloads stop after so many bytes until Release, so that a test can act in the middle of one.
+// With 0 bytes, the answers of writes wait too, after the write took effect.
 func (s *Server) Hold(bytes int64) { s.hold.set(bytes) }
 
 // Release lets held downloads go on.
@@ -282,6 +283,9 @@
 		return err
 	}
 	s.gate.executed(o.ID)
+	if err := s.hold.wait(r.Context(), 0, nil); err != nil {
+		return err
+	}
 	if err := sleep(r.Context(), serviceTime/2); err != nil {
 		return err
 	}
--- a/main_test.go
+++ b/main_test.go
@@ -41,15 +41,22 @@
 		RequireExplicitExec: true,
 		Setup:               setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"expand":    expand,
-			"waitfor":   waitFor,
-			"exits":     exits,
-			"sigterm":   sigterm,
-			"helps":     helps,
-			"until":     until,
-			"put":       put,
-			"waitmatch": waitMatch,
-			"waitheld":  waitHeld,
+			"expand":     expand,
+			"waitfor":    waitFor,
+			"exits":      exits,
+			"sigterm":    sigterm,
+			"helps":      helps,
+			"until":      until,
+			"put":        put,
+			"waitmatch":  waitMatch,
+			"waitheld":   waitHeld,
+			"sigstop":    sigstop,
+			"sigcont":    sigcont,
+			"holder":     holder,
+			"beginorder": beginOrder,
+			"endorder":   endOrder,
+			"retryorder": retryOrder,
+			"atmostonce": atMostOnce,
 		},
 	})
 }
@@ -72,6 +79,7 @@
 		return err
 	}
 	e.Setenv("PAGES", pages)
+	e.Values[ordersKey{}] = &orders{outcomes: make(map[string][]string), running: make(map[string]chan struct{})}
 	key := make([]byte, 32)
 	_, _ = rand.Read(key)
 	if err := os.WriteFile(e.Cd+"/shared.key", []byte(hex.EncodeToString(key)+"\n"), 0o600); err != nil {
