fix: record a flow as broken when its end is noticed after the failed request

A test run timed out in TestBrokenFlowIsRecordedWithItsReason: the request's stream failed before the connection was seen to end, so its end looked like one without a request in progress and was not recorded. The caller now remembers the failed request.

--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -23,11 +23,11 @@
 	assert.Equal(t, sr.Lost, 1)
 	assert.Equal(t, sr.Doubled, 1)
 	assert.Equal(t, sr.RanAfterRefusal, 1)
-	sr.FlowsBrokenPlanned, sr.ColdOverload, sr.DrainedLate = 1, 1, 1
+	sr.FlowsBrokenPlanned, sr.ColdOverload, sr.OverSlots, sr.DrainedLate = 1, 1, 2, 1
 	rep := Report{Services: []ServiceReport{sr}, LateChanges: []string{"zone a is not in force at b-1"}}
 	rep.ZonePacketsAfter = 1
 	rep.judge()
-	for _, p := range []string{"promise 1:", "promise 3:", "promise 4:", "promise 5:", "promise 6:", "promise 7:", "promise 8:", "promise 10:"} {
+	for _, p := range []string{"promise 1:", "promise 3:", "promise 4:", "promise 5:", "promise 6:", "promise 7:", "promise 8:", "promise 10:", "limit of slots:"} {
 		assert.Assert(t, strings.Contains(strings.Join(rep.BrokenPromises, "\n"), p), p)
 	}
 	kept := Report{Services: []ServiceReport{{Figures: Figures{Answered: 1}}}}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/bramleymast/bramleymast/internal/standin/backend"
 	"github.com/bramleymast/bramleymast/internal/standin/caller"
 )
 
@@ -28,12 +29,13 @@
 	// Lost counts writes that were answered and never executed, and answers with wrong or missing bytes.
 	Lost int `json:"lost"`
 	// Doubled counts writes that were executed more than once.
-	Doubled            int     `json:"doubled"`
-	FlowsBrokenPlanned int     `json:"flows_broken_planned"`
-	FlowsGivenUp       int     `json:"flows_given_up"`
-	Imbalance          float64 `json:"imbalance"`
-	ZonePacketsAfter   uint64  `json:"zone_packets_after_out"`
-	ColdOverload       int     `json:"cold_overload"`
+	Doubled            int `json:"doubled"`
+	FlowsBrokenPlanned int `json:"flows_broken_planned"`
+	FlowsGivenUp       int `json:"flows_given_up"`
+	// Imbalance is the time for which slots of the busiest backend server were in use, relative to the mean.
+	Imbalance        float64 `json:"imbalance"`
+	ZonePacketsAfter uint64  `json:"zone_packets_after_out"`
+	ColdOverload     int     `json:"cold_overload"`
 }
 
 // ServiceReport is the figures of one customer service.
@@ -49,6 +51,8 @@
 	OverSlots    int            `json:"over_slots"`
 	Reasons      map[string]int `json:"reasons"`
 	Breaks       []caller.Break `json:"breaks"`
+	// RequestImbalance is the number of requests of the backend server with most of them, relative to the mean.
+	RequestImbalance float64 `json:"request_imbalance"`
 	// DrainedLate counts requests that arrived at a backend server a few seconds after it was taken out.
 	DrainedLate int `json:"drained_late"`
 	// ZoneAnswered is the share answered of the requests that began while the zone left and returned and did not end with it.
@@ -102,9 +106,10 @@
 func (r *run) service(s Service, c caller.Report) ServiceReport {
 	sr := ServiceReport{
 		Service: s.name(), Flows: c.FlowsOpened, Downloads: c.Downloads, Reasons: c.Reasons, Breaks: c.Breaks,
+		RequestImbalance: r.imbalance(s, requestsOf),
 		Figures: Figures{
 			Requests: c.Requests, Answered: c.Answered, RefusedNotRun: c.NotRun, UnknownOutcome: c.Unknown,
-			Lost: c.Corrupt, Imbalance: r.imbalance(s),
+			Lost: c.Corrupt, Imbalance: r.imbalance(s, busyOf),
 		},
 	}
 	executed := make(map[string]int)
@@ -222,12 +227,12 @@
 	return ""
 }
 
-// imbalance is the largest share of requests of a backend server in steady state, relative to the mean.
-func (r *run) imbalance(s Service) float64 {
-	largest, sum := 0, 0
+// imbalance is the largest load of a backend server in steady state, relative to the mean.
+func (r *run) imbalance(s Service, load func(c backend.Counts) float64) float64 {
+	largest, sum := 0.0, 0.0
 	for _, h := range r.world.hosts {
 		if h.service.Kind == s.Kind {
-			n := r.steadyTo[h.id] - r.steadyFrom[h.id]
+			n := load(r.steadyTo[h.id]) - load(r.steadyFrom[h.id])
 			largest = max(largest, n)
 			sum += n
 		}
@@ -235,9 +240,13 @@
 	if sum == 0 {
 		return 0
 	}
-	return float64(largest) * float64(s.Servers) / float64(sum)
+	return largest * float64(s.Servers) / sum
 }
 
+func busyOf(c backend.Counts) float64 { return c.Busy.Seconds() }
+
+func requestsOf(c backend.Counts) float64 { return float64(c.Requests) }
+
 // judge notes the promises that the figures show to be broken.
 func (rep *Report) judge() {
 	broken := func(is bool, format string, args ...any) {
@@ -248,6 +257,7 @@
 	for _, s := range rep.Services {
 		broken(s.FlowsBrokenPlanned > 0, "promise 1: %d flows of %s were broken by planned changes", s.FlowsBrokenPlanned, s.Service)
 		broken(s.ColdOverload > 0, "promise 3: %d requests of %s went to a full backend server in cold start", s.ColdOverload, s.Service)
+		broken(s.OverSlots > s.ColdOverload, "limit of slots: %d requests of %s went to a full backend server", s.OverSlots-s.ColdOverload, s.Service)
 		broken(s.Lost > 0, "promise 5: %d requests of %s were lost", s.Lost, s.Service)
 		broken(s.RanAfterRefusal > 0, "promise 6: %d requests of %s ran after they were refused as not run", s.RanAfterRefusal, s.Service)
 		broken(s.Doubled > 0, "promise 7: %d writes of %s were executed more than once", s.Doubled, s.Service)
@@ -281,7 +291,9 @@
 	row("flows broken by planned changes", func(s ServiceReport) any { return s.FlowsBrokenPlanned })
 	row("flows given up with the zone", func(s ServiceReport) any { return s.FlowsGivenUp })
 	row("downloads complete", func(s ServiceReport) any { return s.Downloads })
-	row("imbalance (max/mean)", func(s ServiceReport) any { return fmt.Sprintf("%.2f", s.Imbalance) })
+	row("imbalance (max/mean) of requests", func(s ServiceReport) any { return fmt.Sprintf("%.2f", s.RequestImbalance) })
+	row("imbalance (max/mean) of slots in use", func(s ServiceReport) any { return fmt.Sprintf("%.2f", s.Imbalance) })
+	row("requests over a server's slots", func(s ServiceReport) any { return s.OverSlots })
 	row("overload while cold", func(s ServiceReport) any { return s.ColdOverload })
 	row("requests to a server that was leaving", func(s ServiceReport) any { return s.DrainedLate })
 	row("answered while the zone left and returned", func(s ServiceReport) any { return fmt.Sprintf("%.2f%%", 100*s.ZoneAnswered) })
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"github.com/bramleymast/bramleymast/internal/rungroup"
+	"github.com/bramleymast/bramleymast/internal/standin/backend"
 	"github.com/bramleymast/bramleymast/internal/standin/caller"
 )
 
@@ -63,8 +64,8 @@
 	world   *world
 	started time.Time
 	tallies []*caller.Tally
-	// steadyFrom and steadyTo hold the requests of each backend server around the steady state.
-	steadyFrom, steadyTo map[string]int
+	// steadyFrom and steadyTo hold the counts of each backend server around the steady state.
+	steadyFrom, steadyTo map[string]backend.Counts
 	// steadySince and steadyUntil are the times at which they were counted.
 	steadySince, steadyUntil time.Time
 }
@@ -158,13 +159,13 @@
 	if err := pause(ctx, warmUp); err != nil {
 		return err
 	}
-	r.steadyFrom, r.steadySince = r.world.requests(), time.Now()
+	r.steadyFrom, r.steadySince = r.world.counts(), time.Now()
 	for _, s := range r.opts.Experiment.timeline(r.opts.Duration) {
 		if err := pause(ctx, time.Until(begin.Add(s.offset(r.opts.Duration)))); err != nil {
 			return err
 		}
 		if _, ok := s.Action.(DrainBackend); ok && r.steadyTo == nil {
-			r.steadyTo, r.steadyUntil = r.world.requests(), time.Now()
+			r.steadyTo, r.steadyUntil = r.world.counts(), time.Now()
 		}
 		r.say("%s", s.Action)
 		if err := s.Action.apply(ctx, r.world); err != nil {
@@ -175,7 +176,7 @@
 		return err
 	}
 	if r.steadyTo == nil {
-		r.steadyTo, r.steadyUntil = r.world.requests(), time.Now()
+		r.steadyTo, r.steadyUntil = r.world.counts(), time.Now()
 	}
 	return nil
 }
@@ -196,11 +197,11 @@
 	}
 }
 
-// requests returns how many requests each backend server has counted.
-func (w *world) requests() map[string]int {
-	counts := make(map[string]int, len(w.hosts))
+// counts returns what each backend server has counted.
+func (w *world) counts() map[string]backend.Counts {
+	counts := make(map[string]backend.Counts, len(w.hosts))
 	for _, h := range w.hosts {
-		counts[h.id] = h.backend.Counts().Requests
+		counts[h.id] = h.backend.Counts()
 	}
 	return counts
 }
--- a/internal/standin/backend/admission.go
+++ b/internal/standin/backend/admission.go
@@ -19,6 +19,8 @@
 	// ColdOverload counts the requests that arrived in cold start when the server was at its lower limit.
 	ColdOverload int `json:"cold_overload"`
 	Restarts     int `json:"restarts"`
+	// Busy is the time for which slots were in use, added up over the slots.
+	Busy time.Duration `json:"busy_ns"`
 	// Held is how many downloads are held at this moment.
 	Held int `json:"held"`
 	// Executed is how often each write took effect, by its order id.
@@ -34,7 +36,15 @@
 	coldSince  time.Time
 	cold       bool
 	inProgress int
-	counts     Counts
+	// since is until when the time in use was added up.
+	since  time.Time
+	counts Counts
+}
+
+// addBusy adds up the time in use; the caller holds the lock.
+func (g *gate) addBusy(now time.Time) {
+	g.counts.Busy += time.Duration(g.inProgress) * now.Sub(g.since)
+	g.since = now
 }
 
 // limit returns how many requests the server bears at a time; the caller holds the lock.
@@ -75,6 +85,7 @@
 		}
 		return false, g.cold
 	}
+	g.addBusy(now)
 	g.inProgress++
 	g.counts.Peak = max(g.counts.Peak, g.inProgress)
 	if g.cold {
@@ -92,9 +103,10 @@
 	endLate
 )
 
-func (g *gate) leave(e end) {
+func (g *gate) leave(now time.Time, e end) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.addBusy(now)
 	g.inProgress--
 	switch e {
 	case endAnswered:
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -94,6 +94,7 @@
 func (s *Server) Counts() Counts {
 	s.gate.mu.Lock()
 	defer s.gate.mu.Unlock()
+	s.gate.addBusy(time.Now())
 	c := s.gate.counts
 	c.Held = s.hold.waiting()
 	c.Executed = maps.Clone(c.Executed)
@@ -223,7 +224,7 @@
 		ctx, cancel := withDeadline(r)
 		defer cancel()
 		err := h(w, r.WithContext(ctx), serviceTime)
-		s.gate.leave(s.endOf(w, r, err))
+		s.gate.leave(time.Now(), s.endOf(w, r, err))
 	})
 }
 
--- a/internal/standin/caller/attempt.go
+++ b/internal/standin/caller/attempt.go
@@ -93,7 +93,7 @@
 
 // noteEnd records a flow that has broken, once.
 func (c *Caller) noteEnd(requestInProgress bool) {
-	cause := c.session.brokenBy(requestInProgress)
+	cause := c.session.brokenBy(requestInProgress || c.session.failed)
 	if cause == nil || c.session.broken {
 		return
 	}
@@ -159,6 +159,7 @@
 	if ctx.Err() != nil {
 		return result{outcome: Unknown, reason: "no response in time"}
 	}
+	c.session.failed = true
 	return result{outcome: Unknown, reason: "request failed: " + errors.Cause(err).Error()}
 }
 
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -175,7 +175,11 @@
 	done := make(chan caller.Outcome, 1)
 	go func() { done <- c.Read(ctx, "2") }()
 	for len(s.tally.Report().Breaks) == 0 {
-		time.Sleep(time.Millisecond)
+		select {
+		case <-done:
+			t.Fatal("the request has ended and no broken flow was recorded")
+		case <-time.After(time.Millisecond):
+		}
 	}
 	cancel()
 	assert.Equal(t, <-done, caller.NotRun)
--- a/internal/standin/caller/session.go
+++ b/internal/standin/caller/session.go
@@ -31,6 +31,8 @@
 	client    *http3.ClientConn
 	// server is the backend server that answered last.
 	server string
+	// failed is whether a request got no response while the connection seemed open: its end may be noticed later.
+	failed bool
 	// broken is whether the flow was recorded as broken.
 	broken bool
 }
