--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -227,7 +227,8 @@
 	return ""
 }
 
-// imbalance is the largest load of a backend server in steady state, relative to the mean.
+// imbalance is the largest load of a backend server in steady state, relative to the mean. The load that the design
+// balances is the time for which slots were in use: a count of requests weighs a read of 10 ms like a long download.
 func (r *run) imbalance(s Service, load func(c backend.Counts) float64) float64 {
 	largest, sum := 0.0, 0.0
 	for _, h := range r.world.hosts {
--- a/internal/standin/backend/admission.go
+++ b/internal/standin/backend/admission.go
@@ -19,7 +19,7 @@
 	// ColdOverload counts the requests that arrived in cold start when the server was at its lower limit.
 	ColdOverload int `json:"cold_overload"`
 	Restarts     int `json:"restarts"`
-	// Busy is the time for which slots were in use, added up over the slots.
+	// Busy is the time that requests were in progress, added up over the requests.
 	Busy time.Duration `json:"busy_ns"`
 	// Held is how many downloads are held at this moment.
 	Held int `json:"held"`
@@ -36,15 +36,15 @@
 	coldSince  time.Time
 	cold       bool
 	inProgress int
-	// since is until when the time in use was added up.
-	since  time.Time
-	counts Counts
+	// changed is when inProgress changed last.
+	changed time.Time
+	counts  Counts
 }
 
-// addBusy adds up the time in use; the caller holds the lock.
-func (g *gate) addBusy(now time.Time) {
-	g.counts.Busy += time.Duration(g.inProgress) * now.Sub(g.since)
-	g.since = now
+// advance adds the time since the last change to Busy; the caller holds the lock.
+func (g *gate) advance(now time.Time) {
+	g.counts.Busy += time.Duration(g.inProgress) * now.Sub(g.changed)
+	g.changed = now
 }
 
 // limit returns how many requests the server bears at a time; the caller holds the lock.
@@ -85,7 +85,7 @@
 		}
 		return false, g.cold
 	}
-	g.addBusy(now)
+	g.advance(now)
 	g.inProgress++
 	g.counts.Peak = max(g.counts.Peak, g.inProgress)
 	if g.cold {
@@ -106,7 +106,7 @@
 func (g *gate) leave(now time.Time, e end) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.addBusy(now)
+	g.advance(now)
 	g.inProgress--
 	switch e {
 	case endAnswered:
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -94,7 +94,7 @@
 func (s *Server) Counts() Counts {
 	s.gate.mu.Lock()
 	defer s.gate.mu.Unlock()
-	s.gate.addBusy(time.Now())
+	s.gate.advance(time.Now())
 	c := s.gate.counts
 	c.Held = s.hold.waiting()
 	c.Executed = maps.Clone(c.Executed)
