feat: give a flow that all agents decline to the least loaded one

Cause: in the demo's first seconds all flows open at once.

Ruled out: counting flows without a request as load, which the bound by ratio already does at a start; reporting loads at each accepted flow, which breaks the control budget at 15 new flows a second for each agent.

Change: an agent that declines notes its exact load in the datagram if it is the lowest; when all have declined the packet goes to that agent as settled, and its redirect entry does the same for later packets of the flow.

Flows that change their load after they opened need a way to move requests.

--- a/internal/agent/steering.go
+++ b/internal/agent/steering.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -34,14 +35,19 @@
 	action action
 	next   *flow.Member
 	// up is true when the packet goes to a higher-ranked member before this agent has decided on its flow.
-	up     bool
-	reason error
+	up bool
+	// settled is true when the packet goes to the agent that takes the flow without a further decision.
+	settled bool
+	reason  error
 }
 
 // hop notes in the tried list that an agent passes the packet on, and reports whether there was room.
 // A packet that goes up leaves an entry that names no agent: it counts as a hop, and the agent can still be
 // chosen when the higher-ranked member has no room.
 func (v verdict) hop(self flow.ShortID, tried *flow.Tried) bool {
+	if v.settled {
+		return true
+	}
 	if v.up {
 		return tried.Add(0)
 	}
@@ -90,8 +96,11 @@
 
 // decideOpening decides on an opening packet of an unknown flow.
 func (s *steering) decideOpening(now time.Time, d *wire.Datagram, at situation, first uint64) verdict {
-	if m := s.redirected(now, d, at.view); m != nil {
-		return verdict{action: actionPass, next: m}
+	if d.Settled {
+		return s.acceptSettled(now, d, at, first)
+	}
+	if v, ok := s.redirected(now, d, at.view); ok {
+		return v
 	}
 	if !at.opens {
 		return s.pass(d, at.view, true)
@@ -104,29 +113,73 @@
 	if at.room && s.placer.Accepts(now, at.load, at.view, s.self) {
 		return s.accept(now, d, first)
 	}
+	s.decline(now, d, at)
 	tried = d.Tried
 	if tried.Add(s.self) {
 		if m := s.placer.Next(now, at.load, at.view, s.self, hash, tried); m != nil {
-			s.redirects.put(now, d.Caller, m.Short())
+			s.redirects.put(now, d.Caller, m.Short(), false)
 			return verdict{action: actionPass, next: m}
 		}
 	}
+	return s.settle(now, d, at, first)
+}
+
+// decline notes the own load in the datagram if it is the lowest so far, and learns the lowest of the others.
+func (s *steering) decline(now time.Time, d *wire.Datagram, at situation) {
+	least := loadOf(d.LeastLoad)
+	if d.Least != 0 {
+		s.placer.Learn(now, d.Least, least)
+	}
+	if at.room && (d.Least == 0 || at.load.Relative() < least.Relative()) {
+		d.Least = s.self
+		d.LeastLoad = wireLoad(at.load)
+	}
+}
+
+// settle gives a flow that every agent has declined to the least loaded one. The loads that co-members report are
+// up to 500 ms old, so after a burst of flows the last agent of the ranking can be the fullest.
+func (s *steering) settle(now time.Time, d *wire.Datagram, at situation, first uint64) verdict {
+	if m, ok := at.view.Member(d.Least); ok && d.Least != s.self && m.Opens() {
+		s.redirects.put(now, d.Caller, d.Least, true)
+		d.Settled = true
+		return verdict{action: actionPass, next: m, settled: true}
+	}
 	if at.room {
 		return s.accept(now, d, first)
 	}
 	return verdict{action: actionDrop, reason: errNoCapacity}
 }
 
-// redirected returns the member to which earlier opening packets of the flow went.
-func (s *steering) redirected(now time.Time, d *wire.Datagram, v *flow.View) *flow.Member {
-	id, ok := s.redirects.get(now, d.Caller)
-	if !ok || d.Tried.Has(id) {
-		return nil
+// acceptSettled takes a flow that the agent had declined before, because all others are more loaded.
+func (s *steering) acceptSettled(now time.Time, d *wire.Datagram, at situation, first uint64) verdict {
+	if at.opens && at.room {
+		return s.accept(now, d, first)
 	}
-	if m, ok := v.Member(id); ok && m.Opens() {
-		return m
+	return verdict{action: actionDrop, reason: errNoCapacity}
+}
+
+func loadOf(l wire.Load) placement.Load {
+	return placement.Load{InProgress: uint32(l.InProgress), Flows: uint32(l.Flows), Slots: uint32(l.Slots)}
+}
+
+func wireLoad(l placement.Load) wire.Load {
+	return wire.Load{InProgress: clamp(l.InProgress), Flows: clamp(l.Flows), Slots: clamp(l.Slots)}
+}
+
+func clamp(n uint32) uint16 { return uint16(min(n, math.MaxUint16)) }
+
+// redirected returns where earlier opening packets of the flow went.
+func (s *steering) redirected(now time.Time, d *wire.Datagram, v *flow.View) (verdict, bool) {
+	r, ok := s.redirects.get(now, d.Caller)
+	if !ok || (d.Tried.Has(r.to) && !r.settled) {
+		return verdict{}, false
+	}
+	m, ok := v.Member(r.to)
+	if !ok || !m.Opens() {
+		return verdict{}, false
 	}
-	return nil
+	d.Settled = r.settled
+	return verdict{action: actionPass, next: m, settled: r.settled}, true
 }
 
 // higher returns the higher-ranked member that should decide on a flow first. After another agent has passed
@@ -142,7 +195,7 @@
 	if !s.placer.Fits(now, at.load, at.view, s.self, m.Short()) {
 		return nil
 	}
-	s.redirects.put(now, d.Caller, m.Short())
+	s.redirects.put(now, d.Caller, m.Short(), false)
 	return m
 }
 
@@ -183,6 +236,7 @@
 type redirect struct {
 	caller  netip.AddrPort
 	to      flow.ShortID
+	settled bool
 	expires time.Time
 }
 
@@ -194,17 +248,17 @@
 	next  int
 }
 
-func (t *redirectTable) get(now time.Time, caller netip.AddrPort) (flow.ShortID, bool) {
+func (t *redirectTable) get(now time.Time, caller netip.AddrPort) (redirect, bool) {
 	i, ok := t.index[caller]
 	if !ok || !now.Before(t.ring[i].expires) {
-		return 0, false
+		return redirect{}, false
 	}
-	return t.ring[i].to, true
+	return t.ring[i], true
 }
 
 // put stores an entry in place of the oldest one when the table is full.
-func (t *redirectTable) put(now time.Time, caller netip.AddrPort, to flow.ShortID) {
-	r := redirect{caller: caller, to: to, expires: now.Add(redirectLifetime)}
+func (t *redirectTable) put(now time.Time, caller netip.AddrPort, to flow.ShortID, settled bool) {
+	r := redirect{caller: caller, to: to, settled: settled, expires: now.Add(redirectLifetime)}
 	if t.index == nil {
 		t.index = make(map[netip.AddrPort]int)
 	}
--- a/internal/agent/steering_test.go
+++ b/internal/agent/steering_test.go
@@ -188,3 +188,32 @@
 	w = &ways{live: b[1:], lost: map[netip.AddrPort]struct{}{b[0]: {}}}
 	assert.Equal(t, via(time.Hour, w), b[1])
 }
+
+// Guards against a burst of flows that piles up at a few agents because reported loads are older than the burst.
+func TestBurstOfFlowsSpreadsEvenly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 7}).Draw(t, "agents")
+		c := newCluster(n)
+		members := c.view.Members()
+		for i := range members {
+			c.set(members[i].Short(), func(s *situation) { s.load.Slots = 7 })
+			for _, other := range c.agents {
+				other.placer.Learn(testStart, members[i].Short(), placement.Load{Slots: 7})
+			}
+		}
+		flows := rapid.IntRange(n, 5*n).Draw(t, "flows")
+		offset := rapid.IntRange(1, 60000).Draw(t, "first caller")
+		counts := make(map[flow.ShortID]int)
+		for i := range flows {
+			at := members[rapid.IntRange(0, n-1).Draw(t, "at")].Short()
+			owner, _ := c.send(testStart, at, callerNo(offset+i), initial(byte(i)))
+			assert.Assert(t, owner != 0)
+			counts[owner]++
+			c.set(owner, func(s *situation) { s.load.InProgress++ })
+		}
+		for i := range members {
+			got := counts[members[i].Short()]
+			assert.Assert(t, got <= flows/n+1 && got >= flows/n-1, "%d of %d flows at one of %d agents", got, flows, n)
+		}
+	})
+}
--- a/internal/wire/datagram.go
+++ b/internal/wire/datagram.go
@@ -25,8 +25,10 @@
 	tagSize    = 16
 	addrSize   = 16 + 2
 	// fixedHeader is the header without the tried list: magic, version and kind, service, sender, counter,
-	// caller, balancer, zone revision, owner, flags, number of tried agents, service address.
-	fixedHeader = 2 + 1 + 1 + 8 + 8 + 8 + addrSize + addrSize + 8 + 4 + 1 + 1 + addrSize
+	// caller, balancer, zone revision, owner, flags, number of tried agents, service address, least loaded agent.
+	fixedHeader = 2 + 1 + 1 + 8 + 8 + 8 + addrSize + addrSize + 8 + 4 + 1 + 1 + addrSize + leastSize
+	leastSize   = 4 + 2 + 2 + 2
+	leastAt     = fixedHeader - leastSize
 	// MaxDatagram is the largest encoded datagram.
 	MaxDatagram = fixedHeader + 4*flow.MaxTried + MaxPayload + tagSize
 )
@@ -48,7 +50,8 @@
 const (
 	flagOpening     = 1 << 0
 	flagEstablished = 1 << 1
-	knownFlags      = flagOpening | flagEstablished
+	flagSettled     = 1 << 2
+	knownFlags      = flagOpening | flagEstablished | flagSettled
 )
 
 // Datagram is one packet of a flow on its way between a balancer and agents.
@@ -70,6 +73,12 @@
 	Opening bool
 	// Established is true in a return datagram of a flow whose handshake is complete.
 	Established bool
+	// Settled is true when every agent has declined an opening packet and the addressed one is the least loaded.
+	Settled bool
+	// Least is the least loaded of the agents that have declined an opening packet; 0 means none.
+	Least flow.ShortID
+	// LeastLoad is the load of Least when it declined.
+	LeastLoad Load
 	// Tried lists the agents that have seen a forward datagram and do not own its flow.
 	Tried flow.Tried
 	// Payload is the caller's or the agent's packet; it aliases the buffer that was decoded.
@@ -94,6 +103,11 @@
 	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(b[16:18]))
 }
 
+// Load is the load of an agent.
+type Load struct {
+	InProgress, Flows, Slots uint16
+}
+
 func (d *Datagram) flags() byte {
 	var f byte
 	if d.Opening {
@@ -102,6 +116,9 @@
 	if d.Established {
 		f |= flagEstablished
 	}
+	if d.Settled {
+		f |= flagSettled
+	}
 	return f
 }
 
@@ -118,6 +135,10 @@
 	b = binary.BigEndian.AppendUint32(b, uint32(d.Owner))
 	b = append(b, d.flags(), byte(d.Tried.Len()))
 	b = appendAddr(b, d.Address)
+	b = binary.BigEndian.AppendUint32(b, uint32(d.Least))
+	b = binary.BigEndian.AppendUint16(b, d.LeastLoad.InProgress)
+	b = binary.BigEndian.AppendUint16(b, d.LeastLoad.Flows)
+	b = binary.BigEndian.AppendUint16(b, d.LeastLoad.Slots)
 	for _, id := range d.Tried.IDs() {
 		b = binary.BigEndian.AppendUint32(b, uint32(id))
 	}
@@ -146,6 +167,13 @@
 	d.Address = parseAddr(b[78:])
 	d.Opening = flags&flagOpening != 0
 	d.Established = flags&flagEstablished != 0
+	d.Settled = flags&flagSettled != 0
+	d.Least = flow.ShortID(binary.BigEndian.Uint32(b[leastAt:]))
+	d.LeastLoad = Load{
+		InProgress: binary.BigEndian.Uint16(b[leastAt+4:]),
+		Flows:      binary.BigEndian.Uint16(b[leastAt+6:]),
+		Slots:      binary.BigEndian.Uint16(b[leastAt+8:]),
+	}
 	d.Tried = flow.Tried{}
 	for i := range n {
 		d.Tried.Add(flow.ShortID(binary.BigEndian.Uint32(b[fixedHeader+4*i:])))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -41,7 +41,14 @@
 		Owner:        flow.ShortID(rapid.Uint32().Draw(t, "owner")),
 		Opening:      rapid.Bool().Draw(t, "opening"),
 		Established:  rapid.Bool().Draw(t, "established"),
-		Payload:      rapid.SliceOfN(rapid.Byte(), 0, wire.MaxPayload).Draw(t, "payload"),
+		Settled:      rapid.Bool().Draw(t, "settled"),
+		Least:        flow.ShortID(rapid.Uint32().Draw(t, "least")),
+		LeastLoad: wire.Load{
+			InProgress: rapid.Uint16().Draw(t, "in progress"),
+			Flows:      rapid.Uint16().Draw(t, "flows"),
+			Slots:      rapid.Uint16().Draw(t, "slots"),
+		},
+		Payload: rapid.SliceOfN(rapid.Byte(), 0, wire.MaxPayload).Draw(t, "payload"),
 	}
 	if rapid.Bool().Draw(t, "with address") {
 		d.Address = drawAddr(t, "address")
