feat: prove that a zone stays without requests behind a balancer that was stopped

Change: the script zone_out_paused stops a balancer, takes a zone out, and continues the balancer after 6 s, with the fabric sending packets to it all the time and, from then on, to it only. Half of the callers keep their flows. After 5 s, the time that the promise states, no request reaches the zone; 20 flows to the other zone are answered; the zone is used again after its return. Ruled out: callers with short flows only.

--- a/failure_test.go
+++ b/failure_test.go
@@ -5,7 +5,9 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
+	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -243,3 +245,123 @@
 		ts.Fatalf("order %s was executed although an answer said not_run: %v", key, o.outcomes[key])
 	}
 }
+
+// read asks for one entry of the order portal and needs an answer.
+func (f *callerFlow) read() error {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+f.address+"/batches/1", http.NoBody)
+	if err != nil {
+		return err
+	}
+	resp, err := f.client.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err = io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if o := resp.Header.Get("Bramleymast-Outcome"); o != "answered" || resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("outcome %s with status %d", o, resp.StatusCode)
+	}
+	return nil
+}
+
+const (
+	// readers is how many callers read in the background. Half of them keep their flows as long as they can.
+	readers = 8
+	// readsPerFlow makes the other half open flows all the time.
+	readsPerFlow = 20
+	// readPause keeps the load of one background caller below a slot.
+	readPause = 20 * time.Millisecond
+)
+
+// beginReads starts callers that read on flows of their own until the end of the script.
+func beginReads(ts *testscript.TestScript, _ bool, args []string) {
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range readers {
+		n := readsPerFlow
+		if i%2 == 0 {
+			n = math.MaxInt
+		}
+		wg.Go(func() {
+			for {
+				readOnFlow(ts, args[0], n, stop)
+				select {
+				case <-stop:
+					return
+				default:
+				}
+			}
+		})
+	}
+	ts.Defer(func() {
+		close(stop)
+		wg.Wait()
+	})
+}
+
+// readOnFlow opens a flow and reads on it n times or until it fails.
+func readOnFlow(ts *testscript.TestScript, address string, n int, stop <-chan struct{}) {
+	f, err := openFlow(ts, address)
+	if err != nil {
+		return
+	}
+	defer f.close()
+	for range n {
+		if f.read() != nil {
+			return
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(readPause):
+		}
+	}
+}
+
+// reads opens a number of flows, one after the other, and needs an answer on each of them.
+func reads(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	for range n {
+		f, err := openFlow(ts, args[0])
+		ts.Check(err)
+		err = f.read()
+		f.close()
+		ts.Check(err)
+	}
+}
+
+// pause waits for a time that a promise states.
+func pause(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+// mark sets a variable to the requests that have reached a sample backend server.
+func mark(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv(args[0], strconv.Itoa(counts(ts, args[1]).Requests))
+}
+
+// atMark needs a sample backend server that no request has reached since the mark.
+func atMark(ts *testscript.TestScript, _ bool, args []string) {
+	if now := strconv.Itoa(counts(ts, args[1]).Requests); now != ts.Getenv(args[0]) {
+		ts.Fatalf("%s has got %s requests, and %s at the mark", args[1], now, ts.Getenv(args[0]))
+	}
+}
+
+// aboveMark waits until a request has reached a sample backend server since the mark.
+func aboveMark(ts *testscript.TestScript, _ bool, args []string) {
+	end := time.Now().Add(waitTime)
+	for time.Now().Before(end) {
+		if strconv.Itoa(counts(ts, args[1]).Requests) != ts.Getenv(args[0]) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("no request has reached %s since the mark", args[1])
+}
--- a/main_test.go
+++ b/main_test.go
@@ -57,6 +57,13 @@
 			"endorder":   endOrder,
 			"retryorder": retryOrder,
 			"atmostonce": atMostOnce,
+			"remove":     remove,
+			"beginreads": beginReads,
+			"reads":      reads,
+			"pause":      pause,
+			"mark":       mark,
+			"atmark":     atMark,
+			"abovemark":  aboveMark,
 		},
 	})
 }
@@ -210,15 +217,28 @@
 	ts.Fatalf("the output of %v does not match %s", args[1:], args[0])
 }
 
-// put sends a PUT request and needs the status 200.
+// put sends a PUT request, with a file as its body if one is named, and needs the status 200.
 func put(ts *testscript.TestScript, _ bool, args []string) {
-	r, err := http.NewRequest(http.MethodPut, args[0], http.NoBody)
+	body := ""
+	if len(args) > 1 {
+		body = ts.ReadFile(args[1])
+	}
+	send(ts, http.MethodPut, args[0], body)
+}
+
+// remove sends a DELETE request and needs the status 200.
+func remove(ts *testscript.TestScript, _ bool, args []string) {
+	send(ts, http.MethodDelete, args[0], "")
+}
+
+func send(ts *testscript.TestScript, method, url, body string) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
 	ts.Check(err)
 	resp, err := http.DefaultClient.Do(r)
 	ts.Check(err)
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		ts.Fatalf("PUT %s: %s", args[0], resp.Status)
+		ts.Fatalf("%s %s: %s", method, url, resp.Status)
 	}
 }
 
