feat: prove that a contract accepted just before a store outage is in force and never reverts

Ruled out: fixed revisions in the script; lease writes take revisions too, so it reads the accepted one. Conclusion: the promise holds when the relay's watch has delivered the change before the store is lost.

--- a/failure_test.go
+++ b/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -25,6 +26,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/bramleymast/bramleymast/internal/standin/backend"
+	"github.com/bramleymast/bramleymast/internal/statusclient"
+	"github.com/bramleymast/bramleymast/pkg/store"
 )
 
 // sigstop pauses the background command that has the given argument; the end of the script continues it.
@@ -365,3 +368,76 @@
 	}
 	ts.Fatalf("no request has reached %s since the mark", args[1])
 }
+
+// revisionsKey is the key of the revisions among the values of a script.
+type revisionsKey struct{}
+
+// revisions holds the highest revision that each balancer has stated for itself and for an agent.
+type revisions map[stated]store.Revision
+
+// stated is the statement of one balancer about one process.
+type stated struct {
+	balancer int
+	id       string
+}
+
+var acceptedAt = regexp.MustCompile(`^accepted: .* at revision (\d+)`)
+
+// revision sets a variable to the revision at which the last command says that a change was accepted.
+func revision(ts *testscript.TestScript, _ bool, args []string) {
+	m := acceptedAt.FindStringSubmatch(ts.ReadFile("stdout"))
+	if m == nil {
+		ts.Fatalf("no change was accepted")
+	}
+	ts.Setenv(args[0], m[1])
+}
+
+// applied waits until processes have applied a revision of a contract; no process may return to an older one.
+// The arguments are the contract, the revision, the control addresses of the balancers joined by commas, and the processes.
+func applied(ts *testscript.TestScript, _ bool, args []string) {
+	want := args[1]
+	var last map[string]store.Revision
+	end := time.Now().Add(waitTime)
+	for time.Now().Before(end) {
+		last = pollApplied(ts, args[0], args[2])
+		if !slices.ContainsFunc(args[3:], func(id string) bool { return strconv.FormatUint(uint64(last[id]), 10) != want }) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("revision %s of %s is not in force: %v", want, args[0], last)
+}
+
+// noReturn watches for a time that no process returns to an older revision of a contract.
+func noReturn(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[2])
+	ts.Check(err)
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		pollApplied(ts, args[0], args[1])
+	}
+}
+
+// pollApplied returns the highest revision of a contract that any balancer states for each process.
+func pollApplied(ts *testscript.TestScript, service, balancers string) map[string]store.Revision {
+	key, err := hex.DecodeString(strings.TrimSpace(ts.ReadFile("shared.key")))
+	ts.Check(err)
+	var addresses []netip.AddrPort
+	for b := range strings.SplitSeq(balancers, ",") {
+		a, err := netip.ParseAddrPort(b)
+		ts.Check(err)
+		addresses = append(addresses, a)
+	}
+	seen, now := ts.Value(revisionsKey{}).(revisions), make(map[string]store.Revision)
+	answers := statusclient.New(addresses, key).Progress(context.Background(), addresses, "config/contracts/"+service)
+	for i, a := range answers {
+		for _, p := range a.Progress {
+			k := stated{balancer: i, id: p.ID}
+			if p.Applied < seen[k] {
+				ts.Fatalf("%s has returned from revision %d to %d", p.ID, seen[k], p.Applied)
+			}
+			seen[k] = p.Applied
+			now[p.ID] = max(now[p.ID], p.Applied)
+		}
+	}
+	return now
+}
--- a/main_test.go
+++ b/main_test.go
@@ -58,6 +58,9 @@
 			"retryorder": retryOrder,
 			"atmostonce": atMostOnce,
 			"remove":     remove,
+			"revision":   revision,
+			"applied":    applied,
+			"noreturn":   noReturn,
 			"beginreads": beginReads,
 			"reads":      reads,
 			"pause":      pause,
@@ -86,6 +89,7 @@
 		return err
 	}
 	e.Setenv("PAGES", pages)
+	e.Values[revisionsKey{}] = revisions{}
 	e.Values[ordersKey{}] = &orders{outcomes: make(map[string][]string), running: make(map[string]chan struct{})}
 	key := make([]byte, 32)
 	_, _ = rand.Read(key)
