--- a/failure_test.go
+++ b/failure_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,6 +26,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/bramleymast/bramleymast/internal/standin/backend"
+	"github.com/bramleymast/bramleymast/internal/statusclient"
+	"github.com/bramleymast/bramleymast/pkg/store"
 )
 
 // sigstop pauses the background command that has the given argument; the end of the script continues it.
@@ -243,3 +248,196 @@
 		ts.Fatalf("order %s was executed although an answer said not_run: %v", key, o.outcomes[key])
 	}
 }
+
+// read asks for one entry of the order portal and needs an answer.
+func (f *callerFlow) read() error {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+f.address+"/batches/1", http.NoBody)
+	if err != nil {
+		return err
+	}
+	resp, err := f.client.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err = io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if o := resp.Header.Get("Bramleymast-Outcome"); o != "answered" || resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("outcome %s with status %d", o, resp.StatusCode)
+	}
+	return nil
+}
+
+const (
+	// readers is how many callers read in the background. Half of them keep their flows as long as they can.
+	readers = 8
+	// readsPerFlow makes the other half open flows all the time.
+	readsPerFlow = 20
+	// readPause keeps the load of one background caller below a slot.
+	readPause = 20 * time.Millisecond
+)
+
+// beginReads starts callers that read on flows of their own until the end of the script.
+func beginReads(ts *testscript.TestScript, _ bool, args []string) {
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range readers {
+		n := readsPerFlow
+		if i%2 == 0 {
+			n = math.MaxInt
+		}
+		wg.Go(func() {
+			for {
+				readOnFlow(ts, args[0], n, stop)
+				select {
+				case <-stop:
+					return
+				default:
+				}
+			}
+		})
+	}
+	ts.Defer(func() {
+		close(stop)
+		wg.Wait()
+	})
+}
+
+// readOnFlow opens a flow and reads on it n times or until it fails.
+func readOnFlow(ts *testscript.TestScript, address string, n int, stop <-chan struct{}) {
+	f, err := openFlow(ts, address)
+	if err != nil {
+		return
+	}
+	defer f.close()
+	for range n {
+		if f.read() != nil {
+			return
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(readPause):
+		}
+	}
+}
+
+// reads opens a number of flows, one after the other, and needs an answer on each of them.
+func reads(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	for range n {
+		f, err := openFlow(ts, args[0])
+		ts.Check(err)
+		err = f.read()
+		f.close()
+		ts.Check(err)
+	}
+}
+
+// pause waits for a time that a promise states.
+func pause(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+// mark sets a variable to the requests that have reached a sample backend server.
+func mark(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv(args[0], strconv.Itoa(counts(ts, args[1]).Requests))
+}
+
+// atMark needs a sample backend server that no request has reached since the mark.
+func atMark(ts *testscript.TestScript, _ bool, args []string) {
+	if now := strconv.Itoa(counts(ts, args[1]).Requests); now != ts.Getenv(args[0]) {
+		ts.Fatalf("%s has got %s requests, and %s at the mark", args[1], now, ts.Getenv(args[0]))
+	}
+}
+
+// aboveMark waits until a request has reached a sample backend server since the mark.
+func aboveMark(ts *testscript.TestScript, _ bool, args []string) {
+	end := time.Now().Add(waitTime)
+	for time.Now().Before(end) {
+		if strconv.Itoa(counts(ts, args[1]).Requests) != ts.Getenv(args[0]) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("no request has reached %s since the mark", args[1])
+}
+
+// revisionsKey is the key of the revisions among the values of a script.
+type revisionsKey struct{}
+
+// revisions holds the highest revision that each balancer has stated for itself and for an agent.
+type revisions map[stated]store.Revision
+
+// stated is the statement of one balancer about one process.
+type stated struct {
+	balancer int
+	id       string
+}
+
+var acceptedAt = regexp.MustCompile(`^accepted: .* at revision (\d+)`)
+
+// revision sets a variable to the revision at which the last command says that a change was accepted.
+func revision(ts *testscript.TestScript, _ bool, args []string) {
+	m := acceptedAt.FindStringSubmatch(ts.ReadFile("stdout"))
+	if m == nil {
+		ts.Fatalf("no change was accepted")
+	}
+	ts.Setenv(args[0], m[1])
+}
+
+// applied waits until processes have applied a revision of a contract; no process may return to an older one.
+// The arguments are the contract, the revision, the control addresses of the balancers joined by commas, and the processes.
+func applied(ts *testscript.TestScript, _ bool, args []string) {
+	want := args[1]
+	var last map[string]store.Revision
+	end := time.Now().Add(waitTime)
+	for time.Now().Before(end) {
+		last = pollApplied(ts, args[0], args[2])
+		if !slices.ContainsFunc(args[3:], func(id string) bool { return strconv.FormatUint(uint64(last[id]), 10) != want }) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("revision %s of %s is not in force: %v", want, args[0], last)
+}
+
+// noReturn watches for a time that no process returns to an older revision of a contract.
+func noReturn(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[2])
+	ts.Check(err)
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		pollApplied(ts, args[0], args[1])
+	}
+}
+
+// pollApplied returns the highest revision of a contract that any balancer states for each process.
+func pollApplied(ts *testscript.TestScript, service, balancers string) map[string]store.Revision {
+	key, err := hex.DecodeString(strings.TrimSpace(ts.ReadFile("shared.key")))
+	ts.Check(err)
+	var addresses []netip.AddrPort
+	for b := range strings.SplitSeq(balancers, ",") {
+		a, err := netip.ParseAddrPort(b)
+		ts.Check(err)
+		addresses = append(addresses, a)
+	}
+	seen, now := ts.Value(revisionsKey{}).(revisions), make(map[string]store.Revision)
+	answers := statusclient.New(addresses, key).Progress(context.Background(), addresses, "config/contracts/"+service)
+	for i, a := range answers {
+		for _, p := range a.Progress {
+			k := stated{balancer: i, id: p.ID}
+			if p.Applied < seen[k] {
+				ts.Fatalf("%s has returned from revision %d to %d", p.ID, seen[k], p.Applied)
+			}
+			seen[k] = p.Applied
+			now[p.ID] = max(now[p.ID], p.Applied)
+		}
+	}
+	return now
+}
