feat: one record for a silent availability zone

Cause: after the loss of a zone, or a cut between regions, a verdict was written for each member. The records wait for the byte budget of each node, and balancers open flows towards dead agents until then.

Weighed: verdicts aggregated by home balancer need an agreed list of members, and nobody writes them when the homes are lost with their zone. Shorter records save a constant factor and still grow with the members. The choice is a record of kind silence for each zone, whose sequence determines its value (odd: silent), so that merging needs no rule for two writers of one version.

Change: guards write the record after 5 heartbeats (8 before) without any balancer of the zone. Members of a silent zone neither open nor hold flows, stay in the views for cached owners, and get no single verdicts. Balancers of the zone, and those that hear or recently heard a member, refute. What is read in the first heartbeat after a pause is no evidence. Control.Status shows members of a silent zone as dead, because operators' checks count servers by the verdict.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -342,7 +342,7 @@
 		}
 		switch {
 		case !ok:
-		case m.Leaving || r.Version.Verdict == board.Dead || closed(m.Zone):
+		case m.Leaving || r.Version.Verdict == board.Dead || closed(m.Zone) || b.ZoneSilent(m.Zone):
 			w.lost[m.Data] = struct{}{}
 		case r.Version.Verdict == board.Alive:
 			w.live = append(w.live, m.Data)
--- a/internal/agent/zonegaps_test.go
+++ b/internal/agent/zonegaps_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bramleymast/bramleymast/internal/wire"
+	"github.com/bramleymast/bramleymast/pkg/board"
 )
 
 // Guards against a balancer that missed a zone change and is not told by the agents that it still reaches,
@@ -29,3 +30,18 @@
 	g.check(now.Add(zoneGapInterval), &wire.Datagram{Balancer: data, ZoneRevision: 6}, 7, w)
 	assert.Equal(t, len(told), 2)
 }
+
+// Guards against answers that are sent through balancers of a silent zone.
+func TestSilentZoneCarriesNoAnswers(t *testing.T) {
+	var b board.Board
+	data := netip.MustParseAddrPort("127.0.0.1:9")
+	for _, r := range []board.Record{
+		{ID: board.ID{Kind: board.KindBalancer, Key: "b1"}, Version: board.Version{Seq: 1}, Value: board.Balancer{Zone: "z", Data: data}},
+		board.SilenceOf("z", 1), board.SilenceOf("z", 2),
+	} {
+		_, err := b.Merge(r)
+		assert.NilError(t, err)
+		_, lost := waysOf(&b, func(string) bool { return false }).lost[data]
+		assert.Equal(t, lost, b.ZoneSilent("z"))
+	}
+}
--- a/internal/balancer/failure_test.go
+++ b/internal/balancer/failure_test.go
@@ -239,3 +239,24 @@
 		}
 	}
 }
+
+// Guards against views that follow a silent zone only at the next full rebuild.
+func TestSilentZoneLeavesTheViewsAtOnce(t *testing.T) {
+	var brd board.Board
+	b, _ := newBalancer(t, &brd)
+	newFakeAgent(t, "agent1").join(t, &brd, "orders", "a", 1, board.PhaseReady)
+	mergeContract(t, &brd, "orders", 1, freeAddress(t))
+	opens := func() (opens, holds bool) {
+		b.services.Store(b.nextTable(time.Now(), b.pending.take()))
+		m, ok := b.services.Load().services[flow.ServiceIDOf("orders")].view.Member(flow.ShortIDOf("agent1"))
+		assert.Assert(t, ok)
+		return m.Opens(), m.Holds()
+	}
+	for seq := range uint64(4) {
+		r := board.SilenceOf("a", seq)
+		mergeRecord(t, &brd, board.KindSilence, "a", r.Version, r.Value)
+		o, h := opens()
+		assert.Equal(t, o, seq%2 == 0)
+		assert.Equal(t, h, seq%2 == 0)
+	}
+}
--- a/internal/balancer/services.go
+++ b/internal/balancer/services.go
@@ -47,6 +47,8 @@
 	case board.Zone:
 		raise(&b.zoneRevision, r.Version.Seq)
 		b.pending.addAll()
+	case board.Silence:
+		b.pending.addAll()
 	case board.Contract:
 		b.pending.add(r.ID.Key)
 		b.pending.addSockets()
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -288,7 +288,12 @@
 		reply.Kind = board.KindAgent.String()
 	}
 	for _, r := range cfg.Board.Records(board.KindBalancer, board.KindAgent) {
-		reply.Members = append(reply.Members, memberStatus(r))
+		m := memberStatus(r)
+		// Operators count servers in service by the verdict.
+		if cfg.Board.ZoneSilent(m.Zone) {
+			m.Verdict = board.Dead.String()
+		}
+		reply.Members = append(reply.Members, m)
 	}
 	return nil
 }
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -106,6 +106,16 @@
 	return ok && z.Out(), r.Version.Seq
 }
 
+// ZoneSilent reports whether all members of a zone count as dead.
+func (b *Board) ZoneSilent(zone string) bool {
+	r, ok := b.Get(ID{Kind: KindSilence, Key: zone})
+	if !ok {
+		return false
+	}
+	s, ok := r.Value.(Silence)
+	return ok && s.Silent
+}
+
 // BackendOut reports whether operators have taken a backend server out of service.
 func (b *Board) BackendOut(id string) bool {
 	r, ok := b.Get(ID{Kind: KindBackend, Key: id})
--- a/pkg/board/record.go
+++ b/pkg/board/record.go
@@ -22,6 +22,8 @@
 	KindAgent
 	KindBalancer
 	KindRelay
+	// KindSilence is last because the numbers are part of the wire format; it has the priority of a zone state.
+	KindSilence
 )
 
 // String returns the name of the kind.
@@ -39,6 +41,8 @@
 		return "balancer"
 	case KindRelay:
 		return "relay"
+	case KindSilence:
+		return "silence"
 	}
 	return fmt.Sprintf("kind(%d)", uint8(k))
 }
@@ -96,7 +100,7 @@
 	Value   Value
 }
 
-// Value is the state held by a record: Contract, Zone, Backend, Agent, Balancer or Relay.
+// Value is the state held by a record: Contract, Zone, Backend, Agent, Balancer, Relay or Silence.
 type Value interface{ kind() Kind }
 
 // Contract is the contract of a customer service.
@@ -160,12 +164,22 @@
 	Applied store.Revision
 }
 
+// Silence says whether every member of an availability zone counts as dead. Its version has epoch 0, and an odd
+// sequence means silent, so that two writers of one version always write the same state.
+type Silence struct{ Silent bool }
+
+// SilenceOf returns the record of a zone's silence at a sequence.
+func SilenceOf(zone string, seq uint64) Record {
+	return Record{ID: ID{Kind: KindSilence, Key: zone}, Version: Version{Seq: seq}, Value: Silence{Silent: seq%2 == 1}}
+}
+
 func (Contract) kind() Kind { return KindContract }
 func (Zone) kind() Kind     { return KindZone }
 func (Backend) kind() Kind  { return KindBackend }
 func (Agent) kind() Kind    { return KindAgent }
 func (Balancer) kind() Kind { return KindBalancer }
 func (Relay) kind() Kind    { return KindRelay }
+func (Silence) kind() Kind  { return KindSilence }
 
 // ShortID returns the short id of the member that the record is about.
 func (r Record) ShortID() flow.ShortID { return flow.ShortIDOf(r.ID.Key) }
--- a/pkg/board/view.go
+++ b/pkg/board/view.go
@@ -10,6 +10,7 @@
 // View returns the members of a service as steering sees them.
 //
 // A member opens flows when it is alive, cold or ready, and neither its zone nor its backend server is out.
+// Members of a silent zone neither open nor hold flows, but stay in the view: a cached owner stays in use.
 // Members that have left, and members of zones for which closed returns true, are not in the view.
 func (b *Board) View(service string, closed func(zone string) bool) *flow.View {
 	c, _, known := b.Contract(service)
@@ -79,8 +80,9 @@
 	zoneOut, _ := b.ZoneOut(a.Zone)
 	takesFlows := a.Phase == PhaseCold || a.Phase == PhaseReady
 	opens := inContract && takesFlows && r.version.Verdict == Alive && !zoneOut && !b.BackendOut(r.id)
-	holds := r.version.Verdict != Dead
-	return flow.NewMember(r.id, a.Data, a.Zone, opens, holds), true
+	silent := b.ZoneSilent(a.Zone)
+	holds := r.version.Verdict != Dead && !silent
+	return flow.NewMember(r.id, a.Data, a.Zone, opens && !silent, holds), true
 }
 
 // ZoneGate remembers since when each zone has been out; the zero value is empty and ready to use.
--- a/pkg/membership/codec.go
+++ b/pkg/membership/codec.go
@@ -342,6 +342,8 @@
 		})
 	case board.Balancer:
 		return cbor.Marshal(wireBalancer{Zone: v.Zone, Leaving: v.Leaving, Data: addrBytes(v.Data), Control: addrBytes(v.Control)})
+	case board.Silence:
+		return cbor.Marshal(v.Silent)
 	case board.Relay:
 		return cbor.Marshal(wireRelay{Balancer: v.Balancer, Applied: uint64(v.Applied)})
 	}
@@ -387,6 +389,9 @@
 	}
 	var err error
 	r.Value, err = decodeValue(r.ID, w.Value)
+	if s, ok := r.Value.(board.Silence); ok && r != board.SilenceOf(w.Key, w.Seq) {
+		return board.Record{}, errors.Errorf("silent %t contradicts sequence %d", s.Silent, w.Seq)
+	}
 	return r, err
 }
 
@@ -408,6 +413,9 @@
 	case board.KindBackend:
 		w, err := parse[wireAvailability](b)
 		return board.Backend{Availability: contract.NewAvailability(w.Out, w.Author, w.Reason)}, err
+	case board.KindSilence:
+		silent, err := parse[bool](b)
+		return board.Silence{Silent: silent}, err
 	case board.KindRelay:
 		w, err := parse[wireRelay](b)
 		return board.Relay{Balancer: w.Balancer, Applied: store.Revision(w.Applied)}, err
--- a/pkg/membership/index.go
+++ b/pkg/membership/index.go
@@ -137,6 +137,8 @@
 		if a, ok := x.items[HashOf(board.ID{Kind: board.KindAgent, Key: item.id.Key})]; ok {
 			x.service(a.service).backends ^= sum
 		}
+	case board.KindSilence:
+		x.balancers ^= sum
 	case board.KindAgent:
 		x.toggleAgent(sum, item)
 	case board.KindBalancer:
--- a/pkg/membership/liveness.go
+++ b/pkg/membership/liveness.go
@@ -18,8 +18,9 @@
 	missedForSuspicion = 4
 	// missedForDeath is the time that a suspect member has for its refutation.
 	missedForDeath = 3
-	// missedForSilentZone is the silence after which all balancers of a zone count as dead.
-	missedForSilentZone = 8
+	// missedForSilentZone is the silence after which a zone counts as silent. With a heartbeat of 2 s the record
+	// is written after at most 12 s, which leaves 2 s of the 14 s for its way.
+	missedForSilentZone = 5
 	// missedForQuietZone is the silence after which balancers of a zone are asked whether they are alive.
 	missedForQuietZone = 2
 	// missedAcks and retryAcks bound the time for which a home balancer that does not answer is passed over.
@@ -60,6 +61,11 @@
 	byScope  map[string]map[string]struct{}
 	duties   map[board.ID]*duty
 	guarding map[string]time.Time
+	// doubted holds the zones that were silent and heard again, of which no balancer has been heard since.
+	doubted map[string]struct{}
+	// agentsAt holds when an agent of another zone was last heard.
+	agentsAt map[string]time.Time
+	pausedAt time.Time
 	// unanswered holds since when a home balancer has not answered.
 	unanswered map[netip.AddrPort]time.Time
 	lastAck    time.Time
@@ -75,6 +81,8 @@
 		byScope:    make(map[string]map[string]struct{}),
 		duties:     make(map[board.ID]*duty),
 		guarding:   make(map[string]time.Time),
+		doubted:    make(map[string]struct{}),
+		agentsAt:   make(map[string]time.Time),
 		unanswered: make(map[netip.AddrPort]time.Time),
 	}
 }
@@ -92,6 +100,7 @@
 		return
 	}
 	n.note(ReasonPaused, n.self, board.Version{})
+	n.liveness.pausedAt = n.now
 	for _, d := range n.liveness.duties {
 		d.since = n.now
 		d.suspectAt = time.Time{}
@@ -191,6 +200,10 @@
 }
 
 func (n *Node) hear(r board.Record, m Heartbeat) {
+	if zone := zoneOf(r); r.ID.Kind == board.KindAgent && zone != n.cfg.Zone {
+		n.liveness.agentsAt[zone] = n.now
+		n.zoneHeard(zone)
+	}
 	n.liveness.heard[m.Member] = heard{at: n.now, epoch: m.Version.Epoch, contract: m.Contract, scope: m.Scope}
 	if service := agentService(r); service != "" {
 		set := n.liveness.byScope[service]
@@ -277,7 +290,7 @@
 
 // isJudged reports whether this balancer is one of the home balancers of a member.
 func (n *Node) isJudged(r board.Record) bool {
-	if r.ID == n.self || isTombstone(r) || n.isAgent() {
+	if r.ID == n.self || isTombstone(r) || n.isAgent() || n.isSilent(zoneOf(r)) {
 		return false
 	}
 	zone := zoneOf(r)
@@ -345,6 +358,9 @@
 	if item.id.Kind != board.KindAgent && item.id.Kind != board.KindBalancer {
 		return false
 	}
+	if n.isSilent(item.zone) {
+		return false
+	}
 	return item.zone == n.cfg.Zone || len(n.peers.byZone[item.zone]) <= 1
 }
 
@@ -442,6 +458,10 @@
 }
 
 func (n *Node) query(from netip.AddrPort, m Query) {
+	if m.Member.Kind == board.KindSilence {
+		n.vouch(from, m)
+		return
+	}
 	if m.Member == n.self {
 		n.send(from, Heard{Member: m.Member})
 		return
@@ -453,6 +473,10 @@
 }
 
 func (n *Node) heardOf(m Heard) {
+	if m.Member.Kind == board.KindSilence {
+		n.vouchedFor(m)
+		return
+	}
 	d, ok := n.liveness.duties[m.Member]
 	if !ok {
 		return
@@ -461,60 +485,3 @@
 		d.vouched = at
 	}
 }
-
-// refreshGuard finds the zones whose silence this balancer judges: home balancers live in the zone
-// of their members, so nobody would notice the loss of a whole zone.
-func (n *Node) refreshGuard() {
-	own := xxhash.Sum64String(n.cfg.ID)
-	all := n.peers.all(n)
-	for _, zone := range n.peers.zones(n) {
-		key := xxhash.Sum64String(zone)
-		above := 0
-		for _, p := range all {
-			if p.zone != zone && score(key, p.hash) > score(key, own) {
-				above++
-			}
-		}
-		_, guarding := n.liveness.guarding[zone]
-		switch {
-		case above >= guardCount:
-			delete(n.liveness.guarding, zone)
-		case !guarding:
-			n.liveness.guarding[zone] = n.now
-		}
-	}
-}
-
-func (n *Node) guard() {
-	for _, zone := range n.peers.zones(n) {
-		since, ok := n.liveness.guarding[zone]
-		if !ok {
-			continue
-		}
-		if at := n.peers.heardAt[zone]; at.After(since) {
-			since = at
-		}
-		silent := n.now.Sub(since)
-		if silent > n.beats(missedForSilentZone) {
-			n.declareSilent(zone)
-			continue
-		}
-		if silent > n.beats(missedForQuietZone) {
-			n.askZone(zone)
-		}
-	}
-}
-
-func (n *Node) askZone(zone string) {
-	for _, p := range n.peers.sample(n, zone, zoneQueries, netip.AddrPort{}) {
-		n.send(p.control, Query{Member: board.ID{Kind: board.KindBalancer, Key: p.id}})
-	}
-}
-
-func (n *Node) declareSilent(zone string) {
-	for _, p := range slices.Clone(n.peers.byZone[zone]) {
-		if r, ok := n.board.Get(board.ID{Kind: board.KindBalancer, Key: p.id}); ok {
-			n.verdict(r, board.Dead, ReasonZoneSilent)
-		}
-	}
-}
--- a/pkg/membership/node.go
+++ b/pkg/membership/node.go
@@ -263,6 +263,8 @@
 		}
 	case board.KindAgent:
 		n.liveness.changed(n, old, had, r)
+	case board.KindSilence:
+		n.silenceChanged(r)
 	case board.KindContract, board.KindZone, board.KindBackend, board.KindRelay:
 	}
 }
--- a/pkg/membership/outbox.go
+++ b/pkg/membership/outbox.go
@@ -36,7 +36,7 @@
 
 func classOf(k board.Kind) class {
 	switch k {
-	case board.KindZone:
+	case board.KindZone, board.KindSilence:
 		return classZone
 	case board.KindContract, board.KindBackend:
 		return classConfig
--- a/pkg/membership/peers.go
+++ b/pkg/membership/peers.go
@@ -35,6 +35,9 @@
 	// dead holds the balancers that count as dead.
 	dead    []netip.AddrPort
 	heardAt map[string]time.Time
+	// silent holds the balancers of silent zones, of which silentNames are the names.
+	silent      map[string][]peer
+	silentNames []string
 }
 
 // refresh reads the board again after a balancer's record has changed.
@@ -46,6 +49,7 @@
 	p.byZone = make(map[string][]peer)
 	p.zoneOf = make(map[netip.AddrPort]string)
 	p.names, p.dead = nil, nil
+	p.silent, p.silentNames = make(map[string][]peer), nil
 	for _, id := range n.index.balancerIDs() {
 		r, _ := n.board.Get(id)
 		b, ok := r.Value.(board.Balancer)
@@ -59,12 +63,26 @@
 		if r.Version.Verdict == board.Dead || b.Leaving {
 			continue
 		}
+		entry := peer{id: r.ID.Key, hash: xxhash.Sum64String(r.ID.Key), zone: b.Zone, control: b.Control}
+		if n.isSilent(b.Zone) {
+			p.addSilent(entry)
+			continue
+		}
 		if _, ok := p.byZone[b.Zone]; !ok {
 			p.names = append(p.names, b.Zone)
 		}
-		p.byZone[b.Zone] = append(p.byZone[b.Zone], peer{id: r.ID.Key, hash: xxhash.Sum64String(r.ID.Key), zone: b.Zone, control: b.Control})
+		p.byZone[b.Zone] = append(p.byZone[b.Zone], entry)
 	}
 	slices.Sort(p.names)
+	slices.Sort(p.silentNames)
+}
+
+func (p *peers) addSilent(entry peer) {
+	if _, ok := p.silent[entry.zone]; !ok {
+		p.silentNames = append(p.silentNames, entry.zone)
+	}
+	p.silent[entry.zone] = append(p.silent[entry.zone], entry)
+	p.dead = append(p.dead, entry.control)
 }
 
 // heard notes that a balancer of a zone is alive.
@@ -78,6 +96,8 @@
 		p.heardAt = make(map[string]time.Time)
 	}
 	p.heardAt[zone] = n.now
+	delete(n.liveness.doubted, zone)
+	n.zoneHeard(zone)
 }
 
 // zones returns the other zones that have live balancers, sorted.
