fix: give test scripts ports that no other process takes

Cause: two runs of path.txtar failed after 30 s of waiting; one log shows an agent that could not bind its HTTP address. Ports were taken from the system, released, and could be given to an outgoing connection or to another script before their process bound them. Change: each test process counts up from a port of its own below the system's range.

The sample backend server closes an idle connection after a minute instead of 5 s. Agents took each closed sentinel connection for a restart and called the server cold every 5 s.

--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -25,8 +25,9 @@
 
 const (
 	// coldFactor is how much slower a server in cold start answers.
-	coldFactor        = 3
-	readHeaderTimeout = 5 * time.Second
+	coldFactor = 3
+	// readHeaderTimeout closes an idle connection, as servers commonly do after about a minute.
+	readHeaderTimeout = time.Minute
 	maxOrderBytes     = 64 << 10
 	downloadBlock     = 32 << 10
 	downloadTick      = 20 * time.Millisecond
--- a/main_test.go
+++ b/main_test.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -57,10 +58,34 @@
 // ports is how many free ports a script gets, as $P1, $P2 and so on.
 const ports = 20
 
+// Ports below the range from which the system takes the ports of outgoing connections, which could otherwise take a
+// chosen port before its process binds it. No port is given out twice, and processes begin at different ports.
+const (
+	firstPort       = 2000
+	portChoices     = 8000
+	portsPerProcess = 200
+)
+
+var portsTried atomic.Int32
+
+// freePort listens on a free port.
+func freePort() (net.Listener, error) {
+	var l net.Listener
+	var err error
+	for range portChoices {
+		n := os.Getpid()*portsPerProcess + int(portsTried.Add(1))
+		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+n%portChoices))
+		if err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 // setup gives a script free ports, a shared key and a certificate.
 func setup(e *testscript.Env) error {
 	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := freePort()
 		if err != nil {
 			return err
 		}
