fix: keep answering through a balancer that is heard, whatever its verdict

Cause: after a balancer had been stopped for 6 s and continued, agents that held it for dead answered through another one at once, packet by packet, even though the caller's packets came through the first. Where the caller hears only that one, its flow stalls until the verdict is refuted.

Change: a lost balancer is left after 50 ms of sending without hearing from the caller instead of at once.

--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -17,6 +17,9 @@
 	// silence is how long the agent sends without hearing from the caller before it uses another balancer.
 	// It is above the round trip between zones with the delay of an acknowledgement (25 ms each).
 	silence = 200 * time.Millisecond
+	// lostSilence is the same for a balancer that the board knows to be lost. A packet that has just come through
+	// it outweighs the verdict, which is wrong when the balancer was paused and the only one that the caller hears.
+	lostSilence = 50 * time.Millisecond
 )
 
 // origin is how a packet of a caller came to the agent.
@@ -199,8 +202,11 @@
 	if r.unanswered.IsZero() {
 		r.unanswered = now
 	}
-	_, lost := w.lost[r.balancer]
-	rotated := lost || now.Sub(r.unanswered) >= silence
+	patience := silence
+	if _, lost := w.lost[r.balancer]; lost {
+		patience = lostSilence
+	}
+	rotated := now.Sub(r.unanswered) >= patience
 	if rotated {
 		r.balancer = w.after(r.balancer)
 		r.unanswered = now
