fix: name the fakes of the control core by what they are

Cause: internal/controlsim read like a simulator of clusters; it holds fake links, a fake store and a fake clock at the interfaces of one core.

Ruled out: moving it into test files; the program that measures slopes uses it too.

Change: renamed to internal/controltest, with its package comment.

Conclusion: no behaviour changes.

--- a/internal/capacity/slopes/loss.go
+++ b/internal/capacity/slopes/loss.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/bramleymast/bramleymast/internal/capacity"
-	"github.com/bramleymast/bramleymast/internal/controlsim"
+	"github.com/bramleymast/bramleymast/internal/controltest"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/contract"
 	"github.com/bramleymast/bramleymast/pkg/flow"
@@ -49,12 +49,12 @@
 	return s.fit()
 }
 
-func lossLink(_, _ *controlsim.Process) controlsim.Link {
-	return controlsim.Link{Delay: 3 * time.Millisecond, Jitter: 4 * time.Millisecond, Loss: 0.01}
+func lossLink(_, _ *controltest.Process) controltest.Link {
+	return controltest.Link{Delay: 3 * time.Millisecond, Jitter: 4 * time.Millisecond, Loss: 0.01}
 }
 
 // buildLoss returns a world whose contracts name its zones, so that members open flows, after its traffic has settled.
-func buildLoss(s size) *controlsim.World {
+func buildLoss(s size) *controltest.World {
 	w := build(s)
 	for i := range s.services {
 		text := fmt.Sprintf(sampleContract, serviceName(i))
@@ -71,14 +71,14 @@
 }
 
 // measureLoss returns the time until the members of a lost zone are out of all views, and the bytes sent by a balancer above its rate.
-func measureLoss(w *controlsim.World, lost string, rate float64) (seconds, bytes float64) {
+func measureLoss(w *controltest.World, lost string, rate float64) (seconds, bytes float64) {
 	before := sentByBalancer(w, lost)
 	for _, p := range w.Processes() {
 		if p.Zone == lost {
 			p.Stop()
 		}
 	}
-	took := until(w, lost, func(p *controlsim.Process) bool {
+	took := until(w, lost, func(p *controltest.Process) bool {
 		return allMembers(p, func(m *flow.Member) bool { return m.Zone() != lost || !m.Opens() && !m.Holds() })
 	})
 	w.Run(max(0, lossWindow-took))
@@ -86,9 +86,9 @@
 }
 
 // measureHeal returns the time from the end of a cut until all members open flows everywhere, and the bytes sent by a balancer above its rate.
-func measureHeal(w *controlsim.World, rate float64) (seconds, bytes float64) {
-	left := func(p *controlsim.Process) bool { return p.Zone < zoneName(lossZones/2) }
-	w.SetLink(func(from, to *controlsim.Process) controlsim.Link {
+func measureHeal(w *controltest.World, rate float64) (seconds, bytes float64) {
+	left := func(p *controltest.Process) bool { return p.Zone < zoneName(lossZones/2) }
+	w.SetLink(func(from, to *controltest.Process) controltest.Link {
 		l := lossLink(from, to)
 		if left(from) != left(to) {
 			l.Loss = 1
@@ -98,7 +98,7 @@
 	w.Run(cutTime)
 	before := sentByBalancer(w, "")
 	w.SetLink(lossLink)
-	took := until(w, "", func(p *controlsim.Process) bool {
+	took := until(w, "", func(p *controltest.Process) bool {
 		return allMembers(p, func(m *flow.Member) bool { return m.Opens() && m.Holds() })
 	})
 	w.Run(max(0, lossWindow-took))
@@ -106,12 +106,12 @@
 }
 
 // until runs a world until a condition holds at every process outside a zone.
-func until(w *controlsim.World, without string, f func(*controlsim.Process) bool) time.Duration {
+func until(w *controltest.World, without string, f func(*controltest.Process) bool) time.Duration {
 	const limit = time.Hour
 	start := w.Now()
 	for w.Now()-start < limit {
 		w.Run(lossStep)
-		if w.Everywhere(func(p *controlsim.Process) bool { return p.Zone == without || f(p) }) {
+		if w.Everywhere(func(p *controltest.Process) bool { return p.Zone == without || f(p) }) {
 			break
 		}
 	}
@@ -119,7 +119,7 @@
 }
 
 // allMembers reports whether a condition holds for each member in the views of a process.
-func allMembers(p *controlsim.Process, f func(*flow.Member) bool) bool {
+func allMembers(p *controltest.Process, f func(*flow.Member) bool) bool {
 	services := []string{p.Service}
 	if p.Service == "" {
 		services = services[:0]
@@ -138,7 +138,7 @@
 	return true
 }
 
-func sentByBalancer(w *controlsim.World, without string) float64 {
+func sentByBalancer(w *controltest.World, without string) float64 {
 	var sent, count float64
 	for _, p := range w.Processes() {
 		if p.Service == "" && p.Zone != without {
--- a/internal/capacity/slopes/main.go
+++ b/internal/capacity/slopes/main.go
@@ -15,7 +15,7 @@
 
 	"github.com/bramleymast/bramleymast/internal/capacity"
 	"github.com/bramleymast/bramleymast/internal/control"
-	"github.com/bramleymast/bramleymast/internal/controlsim"
+	"github.com/bramleymast/bramleymast/internal/controltest"
 	"github.com/bramleymast/bramleymast/internal/wire"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/contract"
@@ -64,15 +64,15 @@
 type size struct{ zones, balancers, agents, services int }
 
 func seeds() []netip.AddrPort {
-	return []netip.AddrPort{controlsim.AddressOf(1), controlsim.AddressOf(2)}
+	return []netip.AddrPort{controltest.AddressOf(1), controltest.AddressOf(2)}
 }
 
 func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i) }
 
 func serviceName(i int) string { return fmt.Sprintf("service-%04d", i) }
 
-func build(s size) *controlsim.World {
-	w := controlsim.New(controlsim.Config{Seed: 7, Heartbeat: heartbeat})
+func build(s size) *controltest.World {
+	w := controltest.New(controltest.Config{Seed: 7, Heartbeat: heartbeat})
 	for i := range s.balancers {
 		w.Balancer(fmt.Sprintf("balancer-%04d", i), zoneName(i%s.zones), seeds()...)
 		w.Run(100 * time.Millisecond)
@@ -99,8 +99,8 @@
 type rates struct{ bytes, messages, events float64 }
 
 // observe returns the mean rates of balancers and agents over the measured time.
-func observe(w *controlsim.World, during func()) (balancer, agent rates) {
-	before := make(map[*controlsim.Process]controlsim.Usage)
+func observe(w *controltest.World, during func()) (balancer, agent rates) {
+	before := make(map[*controltest.Process]controltest.Usage)
 	for _, p := range w.Processes() {
 		before[p] = p.Usage
 	}
@@ -204,7 +204,7 @@
 	return s.fit()
 }
 
-func changeContracts(w *controlsim.World, count, services int) {
+func changeContracts(w *controltest.World, count, services int) {
 	for i := range count {
 		w.Store.Put(serviceName(i%services), sample(serviceName(i%services)))
 		w.Run(time.Second)
@@ -212,7 +212,7 @@
 }
 
 // changeMembers makes the first agent state its record again and again.
-func changeMembers(w *controlsim.World, count int) {
+func changeMembers(w *controltest.World, count int) {
 	for _, p := range w.Processes() {
 		if p.Service == "" {
 			continue
@@ -229,9 +229,9 @@
 	}
 }
 
-func worstSpread(w *controlsim.World) float64 {
-	w.SetLink(func(_, _ *controlsim.Process) controlsim.Link {
-		return controlsim.Link{Delay: 3 * time.Millisecond, Jitter: 4 * time.Millisecond, Loss: 0.01}
+func worstSpread(w *controltest.World) float64 {
+	w.SetLink(func(_, _ *controltest.Process) controltest.Link {
+		return controltest.Link{Delay: 3 * time.Millisecond, Jitter: 4 * time.Millisecond, Loss: 0.01}
 	})
 	defer w.SetLink(nil)
 	var worst time.Duration
@@ -239,7 +239,7 @@
 		rev := w.Store.PutZone(zoneName(0), i%2 == 0)
 		id := board.ID{Kind: board.KindZone, Key: zoneName(0)}
 		took, _ := w.RunUntil(time.Minute, func() bool {
-			return w.Everywhere(func(p *controlsim.Process) bool { return p.Revision(id) >= rev })
+			return w.Everywhere(func(p *controltest.Process) bool { return p.Revision(id) >= rev })
 		})
 		worst = max(worst, took)
 		w.Run(5 * time.Second)
@@ -299,11 +299,11 @@
 func fill(n int) (*membership.Node, *board.Board) {
 	b := &board.Board{}
 	core := membership.New(membership.Config{
-		ID: "balancer-0", Zone: zoneName(0), Incarnation: 1, Board: b, Address: controlsim.AddressOf(1), Heartbeat: heartbeat,
+		ID: "balancer-0", Zone: zoneName(0), Incarnation: 1, Board: b, Address: controltest.AddressOf(1), Heartbeat: heartbeat,
 	})
 	now := time.Unix(1e9, 0)
 	core.Handle(now, membership.Tick{})
-	core.Handle(now, membership.SetMember{Value: board.Balancer{Zone: zoneName(0), Control: controlsim.AddressOf(1)}})
+	core.Handle(now, membership.SetMember{Value: board.Balancer{Zone: zoneName(0), Control: controltest.AddressOf(1)}})
 	take := func(r board.Record) {
 		core.Handle(now, membership.Pulled{Records: []board.Record{r}, Complete: true})
 	}
@@ -320,14 +320,14 @@
 }
 
 func balancerRecord(i int) board.Record {
-	v := board.Balancer{Zone: zoneName(i % 8), Control: controlsim.AddressOf(i + 1), Data: controlsim.AddressOf(i + 1)}
+	v := board.Balancer{Zone: zoneName(i % 8), Control: controltest.AddressOf(i + 1), Data: controltest.AddressOf(i + 1)}
 	return board.Record{
 		ID: board.ID{Kind: board.KindBalancer, Key: fmt.Sprintf("balancer-%04d", i)}, Version: board.Version{Epoch: 1e18, Seq: 1}, Value: v,
 	}
 }
 
 func agentRecord(i, n int, seq uint64) board.Record {
-	a := controlsim.AddressOf(1<<16 + i)
+	a := controltest.AddressOf(1<<16 + i)
 	v := board.Agent{Service: serviceName(i % max(n/4, 1)), Zone: zoneName(i % 8), Phase: board.PhaseReady, Control: a, Data: a}
 	return board.Record{
 		ID: board.ID{Kind: board.KindAgent, Key: fmt.Sprintf("agent-%05d", i)}, Version: board.Version{Epoch: 1e18, Seq: seq}, Value: v,
@@ -447,7 +447,7 @@
 	if err != nil {
 		panic(err)
 	}
-	core.Handle(now, membership.Received{From: controlsim.AddressOf(2), Message: m})
+	core.Handle(now, membership.Received{From: controltest.AddressOf(2), Message: m})
 }
 
 func encode(m membership.Message) []byte {
--- a/internal/controlsim/store.go
+++ b/internal/controltest/store.go
@@ -1,4 +1,4 @@
-package controlsim
+package controltest
 
 import (
 	"slices"
--- a/internal/controlsim/world.go
+++ b/internal/controltest/world.go
@@ -1,5 +1,5 @@
-// Package controlsim runs many control cores under one fake clock, for tests and for measured slopes.
-package controlsim
+// Package controltest runs control cores against fake links, a fake store and a fake clock, for tests and measured slopes.
+package controltest
 
 import (
 	"container/heap"
--- a/pkg/membership/failure_test.go
+++ b/pkg/membership/failure_test.go
@@ -10,15 +10,15 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/bramleymast/bramleymast/internal/controlsim"
+	"github.com/bramleymast/bramleymast/internal/controltest"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/contract"
 	"github.com/bramleymast/bramleymast/pkg/membership"
 )
 
 // counting returns a world that counts the log lines that contain a text.
-func counting(seed uint64, counts map[string]int) *controlsim.World {
-	return controlsim.New(controlsim.Config{Seed: seed, Log: func(line string) {
+func counting(seed uint64, counts map[string]int) *controltest.World {
+	return controltest.New(controltest.Config{Seed: seed, Log: func(line string) {
 		for text := range counts {
 			if strings.Contains(line, text) {
 				counts[text]++
@@ -28,7 +28,7 @@
 }
 
 // noReverts fails the test when the configuration of a process goes back.
-func noReverts(t *testing.T, w *controlsim.World) {
+func noReverts(t *testing.T, w *controltest.World) {
 	t.Helper()
 	for _, p := range w.Processes() {
 		highest := make(map[board.ID]board.Version)
@@ -41,16 +41,16 @@
 	}
 }
 
-func lossy(loss float64) func(_, _ *controlsim.Process) controlsim.Link {
-	return func(_, _ *controlsim.Process) controlsim.Link {
-		return controlsim.Link{Delay: 2 * time.Millisecond, Jitter: 20 * time.Millisecond, Loss: loss, Duplicate: 0.02}
+func lossy(loss float64) func(_, _ *controltest.Process) controltest.Link {
+	return func(_, _ *controltest.Process) controltest.Link {
+		return controltest.Link{Delay: 2 * time.Millisecond, Jitter: 20 * time.Millisecond, Loss: loss, Duplicate: 0.02}
 	}
 }
 
 // cut separates two groups of processes, each named by a predicate.
-func cut(isLeft func(p *controlsim.Process) bool) func(from, to *controlsim.Process) controlsim.Link {
-	return func(from, to *controlsim.Process) controlsim.Link {
-		l := controlsim.Link{Delay: 2 * time.Millisecond, Jitter: time.Millisecond}
+func cut(isLeft func(p *controltest.Process) bool) func(from, to *controltest.Process) controltest.Link {
+	return func(from, to *controltest.Process) controltest.Link {
+		l := controltest.Link{Delay: 2 * time.Millisecond, Jitter: time.Millisecond}
 		if isLeft(from) != isLeft(to) {
 			l.Loss = 1
 		}
@@ -58,7 +58,7 @@
 	}
 }
 
-func find(w *controlsim.World, id string) *controlsim.Process {
+func find(w *controltest.World, id string) *controltest.Process {
 	for _, p := range w.Processes() {
 		if p.ID == id {
 			return p
@@ -67,11 +67,11 @@
 	return nil
 }
 
-func seqAt(p *controlsim.Process, id board.ID) uint64 { return uint64(p.Revision(id)) }
+func seqAt(p *controltest.Process, id board.ID) uint64 { return uint64(p.Revision(id)) }
 
 // Guards against membership that needs the store: agents must join, leave and die during an outage.
 func TestStoreOutage(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 2})
+	w := controltest.New(controltest.Config{Seed: 2})
 	populate(w, 2, 4, 4)
 	w.Run(10 * time.Second)
 	w.Store.SetDown(true)
@@ -82,7 +82,7 @@
 	must(t, w, 20*time.Second, allSay(w, board.KindAgent, "a1", "dead"))
 	find(w, "a2").SetPhase(board.PhaseLeft)
 	left := func() bool {
-		return w.Everywhere(func(p *controlsim.Process) bool {
+		return w.Everywhere(func(p *controltest.Process) bool {
 			r, _ := p.Board.Get(board.ID{Kind: board.KindAgent, Key: "a2"})
 			a, ok := r.Value.(board.Agent)
 			return ok && a.Phase == board.PhaseLeft
@@ -96,13 +96,13 @@
 
 // Guards against an accepted change that is stuck at the one relay that read it before the outage.
 func TestChangeJustBeforeOutageSpreads(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 3})
+	w := controltest.New(controltest.Config{Seed: 3})
 	populate(w, 3, 6, 3)
 	w.Run(10 * time.Second)
 	holder := w.Store.Holder("a")
 	assert.Assert(t, holder != nil)
 	id := board.ID{Kind: board.KindZone, Key: "c"}
-	w.Store.Cut = func(p *controlsim.Process) bool { return p != holder }
+	w.Store.Cut = func(p *controltest.Process) bool { return p != holder }
 	rev := w.Store.PutZone("c", true)
 	must(t, w, time.Second, func() bool { return holder.Revision(id) == rev })
 	w.Store.SetDown(true)
@@ -111,7 +111,7 @@
 
 // Guards against a new process that waits for the store instead of its peers.
 func TestStartDuringOutageLearnsFromPeers(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 4})
+	w := controltest.New(controltest.Config{Seed: 4})
 	populate(w, 2, 4, 2)
 	w.Run(10 * time.Second)
 	rev := w.Store.PutZone("a", true)
@@ -126,7 +126,7 @@
 
 // Guards against a first balancer that never gets ready because it has no peers.
 func TestFirstBalancerReadsTheStore(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 5})
+	w := controltest.New(controltest.Config{Seed: 5})
 	b := w.Balancer("b1", "a", seeds...)
 	must(t, w, 30*time.Second, func() bool { return b.Node.Synchronised() && b.Node.Holding() })
 }
@@ -151,10 +151,10 @@
 
 // Guards against an agent that stays behind after it has missed the pushes of both home balancers.
 func TestAgentRepairsItsScope(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 19})
+	w := controltest.New(controltest.Config{Seed: 19})
 	populate(w, 1, 3, 3)
 	w.Run(15 * time.Second)
-	w.SetLink(cut(func(p *controlsim.Process) bool { return p.ID == "a1" }))
+	w.SetLink(cut(func(p *controltest.Process) bool { return p.ID == "a1" }))
 	rev := w.Store.PutZone("a", true)
 	w.Run(2 * time.Second)
 	w.SetLink(nil)
@@ -168,15 +168,15 @@
 	populate(w, 1, 4, 2)
 	w.Run(15 * time.Second)
 	a := find(w, "a1")
-	var deaf *controlsim.Process
+	var deaf *controltest.Process
 	for _, p := range w.Processes() {
 		if len(p.Node.Agents()) > 0 && p.Node.Agents()[0].ID == "a1" {
 			deaf = p
 		}
 	}
 	assert.Assert(t, deaf != nil)
-	w.SetLink(func(from, to *controlsim.Process) controlsim.Link {
-		l := controlsim.Link{Delay: 2 * time.Millisecond}
+	w.SetLink(func(from, to *controltest.Process) controltest.Link {
+		l := controltest.Link{Delay: 2 * time.Millisecond}
 		if from == a && to == deaf {
 			l.Loss = 1
 		}
@@ -189,7 +189,7 @@
 
 // Guards against a member that stays condemned although it is alive.
 func TestPausedAgentRefutes(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 8})
+	w := controltest.New(controltest.Config{Seed: 8})
 	populate(w, 2, 4, 4)
 	w.Run(15 * time.Second)
 	a := find(w, "a1")
@@ -214,7 +214,7 @@
 
 // Guards against a relay that wakes after its lease has lapsed and brings back an old revision.
 func TestPausedRelayRevertsNothing(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 10})
+	w := controltest.New(controltest.Config{Seed: 10})
 	populate(w, 1, 4, 2)
 	noReverts(t, w)
 	w.Run(15 * time.Second)
@@ -236,7 +236,7 @@
 
 // Guards against a change that is lost while nobody holds the relay role, and against holders that stay two.
 func TestNoRelayAndTwoRelays(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 11})
+	w := controltest.New(controltest.Config{Seed: 11})
 	populate(w, 1, 5, 2)
 	w.Run(15 * time.Second)
 	w.Store.Holder("a").Stop()
@@ -256,7 +256,7 @@
 
 // Guards against changes that wait for the lease of a relay that stops as planned.
 func TestLeavingRelayHandsOver(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 24})
+	w := controltest.New(controltest.Config{Seed: 24})
 	populate(w, 1, 4, 0)
 	w.Run(15 * time.Second)
 	old := w.Store.Holder("a")
@@ -272,7 +272,7 @@
 	populate(w, 4, 8, 8)
 	noReverts(t, w)
 	w.Run(20 * time.Second)
-	w.SetLink(cut(func(p *controlsim.Process) bool { return p.Zone < "c" }))
+	w.SetLink(cut(func(p *controltest.Process) bool { return p.Zone < "c" }))
 	w.Store.SetDown(true)
 	w.Run(time.Minute)
 	w.Agent("left", "a", "portal", seeds...)
@@ -295,16 +295,16 @@
 // Guards against regions of many members that go on condemning each other after the cut has ended.
 func TestVerdictsEndAfterACut(t *testing.T) {
 	for seed := range uint64(3) {
-		w := controlsim.New(controlsim.Config{Seed: seed})
+		w := controltest.New(controltest.Config{Seed: seed})
 		populate(w, 4, 16, 40)
 		w.Run(20 * time.Second)
-		w.SetLink(cut(func(p *controlsim.Process) bool { return p.Zone < "c" }))
+		w.SetLink(cut(func(p *controltest.Process) bool { return p.Zone < "c" }))
 		w.Run(2 * time.Minute)
 		find(w, "b1").Stop() // The seeds of the settings no longer lead to the other side.
 		find(w, "b2").Stop()
 		w.SetLink(nil)
 		must(t, w, time.Minute, func() bool {
-			return w.Everywhere(func(p *controlsim.Process) bool {
+			return w.Everywhere(func(p *controltest.Process) bool {
 				alive := 0
 				for _, r := range p.Board.Records(board.KindAgent, board.KindBalancer) {
 					if r.Version.Verdict == board.Alive {
@@ -319,7 +319,7 @@
 
 // Guards against members of a lost zone that stay alive because their home balancers died with them.
 func TestWholeZoneLost(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 13})
+	w := controltest.New(controltest.Config{Seed: 13})
 	populate(w, 3, 9, 9)
 	w.Run(15 * time.Second)
 	for _, p := range w.Processes() {
@@ -328,7 +328,7 @@
 		}
 	}
 	must(t, w, time.Minute, func() bool {
-		return w.Everywhere(func(p *controlsim.Process) bool { return p.Board.ZoneSilent("c") })
+		return w.Everywhere(func(p *controltest.Process) bool { return p.Board.ZoneSilent("c") })
 	})
 	for _, p := range w.Processes() {
 		if p.Zone == "c" {
@@ -344,7 +344,7 @@
 
 // Guards against records that are too large for a datagram and so never arrive.
 func TestLargeRecord(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 14})
+	w := controltest.New(controltest.Config{Seed: 14})
 	populate(w, 1, 4, 2)
 	w.Run(15 * time.Second)
 	reason := strings.Repeat("long ", 1000)
@@ -360,7 +360,7 @@
 		n := rapid.IntRange(1, 8).Draw(t, "updates")
 		order := rapid.SliceOfN(rapid.IntRange(1, n), 1, 40).Draw(t, "order")
 		b := &board.Board{}
-		core := membership.New(membership.Config{ID: "b1", Zone: "a", Incarnation: 1, Board: b, Address: controlsim.AddressOf(1)})
+		core := membership.New(membership.Config{ID: "b1", Zone: "a", Incarnation: 1, Board: b, Address: controltest.AddressOf(1)})
 		now := time.Unix(1000, 0)
 		var highest uint64
 		for _, seq := range order {
@@ -396,7 +396,7 @@
 
 // Guards against a core that asks for ticks in a loop and so uses a processor while nothing happens.
 func TestIdleProcessesRest(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 20})
+	w := controltest.New(controltest.Config{Seed: 20})
 	populate(w, 2, 4, 4)
 	w.Run(20 * time.Second)
 	for _, p := range w.Processes() {
@@ -421,7 +421,7 @@
 
 // Guards against state of dead members that grows for ever.
 func TestTombstonesAreForgotten(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 15})
+	w := controltest.New(controltest.Config{Seed: 15})
 	populate(w, 1, 3, 3)
 	w.Run(10 * time.Second)
 	find(w, "a1").Stop()
@@ -436,7 +436,7 @@
 
 // Guards against a zone state that waits behind a storm of other records, and a budget that is not kept.
 func TestZoneStateGoesFirst(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 16, Budget: 1000})
+	w := controltest.New(controltest.Config{Seed: 16, Budget: 1000})
 	populate(w, 1, 4, 0)
 	w.Run(time.Minute)
 	b := w.Processes()[0]
@@ -450,7 +450,7 @@
 	zone := board.Record{ID: board.ID{Kind: board.KindZone, Key: "a"}, Version: board.Version{Seq: 1 << 20}, Value: board.Zone{}}
 	b.Receive(membership.Push{Records: []board.Record{zone, board.SilenceOf("z", 1)}})
 	must(t, w, 4*time.Second, func() bool {
-		return zoneAt(w, "a", 1<<20)() && w.Everywhere(func(p *controlsim.Process) bool { return p.Board.ZoneSilent("z") })
+		return zoneAt(w, "a", 1<<20)() && w.Everywhere(func(p *controltest.Process) bool { return p.Board.ZoneSilent("z") })
 	})
 	arrived := len(w.Processes()[1].Board.Records(board.KindBackend))
 	assert.Assert(t, arrived < 400, "the storm was over before the zone state arrived")
@@ -462,7 +462,7 @@
 
 // Guards against heartbeats that use up the whole budget of a balancer with too many members.
 func TestConfigurationArrivesUnderTooManyHeartbeats(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 22, Budget: 1000})
+	w := controltest.New(controltest.Config{Seed: 22, Budget: 1000})
 	populate(w, 1, 2, 40)
 	w.Run(2 * time.Minute)
 	rev := w.Store.PutZone("a", true)
@@ -481,7 +481,7 @@
 		w.Agent(fmt.Sprintf("r%d", i), "a", "portal", seeds...)
 	}
 	took := must(t, w, time.Minute, func() bool {
-		return w.Everywhere(func(p *controlsim.Process) bool { return p.Node.Synchronised() })
+		return w.Everywhere(func(p *controltest.Process) bool { return p.Node.Synchronised() })
 	})
 	assert.Assert(t, counts["pull_failed"] > 0, "admission was not reached")
 	assert.Assert(t, w.Store.Reads-reads <= 2)
@@ -491,7 +491,7 @@
 // Guards against store calls that grow with the number of balancers.
 func TestStoreCallsDoNotGrowWithBalancers(t *testing.T) {
 	calls := func(balancers int, down bool) int {
-		w := controlsim.New(controlsim.Config{Seed: 18})
+		w := controltest.New(controltest.Config{Seed: 18})
 		populate(w, 2, balancers, 0)
 		w.Run(20 * time.Second)
 		w.Store.SetDown(down)
@@ -507,7 +507,7 @@
 // Guards against agents that hear no change for many seconds after the only balancer of their zone has died.
 // Seen with the demo: a backend server's return was in force at three agents only after 14.7 s.
 func TestChangeReachesAgentsWhoseOnlyBalancerDied(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 40})
+	w := controltest.New(controltest.Config{Seed: 40})
 	populate(w, 3, 3, 6)
 	w.Run(10 * time.Second)
 	find(w, "b2").Stop()
--- a/pkg/membership/node_test.go
+++ b/pkg/membership/node_test.go
@@ -8,14 +8,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/bramleymast/bramleymast/internal/controlsim"
+	"github.com/bramleymast/bramleymast/internal/controltest"
 	"github.com/bramleymast/bramleymast/pkg/board"
 )
 
-var seeds = []netip.AddrPort{controlsim.AddressOf(1), controlsim.AddressOf(2)}
+var seeds = []netip.AddrPort{controltest.AddressOf(1), controltest.AddressOf(2)}
 
 // populate adds balancers and agents to the zones a, b, and so on.
-func populate(w *controlsim.World, zones, balancers, agents int) {
+func populate(w *controltest.World, zones, balancers, agents int) {
 	for i := range balancers {
 		w.Balancer(fmt.Sprintf("b%d", i+1), zoneName(i%zones), seeds...)
 	}
@@ -27,14 +27,14 @@
 
 func zoneName(i int) string { return string(rune('a' + i)) }
 
-func zoneAt(w *controlsim.World, zone string, revision uint64) func() bool {
+func zoneAt(w *controltest.World, zone string, revision uint64) func() bool {
 	id := board.ID{Kind: board.KindZone, Key: zone}
 	return func() bool {
-		return w.Everywhere(func(p *controlsim.Process) bool { return uint64(p.Revision(id)) >= revision })
+		return w.Everywhere(func(p *controltest.Process) bool { return uint64(p.Revision(id)) >= revision })
 	}
 }
 
-func verdictOf(p *controlsim.Process, k board.Kind, id string) string {
+func verdictOf(p *controltest.Process, k board.Kind, id string) string {
 	r, ok := p.Board.Get(board.ID{Kind: k, Key: id})
 	if !ok {
 		return "unknown"
@@ -42,13 +42,13 @@
 	return r.Version.Verdict.String()
 }
 
-func allSay(w *controlsim.World, k board.Kind, id, verdict string) func() bool {
+func allSay(w *controltest.World, k board.Kind, id, verdict string) func() bool {
 	return func() bool {
-		return w.Everywhere(func(p *controlsim.Process) bool { return p.ID == id || verdictOf(p, k, id) == verdict })
+		return w.Everywhere(func(p *controltest.Process) bool { return p.ID == id || verdictOf(p, k, id) == verdict })
 	}
 }
 
-func must(t *testing.T, w *controlsim.World, d time.Duration, f func() bool) time.Duration {
+func must(t *testing.T, w *controltest.World, d time.Duration, f func() bool) time.Duration {
 	t.Helper()
 	took, ok := w.RunUntil(d, f)
 	assert.Assert(t, ok, "not within %s of simulated time", d)
@@ -57,7 +57,7 @@
 
 // Guards against the basic failure: a change or a member that does not arrive everywhere.
 func TestSpread(t *testing.T) {
-	w := controlsim.New(controlsim.Config{Seed: 1})
+	w := controltest.New(controltest.Config{Seed: 1})
 	populate(w, 3, 6, 9)
 	w.Run(15 * time.Second)
 	rev := w.Store.PutZone("b", true)
--- a/pkg/membership/session_test.go
+++ b/pkg/membership/session_test.go
@@ -8,14 +8,14 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
-	"github.com/bramleymast/bramleymast/internal/controlsim"
+	"github.com/bramleymast/bramleymast/internal/controltest"
 	"github.com/bramleymast/bramleymast/pkg/board"
 )
 
 // session runs a start, a zone taken out, an agent that dies and a relay that dies, with every message and decision.
 func session() string {
 	var lines []string
-	w := controlsim.New(controlsim.Config{Seed: 21, Log: func(line string) { lines = append(lines, line) }})
+	w := controltest.New(controltest.Config{Seed: 21, Log: func(line string) { lines = append(lines, line) }})
 	say := func(what string) { lines = append(lines, "", "# "+what) }
 	say("three balancers and two agents start")
 	populate(w, 1, 3, 2)
--- a/pkg/membership/silence_test.go
+++ b/pkg/membership/silence_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/bramleymast/bramleymast/internal/controlsim"
+	"github.com/bramleymast/bramleymast/internal/controltest"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/contract"
 	"github.com/bramleymast/bramleymast/pkg/membership"
@@ -18,11 +18,11 @@
 const portalContract = `{"service":"portal","addresses":["10.0.0.1:443"],"zones":["a","b","c","d"],"backend":{"slots":7},"cold_start":{"slots":2}}`
 
 // viewed returns a world with a contract, so that views have members that open flows.
-func viewed(t *testing.T, seed uint64, heartbeat time.Duration, counts map[string]int) *controlsim.World {
+func viewed(t *testing.T, seed uint64, heartbeat time.Duration, counts map[string]int) *controltest.World {
 	t.Helper()
 	w := counting(seed, counts)
 	if heartbeat > 0 {
-		w = controlsim.New(controlsim.Config{Seed: seed, Heartbeat: heartbeat})
+		w = controltest.New(controltest.Config{Seed: seed, Heartbeat: heartbeat})
 	}
 	populate(w, 4, 16, 40)
 	c, list := contract.Decode("", []byte(portalContract))
@@ -34,13 +34,13 @@
 }
 
 // opening holds when exactly the members of some zones open and hold flows in the view of every process outside the others.
-func opening(w *controlsim.World, zones ...string) func() bool {
+func opening(w *controltest.World, zones ...string) func() bool {
 	return func() bool {
-		return w.Everywhere(func(p *controlsim.Process) bool { return !slices.Contains(zones, p.Zone) || opensIn(p, zones) })
+		return w.Everywhere(func(p *controltest.Process) bool { return !slices.Contains(zones, p.Zone) || opensIn(p, zones) })
 	}
 }
 
-func opensIn(p *controlsim.Process, zones []string) bool {
+func opensIn(p *controltest.Process, zones []string) bool {
 	members := p.Board.View("portal", func(string) bool { return false }).Members()
 	for _, m := range members {
 		if in := slices.Contains(zones, m.Zone()); m.Opens() != in || m.Holds() != in {
@@ -50,7 +50,7 @@
 	return len(members) == 40
 }
 
-func stopZone(w *controlsim.World, zone string) {
+func stopZone(w *controltest.World, zone string) {
 	for _, p := range w.Processes() {
 		if p.Zone == zone {
 			p.Stop()
@@ -91,9 +91,9 @@
 	for seed := range uint64(3) {
 		counts := map[string]int{"suspected": 0, "zone_silent": 0}
 		w := viewed(t, seed, 0, counts)
-		w.SetLink(cut(func(p *controlsim.Process) bool { return p.Zone < "c" }))
+		w.SetLink(cut(func(p *controltest.Process) bool { return p.Zone < "c" }))
 		must(t, w, 14*time.Second, func() bool {
-			return w.Everywhere(func(p *controlsim.Process) bool {
+			return w.Everywhere(func(p *controltest.Process) bool {
 				if p.Zone < "c" {
 					return opensIn(p, []string{"a", "b"})
 				}
@@ -117,8 +117,8 @@
 func TestOneWayCutAndLiveAgentsAreNotSilent(t *testing.T) {
 	counts := map[string]int{"zone_silent": 0}
 	w := viewed(t, 3, 0, counts)
-	w.SetLink(func(from, to *controlsim.Process) controlsim.Link {
-		l := controlsim.Link{Delay: 2 * time.Millisecond}
+	w.SetLink(func(from, to *controltest.Process) controltest.Link {
+		l := controltest.Link{Delay: 2 * time.Millisecond}
 		if from.Zone == "d" && to.Zone == "a" {
 			l.Loss = 1
 		}
@@ -142,9 +142,9 @@
 func TestCutOffOrPausedGuardHarmsOnlyItself(t *testing.T) {
 	w := viewed(t, 4, 0, map[string]int{})
 	lonely := find(w, "b1")
-	w.SetLink(cut(func(p *controlsim.Process) bool { return p == lonely }))
+	w.SetLink(cut(func(p *controltest.Process) bool { return p == lonely }))
 	must(t, w, time.Minute, func() bool { return lonely.Board.ZoneSilent("b") && lonely.Board.ZoneSilent("c") })
-	assert.Assert(t, w.Everywhere(func(p *controlsim.Process) bool { return p == lonely || !p.Board.ZoneSilent("b") }))
+	assert.Assert(t, w.Everywhere(func(p *controltest.Process) bool { return p == lonely || !p.Board.ZoneSilent("b") }))
 	w.SetLink(nil)
 	must(t, w, 20*time.Second, opening(w, "a", "b", "c", "d"))
 
@@ -184,9 +184,9 @@
 }
 
 // seqOfSilence holds when every balancer has the refutation.
-func seqOfSilence(w *controlsim.World) bool {
+func seqOfSilence(w *controltest.World) bool {
 	id := board.ID{Kind: board.KindSilence, Key: "d"}
-	return w.Everywhere(func(p *controlsim.Process) bool { return p.Service != "" || seqAt(p, id) == 4 })
+	return w.Everywhere(func(p *controltest.Process) bool { return p.Service != "" || seqAt(p, id) == 4 })
 }
 
 // Guards against a state that depends on the order of records, and against two states of one version.
@@ -194,7 +194,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		order := rapid.SliceOfN(rapid.Uint64Range(1, 8), 1, 40).Draw(t, "order")
 		b := &board.Board{}
-		core := membership.New(membership.Config{ID: "a1", Zone: "a", Service: "portal", Incarnation: 1, Board: b, Address: controlsim.AddressOf(1)})
+		core := membership.New(membership.Config{ID: "a1", Zone: "a", Service: "portal", Incarnation: 1, Board: b, Address: controltest.AddressOf(1)})
 		for _, seq := range order {
 			payload, err := membership.Encode(membership.Push{Records: []board.Record{board.SilenceOf("z", seq)}})
 			assert.NilError(t, err)
@@ -215,15 +215,15 @@
 // Guards against zones whose guards are all on the other side of a cut, so that their silence is never noticed.
 func TestEachSideOfACutHasGuards(t *testing.T) {
 	for i := range 12 {
-		w := controlsim.New(controlsim.Config{Seed: uint64(i)})
+		w := controltest.New(controltest.Config{Seed: uint64(i)})
 		zone := func(j int) string { return fmt.Sprintf("%c%d", 'a'+j%3, i) }
 		for j := range 9 {
 			w.Balancer(fmt.Sprintf("b%d", j+1), zone(j), seeds...)
 		}
 		w.Run(15 * time.Second)
-		w.SetLink(cut(func(p *controlsim.Process) bool { return p.Zone == zone(0) }))
+		w.SetLink(cut(func(p *controltest.Process) bool { return p.Zone == zone(0) }))
 		must(t, w, 14*time.Second, func() bool {
-			return w.Everywhere(func(p *controlsim.Process) bool {
+			return w.Everywhere(func(p *controltest.Process) bool {
 				return p.Board.ZoneSilent(zone(1)) == (p.Zone == zone(0)) && p.Board.ZoneSilent(zone(2)) == (p.Zone == zone(0))
 			})
 		})
