--- /dev/null
+++ b/cmd/bramleymast-node/main.go
@@ -0,0 +1,58 @@
+// Command bramleymast-node runs the balancer or the agent of pass-through flows on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bramleymast/bramleymast/internal/signals"
+	"github.com/bramleymast/bramleymast/platform"
+)
+
+func main() { os.Exit(run(context.Background(), os.Args[1:])) }
+
+// Exit codes, the same as those of bramleymast.
+const (
+	exitSuccess  = 0
+	exitFailure  = 1
+	exitBadInput = 2
+)
+
+func run(ctx context.Context, args []string) int {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadInput
+	}
+	logger := hclog.New(&hclog.LoggerOptions{Name: "bramleymast", Output: os.Stdout, JSONFormat: true, Level: hclog.Info})
+	var d platform.Daemon
+	switch {
+	case len(args) == 1 && args[0] == "balancer":
+		d, err = platform.NewBalancer(s, logger)
+	case len(args) == 1 && args[0] == "agent":
+		d, err = platform.NewAgent(s, logger)
+	default:
+		fmt.Fprintln(os.Stderr, "usage: bramleymast-node balancer|agent")
+		return exitBadInput
+	}
+	if err != nil {
+		logger.Error("cannot start", "error", err)
+		return exitFailure
+	}
+	received, stop := signals.Notify()
+	defer stop()
+	logger.Info("started", "role", args[0])
+	drain := func() {
+		logger.Info("graceful shutdown")
+		d.Drain()
+	}
+	if err := signals.Run(ctx, received, drain, d.Run); err != nil {
+		logger.Error("stopped", "error", err)
+		return exitFailure
+	}
+	logger.Info("stopped")
+	return exitSuccess
+}
--- /dev/null
+++ b/internal/passthrough/agent.go
@@ -0,0 +1,313 @@
+package passthrough
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bramleymast/bramleymast/internal/rungroup"
+	"github.com/bramleymast/bramleymast/pkg/flow"
+	"github.com/bramleymast/bramleymast/pkg/passthrough"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// AgentConfig is what an agent needs.
+type AgentConfig struct {
+	// ID names the process; it is unique in the whole system.
+	ID string
+	// Zone is the availability zone of the host.
+	Zone string
+	// Service is the customer service of the backend server.
+	Service string
+	// Backend receives packets for the backend server (UDP).
+	Backend netip.AddrPort
+	// Outbound receives the packets that the backend server sends (UDP).
+	Outbound netip.AddrPort
+	// CallerPort is the port at which callers receive packets.
+	CallerPort uint16
+	// Link receives messages of other processes (UDP) and their calls (TCP).
+	Link netip.AddrPort
+	// HTTP serves readiness and metrics.
+	HTTP netip.AddrPort
+	// Heartbeats receives the heartbeats of the backend server.
+	Heartbeats netip.AddrPort
+	// HeartbeatHandler returns the handler of the heartbeats.
+	HeartbeatHandler func(s BackendSink) http.Handler
+	// Seeds are link addresses of other processes, which are asked when the store does not answer.
+	Seeds []netip.AddrPort
+	// Settle is how long a stopping agent still carries packets.
+	Settle time.Duration
+	// ReadyPath is the path of the platform's readiness call.
+	ReadyPath string
+	Store     store.Store
+	Layout    Layout
+	Codec     passthrough.Codec
+	Logger    hclog.Logger
+}
+
+// maxHops bounds how many agents a packet visits.
+const maxHops = passthrough.MaxPath + 2
+
+// Agent is the process beside a backend server.
+type Agent struct {
+	cfg        AgentConfig
+	service    flow.ServiceID
+	beliefs    beliefs
+	gate       *passthrough.Gate
+	link       *link
+	outbound   *net.UDPConn
+	http       *httpServer
+	heartbeats *httpServer
+	registrar  *registrar
+	backend    backendState
+	returning  passthrough.Table[returnPath] // what is needed to pass on a packet that the backend server gives back
+
+	leaving  atomic.Bool
+	draining chan struct{}
+}
+
+// returnPath says where a packet came from and where it may go if the backend server gives it back.
+type returnPath struct {
+	origin    netip.AddrPort
+	path      passthrough.Path
+	directory passthrough.Path
+}
+
+// NewAgent binds the sockets of an agent.
+func NewAgent(cfg AgentConfig) (*Agent, error) {
+	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), gate: passthrough.NewGate(time.Now()), draining: make(chan struct{})}
+	a.beliefs = beliefs{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
+	a.registrar = newRegistrar(cfg.Store, cfg.ID, agentEntry{Service: cfg.Service, Zone: cfg.Zone, Address: cfg.Link}, cfg.Logger)
+	var err error
+	if a.outbound, err = listenUDP(cfg.Outbound); err != nil {
+		return nil, err
+	}
+	if a.link, err = newLink(cfg.Link); err != nil {
+		return nil, err
+	}
+	if a.http, err = newHTTPServer(cfg.HTTP); err != nil {
+		return nil, err
+	}
+	a.http.handleReady(cfg.ReadyPath, func() bool { return !a.leaving.Load() })
+	if a.heartbeats, err = newHTTPServer(cfg.Heartbeats); err != nil {
+		return nil, err
+	}
+	a.heartbeats.mux.Handle("/", cfg.HeartbeatHandler(a))
+	return a, nil
+}
+
+// Drain starts the graceful shutdown.
+func (a *Agent) Drain() {
+	if a.leaving.CompareAndSwap(false, true) {
+		a.gate.SetDraining()
+		a.registrar.setDraining(true)
+		close(a.draining)
+	}
+}
+
+// Run serves until the context ends or the graceful shutdown is over.
+func (a *Agent) Run(ctx context.Context) error {
+	g, err := rungroup.New(ctx)
+	if err != nil {
+		return err
+	}
+	operator := &follower{store: a.cfg.Store, prefix: a.cfg.Layout.Operator, logger: a.cfg.Logger, apply: a.beliefs.applyOperator, loaded: func() {}}
+	g.Go(operator.run)
+	g.Go(a.registrar.run)
+	g.Go(a.http.run)
+	g.Go(a.heartbeats.run)
+	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.link.conn, a.onMessage) })
+	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.outbound, a.onBackendPacket) })
+	g.Go(a.sweep)
+	g.Go(func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.draining:
+		}
+		wait(ctx, a.cfg.Settle)
+		a.registrar.remove(ctx)
+		g.Stop()
+		return nil
+	})
+	return g.Wait()
+}
+
+// refresh applies a new configuration or zone state.
+func (a *Agent) refresh() {
+	s, _ := a.beliefs.Table().Service(a.cfg.Service)
+	a.gate.SetService(s)
+	out, _ := a.beliefs.board.ZoneOut(a.cfg.Zone)
+	a.gate.SetZoneOut(out)
+}
+
+func (a *Agent) onMessage(_ netip.AddrPort, data []byte) {
+	m, err := decodeMessage(data)
+	if err != nil {
+		a.cfg.Logger.Warn("message dropped", "error", err)
+		return
+	}
+	now := time.Now()
+	switch m := m.(type) {
+	case *forward:
+		a.onForward(now, m)
+	case *owner:
+		a.gate.Own(now, m.flow, m.agent, m.isn)
+	case *probe:
+		a.report(now, m.origin)
+	}
+}
+
+func (a *Agent) report(now time.Time, to netip.AddrPort) {
+	a.link.send(to, &report{agent: a.link.self, revision: a.beliefs.Table().Revision(), load: a.gate.Load(now)})
+}
+
+func (a *Agent) onForward(now time.Time, m *forward) {
+	seg, err := a.cfg.Codec.Decode(m.packet, true)
+	if err != nil {
+		a.cfg.Logger.Warn("packet dropped", "reason", "malformed", "error", err)
+		return
+	}
+	if seg.Opens() {
+		a.onOpening(now, seg, m)
+		return
+	}
+	v := a.gate.Continue(now, seg)
+	if _, ok := v.(passthrough.Deliver); ok {
+		a.returning.Put(now, seg.Flow(), returnPath{origin: m.origin, path: m.path})
+		if m.hops > 0 {
+			a.tellPlaced(now, seg.Flow(), m.origin)
+		}
+	}
+	a.carry(now, seg, m, v)
+}
+
+func (a *Agent) onOpening(now time.Time, seg passthrough.Segment, m *forward) {
+	if m.service != a.service {
+		a.cfg.Logger.Warn("flow dropped", "flow", seg.Flow().String(), "reason", "other_service", "origin", m.origin, "revision", m.revision)
+		a.report(now, m.origin)
+		return
+	}
+	v := a.gate.Open(now, seg, &m.path)
+	if _, ok := v.(passthrough.Deliver); ok {
+		a.returning.Put(now, seg.Flow(), returnPath{origin: m.origin, path: m.path, directory: m.directory})
+		a.tellPlaced(now, seg.Flow(), m.origin)
+	} else {
+		a.report(now, m.origin)
+	}
+	a.carry(now, seg, m, v)
+}
+
+func (a *Agent) tellPlaced(now time.Time, f passthrough.FlowID, origin netip.AddrPort) {
+	a.link.send(origin, &placed{flow: f, agent: a.link.self, load: a.gate.Load(now)})
+}
+
+// carry does what the gate has decided.
+func (a *Agent) carry(now time.Time, seg passthrough.Segment, m *forward, v passthrough.Verdict) {
+	switch v := v.(type) {
+	case passthrough.Deliver:
+		_, _ = a.outbound.WriteToUDPAddrPort(m.packet, a.cfg.Backend)
+	case passthrough.PassOn:
+		a.passOn(now, seg, m, v.Reason)
+	case passthrough.Forward:
+		if m.hops < maxHops {
+			m.hops++
+			a.link.send(v.Owner, m)
+		}
+	case passthrough.Refuse:
+		a.refuse(seg, v.Reason)
+	case passthrough.Unknown:
+		next, ok := m.path.Next()
+		for ok && next == a.link.self {
+			next, ok = m.path.Next()
+		}
+		if !ok || m.hops >= maxHops {
+			a.cfg.Logger.Info("packet dropped", "flow", seg.Flow().String(), "reason", "unknown_flow", "hops", m.hops, "origin", m.origin)
+			return
+		}
+		m.hops++
+		a.link.send(next, m)
+	}
+}
+
+func (a *Agent) passOn(now time.Time, seg passthrough.Segment, m *forward, reason passthrough.Reason) {
+	next, ok := m.path.Next()
+	if !ok {
+		a.refuse(seg, reason)
+		return
+	}
+	m.hops++
+	a.gate.PassedOn(now, seg.Flow(), next)
+	a.cfg.Logger.Info("flow passed on", "flow", seg.Flow().String(), "reason", string(reason), "to", next, "copies", seg.Copies(), "hops", m.hops)
+	a.link.send(next, m)
+}
+
+// refuse ends a flow at its caller.
+func (a *Agent) refuse(seg passthrough.Segment, reason passthrough.Reason) {
+	load := a.gate.Load(time.Now())
+	a.cfg.Logger.Info("flow refused", "flow", seg.Flow().String(), "reason", string(reason), "opens", seg.Opens(), "copies", seg.Copies(), "in_progress", load.InProgress, "slots", load.Slots)
+	seq := seg.Ack()
+	if seg.Opens() {
+		seq = 0
+	}
+	var buf [64]byte
+	a.toCaller(a.cfg.Codec.AppendReset(buf[:0], seg.Flow(), seq), seg.Flow())
+}
+
+func (a *Agent) toCaller(packet []byte, f passthrough.FlowID) {
+	to := netip.AddrPortFrom(f.Caller().Addr(), a.cfg.CallerPort)
+	_, _ = a.outbound.WriteToUDPAddrPort(packet, to)
+}
+
+// onBackendPacket carries a packet of the backend server, or one that it gives back.
+func (a *Agent) onBackendPacket(_ netip.AddrPort, packet []byte) {
+	now := time.Now()
+	seg, err := a.cfg.Codec.Decode(packet, false)
+	if err != nil {
+		a.cfg.Logger.Warn("packet dropped", "reason", "malformed", "source", "backend", "error", err)
+		return
+	}
+	if seg.Has(passthrough.FlagReturned) {
+		a.onReturned(now, seg, packet)
+		return
+	}
+	if a.gate.Answered(now, seg) {
+		r, _ := a.returning.Get(now, seg.Flow())
+		for _, d := range r.directory.All() {
+			if d != a.link.self {
+				a.link.send(d, &owner{flow: seg.Flow(), agent: a.link.self, isn: seg.Seq()})
+			}
+		}
+	}
+	a.toCaller(packet, seg.Flow())
+}
+
+func (a *Agent) onReturned(now time.Time, seg passthrough.Segment, packet []byte) {
+	a.cfg.Codec.ClearReturned(packet)
+	r, _ := a.returning.Get(now, seg.Flow())
+	m := &forward{origin: r.origin, service: a.service, revision: a.beliefs.Table().Revision(), hops: 1, path: r.path, directory: r.directory, packet: packet}
+	v := a.gate.Returned(now, seg)
+	a.cfg.Logger.Info("packet returned by backend server", "flow", seg.Flow().String(), "opens", seg.Opens(), "size", seg.Size())
+	a.carry(now, seg, m, v)
+}
+
+// sweep forgets old flows.
+func (a *Agent) sweep(ctx context.Context) error {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			idle := a.beliefs.idleTimeout()
+			a.gate.Sweep(now, idle)
+			a.returning.Sweep(now, func(_ returnPath, unused time.Duration) bool { return unused > idle })
+		}
+	}
+}
--- /dev/null
+++ b/internal/passthrough/backend.go
@@ -0,0 +1,86 @@
+package passthrough
+
+import (
+	"sync"
+	"time"
+)
+
+// Backend is what a backend server says of itself in a heartbeat.
+type Backend struct {
+	// ID names the backend server; it may be the one of an earlier start.
+	ID string
+	// Service is the customer service.
+	Service string
+	// Started is when the backend server started, by its own clock; it tells its starts apart.
+	Started time.Time
+	// Seq rises with each heartbeat of one start.
+	Seq uint64
+	// Slots is how many requests it processes at the same time.
+	Slots int
+	// Draining means that it is about to stop.
+	Draining bool
+	// ColdFor is how much longer it bears less than usual.
+	ColdFor time.Duration
+}
+
+// BackendSink takes the heartbeats of a backend server.
+type BackendSink interface {
+	// Heartbeat takes a heartbeat and reports whether it names the backend server of this agent.
+	Heartbeat(b Backend) bool
+	// Leave notes that the backend server with an id stops.
+	Leave(id string)
+}
+
+// backendState is the newest heartbeat.
+type backendState struct {
+	mu     sync.Mutex
+	newest Backend
+	known  bool
+}
+
+// take keeps a heartbeat that is newer than the newest one.
+func (s *backendState) take(b Backend) (old Backend, taken bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old = s.newest
+	if s.known && (b.Started.Before(old.Started) || (b.Started.Equal(old.Started) && b.Seq <= old.Seq)) {
+		return old, false
+	}
+	s.newest, s.known = b, true
+	return old, true
+}
+
+func (s *backendState) id() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest.ID
+}
+
+// Heartbeat takes a heartbeat of the backend server.
+func (a *Agent) Heartbeat(b Backend) bool {
+	if b.Service != a.cfg.Service {
+		a.cfg.Logger.Warn("heartbeat skipped", "backend", b.ID, "reason", "other_service", "service", b.Service)
+		return false
+	}
+	old, taken := a.backend.take(b)
+	if !taken {
+		a.cfg.Logger.Info("heartbeat skipped", "backend", b.ID, "reason", "older", "seq", b.Seq, "started", b.Started)
+		return true
+	}
+	a.gate.SetBackend(time.Now(), b.Slots, b.Draining || a.leaving.Load(), b.ColdFor)
+	a.registrar.setDraining(b.Draining || a.leaving.Load())
+	if old.ID != b.ID || !old.Started.Equal(b.Started) || old.Draining != b.Draining {
+		a.cfg.Logger.Info("backend server state", "backend", b.ID, "draining", b.Draining, "slots", b.Slots, "cold_for", b.ColdFor, "started", b.Started, "seq", b.Seq)
+	}
+	return true
+}
+
+// Leave takes no more flows for the backend server that stops.
+func (a *Agent) Leave(id string) {
+	if id != a.backend.id() {
+		return
+	}
+	a.cfg.Logger.Info("backend server leaves", "backend", id)
+	a.gate.SetDraining()
+	a.registrar.setDraining(true)
+}
--- /dev/null
+++ b/internal/passthrough/balancer.go
@@ -0,0 +1,266 @@
+package passthrough
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bramleymast/bramleymast/internal/rungroup"
+	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/flow"
+	"github.com/bramleymast/bramleymast/pkg/passthrough"
+	"github.com/bramleymast/bramleymast/pkg/route"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+const (
+	// tickInterval is how often a process looks for agents to probe.
+	tickInterval = 50 * time.Millisecond
+	// sweepInterval is how often old flows are forgotten.
+	sweepInterval = time.Second
+	// flowIdle is how long a flow without packets is remembered when the configuration states no idle timeout.
+	flowIdle = 15 * time.Second
+)
+
+// BalancerConfig is what a balancer needs.
+type BalancerConfig struct {
+	// ID names the process; it is unique in the whole system.
+	ID string
+	// Zone is the availability zone of the host.
+	Zone string
+	// Packets receives the callers' packets (UDP).
+	Packets netip.AddrPort
+	// Link receives messages of other processes (UDP) and their calls (TCP).
+	Link netip.AddrPort
+	// HTTP serves readiness and metrics.
+	HTTP netip.AddrPort
+	// Seeds are link addresses of other processes, which are asked when the store does not answer.
+	Seeds []netip.AddrPort
+	// Settle is how long a stopping balancer still forwards.
+	Settle time.Duration
+	// ReadyPath is the path of the platform's readiness call.
+	ReadyPath string
+	Store     store.Store
+	Layout    Layout
+	Codec     passthrough.Codec
+	Logger    hclog.Logger
+}
+
+// Balancer is the process on an entry host.
+type Balancer struct {
+	cfg     BalancerConfig
+	beliefs beliefs
+	steerer *passthrough.Steerer
+	link    *link
+	packets *net.UDPConn
+	http    *httpServer
+
+	loaded   atomic.Int32 // how many of the two prefixes have been listed
+	leaving  atomic.Bool
+	draining chan struct{}
+}
+
+// NewBalancer binds the sockets of a balancer.
+func NewBalancer(cfg BalancerConfig) (*Balancer, error) {
+	b := &Balancer{cfg: cfg, steerer: passthrough.NewSteerer(cfg.Zone), draining: make(chan struct{})}
+	b.beliefs = beliefs{layout: cfg.Layout, logger: cfg.Logger, changed: b.refresh}
+	var err error
+	if b.packets, err = listenUDP(cfg.Packets); err != nil {
+		return nil, err
+	}
+	if b.link, err = newLink(cfg.Link); err != nil {
+		return nil, err
+	}
+	b.http, err = newHTTPServer(cfg.HTTP)
+	if err != nil {
+		return nil, err
+	}
+	b.http.handleReady(cfg.ReadyPath, b.Ready)
+	return b, nil
+}
+
+// Ready reports whether the platform may send packets to the balancer.
+func (b *Balancer) Ready() bool { return b.hasLoaded() && !b.leaving.Load() }
+
+// prefixes is how many prefixes of the store a balancer follows.
+const prefixes = 2
+
+func (b *Balancer) hasLoaded() bool { return b.loaded.Load() >= prefixes }
+
+// Drain starts the graceful shutdown: the balancer is not ready any more, forwards for the settle time and stops.
+func (b *Balancer) Drain() {
+	if b.leaving.CompareAndSwap(false, true) {
+		close(b.draining)
+	}
+}
+
+// Run serves until the context ends or the graceful shutdown is over.
+func (b *Balancer) Run(ctx context.Context) error {
+	g, err := rungroup.New(ctx)
+	if err != nil {
+		return err
+	}
+	ready := make(chan struct{})
+	loaded := func() {
+		if b.loaded.Add(1) == prefixes {
+			close(ready)
+		}
+	}
+	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.Operator, logger: b.cfg.Logger, apply: b.beliefs.applyOperator, loaded: once(loaded)}
+	agents := &follower{store: b.cfg.Store, prefix: agentsPrefix, logger: b.cfg.Logger, apply: b.beliefs.applyAgent, loaded: once(loaded)}
+	g.Go(operator.run)
+	g.Go(agents.run)
+	g.Go(b.http.run)
+	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.link.conn, b.onMessage) })
+	g.Go(func(ctx context.Context) error {
+		select { // Packets wait in the socket until the balancer knows where to send them.
+		case <-ready:
+		case <-ctx.Done():
+			return nil
+		}
+		return readPackets(ctx, b.packets, b.onPacket)
+	})
+	g.Go(b.tick)
+	g.Go(func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-b.draining:
+		}
+		wait(ctx, b.cfg.Settle)
+		g.Stop()
+		return nil
+	})
+	return g.Wait()
+}
+
+// once returns a function that calls f the first time only.
+func once(f func()) func() {
+	var done atomic.Bool
+	return func() {
+		if done.CompareAndSwap(false, true) {
+			f()
+		}
+	}
+}
+
+// refresh derives the views of the services from the board.
+func (b *Balancer) refresh() {
+	members := make(map[string][]flow.Member)
+	for _, r := range b.beliefs.board.Records(board.KindAgent) {
+		a, ok := r.Value.(board.Agent)
+		if !ok || a.Phase == board.PhaseLeft {
+			continue
+		}
+		out, _ := b.beliefs.board.ZoneOut(a.Zone)
+		opens := a.Phase == board.PhaseReady && !out
+		members[a.Service] = append(members[a.Service], flow.NewMember(r.ID.Key, a.Data, a.Zone, opens, true))
+	}
+	views := make(map[string]*flow.View)
+	for service, ms := range members {
+		views[service] = flow.NewView(flow.ServiceIDOf(service), ms)
+	}
+	b.steerer.SetViews(views)
+}
+
+func (b *Balancer) onPacket(_ netip.AddrPort, packet []byte) {
+	seg, err := b.cfg.Codec.Decode(packet, true)
+	if err != nil {
+		b.cfg.Logger.Debug("packet dropped", "reason", "malformed", "error", err)
+		return
+	}
+	now := time.Now()
+	table := b.beliefs.Table()
+	r, ok := table.Route(seg.Flow().Address())
+	switch {
+	case !ok:
+		b.refuse(seg, "no_route", table)
+	case seg.Opens():
+		b.open(now, seg, r, table, packet)
+	default:
+		b.proceed(now, seg, r, table, packet)
+	}
+}
+
+// refuse ends a flow at its caller.
+func (b *Balancer) refuse(seg passthrough.Segment, reason string, table *route.Table) {
+	if seg.Has(passthrough.FlagReset) {
+		return
+	}
+	b.cfg.Logger.Info("flow refused", "flow", seg.Flow().String(), "reason", reason, "opens", seg.Opens(), "copies", seg.Copies(), "revision", table.Revision())
+	var buf [64]byte
+	seq := seg.Ack()
+	if seg.Opens() {
+		seq = 0
+	}
+	to := netip.AddrPortFrom(seg.Flow().Caller().Addr(), b.cfg.Packets.Port())
+	_, _ = b.packets.WriteToUDPAddrPort(b.cfg.Codec.AppendReset(buf[:0], seg.Flow(), seq), to)
+}
+
+func (b *Balancer) open(now time.Time, seg passthrough.Segment, r route.Route, table *route.Table, packet []byte) {
+	o, ok := b.steerer.Open(now, seg, r.Service)
+	if !ok {
+		b.refuse(seg, "no_agent", table)
+		return
+	}
+	b.link.send(o.Target, &forward{
+		origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: table.Revision(),
+		path: o.Alternatives, directory: o.Directory, packet: packet,
+	})
+	b.cfg.Logger.Debug("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Copies(), "revision", table.Revision())
+}
+
+func (b *Balancer) proceed(now time.Time, seg passthrough.Segment, r route.Route, table *route.Table, packet []byte) {
+	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: table.Revision(), packet: packet}
+	m.path = b.steerer.Find(seg.Flow(), r.Service)
+	target, known := b.steerer.Continue(now, seg.Flow())
+	if !known {
+		target, known = m.path.Next()
+	}
+	if !known {
+		return
+	}
+	b.link.send(target, m)
+}
+
+func (b *Balancer) onMessage(_ netip.AddrPort, data []byte) {
+	m, err := decodeMessage(data)
+	if err != nil {
+		b.cfg.Logger.Warn("message dropped", "error", err)
+		return
+	}
+	now := time.Now()
+	switch m := m.(type) {
+	case *placed:
+		b.steerer.Learn(now, m.flow, m.agent)
+		b.steerer.Heard(now, m.agent, m.load)
+	case *report:
+		b.steerer.Heard(now, m.agent, m.load)
+	}
+}
+
+// tick probes agents and forgets old flows.
+func (b *Balancer) tick(ctx context.Context) error {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	var swept time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		now := time.Now()
+		for _, a := range b.steerer.Probes(now) {
+			b.link.send(a, &probe{origin: b.link.self, revision: b.beliefs.Table().Revision()})
+		}
+		if now.Sub(swept) >= sweepInterval {
+			swept = now
+			b.steerer.Sweep(now, b.beliefs.idleTimeout())
+		}
+	}
+}
--- /dev/null
+++ b/internal/passthrough/follower.go
@@ -0,0 +1,114 @@
+package passthrough
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+const (
+	// retryDelay is the pause after a failed store call; it doubles up to maxRetryDelay.
+	retryDelay    = 100 * time.Millisecond
+	maxRetryDelay = 800 * time.Millisecond
+)
+
+// follower keeps up with a prefix of the store.
+type follower struct {
+	store  store.Store
+	prefix string
+	logger hclog.Logger
+	// apply takes a change; an entry that is missing from a whole list comes as deleted.
+	apply func(e store.Entry)
+	// loaded is called after each whole list.
+	loaded func()
+
+	known map[string]bool
+}
+
+// run follows until the context ends.
+func (f *follower) run(ctx context.Context) error {
+	f.known = make(map[string]bool)
+	var at store.Revision
+	listed, reachable := false, true
+	delay := retryDelay
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			at, err = f.watch(ctx, at)
+		} else {
+			at, err = f.list(ctx)
+			listed = err == nil
+		}
+		if errors.Is(err, store.ErrCompacted) {
+			f.logger.Info("store history is gone, listing again", "prefix", f.prefix, "revision", at)
+			listed = false
+			continue
+		}
+		if err == nil {
+			if !reachable {
+				f.logger.Info("store answers again", "prefix", f.prefix, "revision", at)
+			}
+			reachable, delay = true, retryDelay
+			continue
+		}
+		if reachable && ctx.Err() == nil {
+			f.logger.Warn("store does not answer", "prefix", f.prefix, "revision", at, "error", err)
+		}
+		reachable = false
+		wait(ctx, delay)
+		delay = min(2*delay, maxRetryDelay)
+	}
+	return nil
+}
+
+func (f *follower) list(ctx context.Context) (store.Revision, error) {
+	page, err := f.store.List(ctx, f.prefix)
+	if err != nil {
+		return 0, err
+	}
+	missing := f.known
+	f.known = make(map[string]bool)
+	for _, e := range page.Entries {
+		delete(missing, e.Key)
+		f.take(e)
+	}
+	for key := range missing {
+		f.take(store.Entry{Key: key, Revision: page.Revision, Deleted: true})
+	}
+	f.loaded()
+	return page.Revision, nil
+}
+
+func (f *follower) watch(ctx context.Context, at store.Revision) (store.Revision, error) {
+	page, err := f.store.Watch(ctx, f.prefix, at)
+	if err != nil {
+		return at, err
+	}
+	for _, e := range page.Entries {
+		f.take(e)
+	}
+	return max(at, page.Revision), nil
+}
+
+func (f *follower) take(e store.Entry) {
+	if e.Deleted {
+		delete(f.known, e.Key)
+	} else {
+		f.known[e.Key] = true
+	}
+	f.apply(e)
+}
+
+// wait pauses until the time is over or the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/passthrough/http.go
@@ -0,0 +1,47 @@
+package passthrough
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// headerTimeout bounds how long a caller may take to send the head of a request.
+const headerTimeout = 5 * time.Second
+
+// httpServer serves the platform's calls and the metrics.
+type httpServer struct {
+	listener net.Listener
+	mux      *http.ServeMux
+}
+
+func newHTTPServer(a netip.AddrPort) (*httpServer, error) {
+	l, err := net.Listen("tcp4", a.String()) //nolint:noctx // the listener ends with run
+	if err != nil {
+		return nil, errors.Annotatef(err, "cannot listen on %s", a)
+	}
+	return &httpServer{listener: l, mux: http.NewServeMux()}, nil
+}
+
+func (s *httpServer) handleReady(path string, ready func() bool) {
+	s.mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// run serves until the context ends.
+func (s *httpServer) run(ctx context.Context) error {
+	server := &http.Server{Handler: s.mux, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Trace(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/passthrough/layout.go
@@ -0,0 +1,53 @@
+package passthrough
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/route"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// Layout says where the operator's configuration is in the store.
+type Layout struct {
+	// Operator is the prefix of all that operators write.
+	Operator string
+	// Config is the key of the routes.
+	Config string
+	// ZonesOut is the prefix of the keys that name the zones that are out of service.
+	ZonesOut string
+	// DecodeConfig reads the value of Config.
+	DecodeConfig func(value []byte, revision store.Revision) (*route.Table, error)
+}
+
+// agentsPrefix is the prefix of the agents' own entries, each followed by the agent's id.
+const agentsPrefix = "bramleymast/agents/"
+
+// agentEntry is what an agent writes to the store.
+type agentEntry struct {
+	Service  string         `json:"service"`
+	Zone     string         `json:"zone"`
+	Address  netip.AddrPort `json:"address"`
+	Draining bool           `json:"draining"`
+}
+
+// errEntry means that an entry in the store was not written by an agent.
+const errEntry = errors.ConstError("not an agent's entry")
+
+func decodeAgent(value []byte) (board.Agent, error) {
+	var e agentEntry
+	if err := json.Unmarshal(value, &e); err != nil {
+		return board.Agent{}, errors.Annotatef(errEntry, "%v", err)
+	}
+	if e.Service == "" || !e.Address.IsValid() || !e.Address.Addr().Is4() {
+		return board.Agent{}, errors.Annotate(errEntry, "no service or address")
+	}
+	a := board.Agent{Service: e.Service, Zone: e.Zone, Phase: board.PhaseReady, Data: e.Address, Control: e.Address}
+	if e.Draining {
+		a.Phase = board.PhaseDraining
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/passthrough/link.go
@@ -0,0 +1,62 @@
+package passthrough
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/juju/errors"
+)
+
+// link is the UDP socket for datagrams between processes.
+type link struct {
+	conn *net.UDPConn
+	self netip.AddrPort
+}
+
+// receiveBuffer holds the datagrams of about a second while the process gets no processor time.
+const receiveBuffer = 4 << 20
+
+func listenUDP(a netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, errors.Annotatef(err, "cannot listen on %s", a)
+	}
+	// The platform may grant less; a smaller buffer is no reason not to serve.
+	_ = conn.SetReadBuffer(receiveBuffer)
+	return conn, nil
+}
+
+func newLink(a netip.AddrPort) (*link, error) {
+	conn, err := listenUDP(a)
+	if err != nil {
+		return nil, err
+	}
+	return &link{conn: conn, self: a}, nil
+}
+
+// send sends a message; a datagram that cannot be sent counts as lost, as any other datagram may be.
+func (l *link) send(to netip.AddrPort, m message) {
+	var buf [maxMessage]byte
+	_, _ = l.conn.WriteToUDPAddrPort(m.append(buf[:0]), to)
+}
+
+// readPackets reads datagrams until the context ends; handle must not keep the slice.
+func readPackets(ctx context.Context, conn *net.UDPConn, handle func(from netip.AddrPort, b []byte)) error {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	buf := make([]byte, maxMessage)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Trace(err)
+			}
+			continue // An error that an earlier datagram caused, such as a closed port at its target.
+		}
+		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n])
+	}
+}
--- /dev/null
+++ b/internal/passthrough/message.go
@@ -0,0 +1,226 @@
+// Package passthrough runs the processes that carry pass-through flows: the balancer of an entry host and the agent
+// beside a backend server.
+package passthrough
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/pkg/flow"
+	"github.com/bramleymast/bramleymast/pkg/passthrough"
+)
+
+// errMessage means that a datagram between processes cannot be read.
+const errMessage = errors.ConstError("malformed message")
+
+const (
+	// magic and version begin every datagram between processes.
+	magic   = 0xb7
+	version = 1
+	// maxMessage is the largest datagram in bytes.
+	maxMessage = 2048
+	// addressSize is the size of an encoded IPv4 address with its port.
+	addressSize = 6
+)
+
+// messageKind is the third byte of a datagram.
+type messageKind byte
+
+const (
+	kindForward messageKind = iota + 1
+	kindPlaced
+	kindOwner
+	kindProbe
+	kindReport
+)
+
+// message is a datagram between processes: forward, placed, owner, probe or report.
+type message interface {
+	append(b []byte) []byte
+}
+
+// forward carries a caller's packet to an agent.
+type forward struct {
+	// origin is the balancer that is told where the flow is.
+	origin  netip.AddrPort
+	service flow.ServiceID
+	// revision is the store revision of the configuration by which the balancer acted.
+	revision uint64
+	// hops is how many agents the packet has visited.
+	hops uint8
+	// path lists the agents to visit next, and directory those that remember the owner.
+	path      passthrough.Path
+	directory passthrough.Path
+	packet    []byte
+}
+
+// placed tells a balancer which agent owns a flow.
+type placed struct {
+	flow  passthrough.FlowID
+	agent netip.AddrPort
+	load  passthrough.Load
+}
+
+// owner tells an agent which other agent owns a flow.
+type owner struct {
+	flow  passthrough.FlowID
+	agent netip.AddrPort
+	// isn is the first sequence number of the backend server.
+	isn uint32
+}
+
+// probe asks an agent for a report.
+type probe struct {
+	origin   netip.AddrPort
+	revision uint64
+}
+
+// report tells a balancer the load of an agent.
+type report struct {
+	agent    netip.AddrPort
+	revision uint64
+	load     passthrough.Load
+}
+
+func appendAddress(b []byte, a netip.AddrPort) []byte {
+	var ip [4]byte
+	if a.IsValid() {
+		ip = a.Addr().As4()
+	}
+	b = append(b, ip[:]...)
+	return binary.BigEndian.AppendUint16(b, a.Port())
+}
+
+func appendPath(b []byte, p *passthrough.Path) []byte {
+	b = append(b, byte(p.Len()))
+	for _, a := range p.All() {
+		b = appendAddress(b, a)
+	}
+	return b
+}
+
+func appendLoad(b []byte, l passthrough.Load) []byte {
+	b = binary.BigEndian.AppendUint16(b, l.InProgress)
+	b = binary.BigEndian.AppendUint16(b, l.Slots)
+	if l.Opens {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
+func header(b []byte, k messageKind) []byte { return append(b, magic, version, byte(k)) }
+
+func (m *forward) append(b []byte) []byte {
+	b = header(b, kindForward)
+	b = appendAddress(b, m.origin)
+	b = binary.BigEndian.AppendUint64(b, uint64(m.service))
+	b = binary.BigEndian.AppendUint64(b, m.revision)
+	b = append(b, m.hops)
+	b = appendPath(b, &m.path)
+	b = appendPath(b, &m.directory)
+	return append(b, m.packet...)
+}
+
+func (m *placed) append(b []byte) []byte {
+	b = header(b, kindPlaced)
+	b = m.flow.Append(b)
+	b = appendAddress(b, m.agent)
+	return appendLoad(b, m.load)
+}
+
+func (m *owner) append(b []byte) []byte {
+	b = header(b, kindOwner)
+	b = m.flow.Append(b)
+	b = appendAddress(b, m.agent)
+	return binary.BigEndian.AppendUint32(b, m.isn)
+}
+
+func (m *probe) append(b []byte) []byte {
+	b = header(b, kindProbe)
+	b = appendAddress(b, m.origin)
+	return binary.BigEndian.AppendUint64(b, m.revision)
+}
+
+func (m *report) append(b []byte) []byte {
+	b = header(b, kindReport)
+	b = appendAddress(b, m.agent)
+	b = binary.BigEndian.AppendUint64(b, m.revision)
+	return appendLoad(b, m.load)
+}
+
+// reader reads the fields of a datagram in order and remembers whether it was too short.
+type reader struct {
+	rest  []byte
+	short bool
+}
+
+func (r *reader) take(n int) []byte {
+	if len(r.rest) < n {
+		r.short = true
+		return make([]byte, n)
+	}
+	b := r.rest[:n]
+	r.rest = r.rest[n:]
+	return b
+}
+
+func (r *reader) uint64() uint64 { return binary.BigEndian.Uint64(r.take(8)) }
+
+func (r *reader) address() netip.AddrPort {
+	b := r.take(addressSize)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b)), binary.BigEndian.Uint16(b[4:]))
+}
+
+func (r *reader) path() passthrough.Path {
+	var p passthrough.Path
+	for range r.take(1)[0] {
+		if !p.Add(r.address()) {
+			r.short = true
+			break
+		}
+	}
+	return p
+}
+
+func (r *reader) load() passthrough.Load {
+	b := r.take(5)
+	return passthrough.Load{
+		InProgress: binary.BigEndian.Uint16(b), Slots: binary.BigEndian.Uint16(b[2:]), Opens: b[4] == 1,
+	}
+}
+
+// decodeMessage reads a datagram; a forwarded packet shares the memory of b.
+func decodeMessage(b []byte) (message, error) {
+	if len(b) < 3 || b[0] != magic || b[1] != version {
+		return nil, errMessage
+	}
+	r := &reader{rest: b[3:]}
+	m := r.message(messageKind(b[2]))
+	if m == nil || r.short {
+		return nil, errMessage
+	}
+	return m, nil
+}
+
+func (r *reader) message(k messageKind) message {
+	switch k {
+	case kindForward:
+		m := &forward{origin: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), hops: r.take(1)[0]}
+		m.path, m.directory = r.path(), r.path()
+		m.packet = r.rest
+		return m
+	case kindPlaced:
+		return &placed{flow: passthrough.DecodeFlowID(r.take(passthrough.FlowIDSize)), agent: r.address(), load: r.load()}
+	case kindOwner:
+		m := &owner{flow: passthrough.DecodeFlowID(r.take(passthrough.FlowIDSize)), agent: r.address()}
+		m.isn = binary.BigEndian.Uint32(r.take(4))
+		return m
+	case kindProbe:
+		return &probe{origin: r.address(), revision: r.uint64()}
+	case kindReport:
+		return &report{agent: r.address(), revision: r.uint64(), load: r.load()}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/passthrough/registrar.go
@@ -0,0 +1,150 @@
+package passthrough
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+const (
+	// leaseTTL outlives a restart of the process, so that balancers need not forget the agent.
+	leaseTTL = 12 * time.Second
+	// renewInterval leaves time for two failed renewals.
+	renewInterval = leaseTTL / 4
+)
+
+// registrar keeps the agent's entry in the store.
+type registrar struct {
+	store  store.Store
+	key    string
+	logger hclog.Logger
+	wake   chan struct{}
+
+	mu    sync.Mutex
+	entry agentEntry
+	dirty bool
+
+	lease    store.LeaseID
+	revision store.Revision
+}
+
+func newRegistrar(s store.Store, id string, e agentEntry, logger hclog.Logger) *registrar {
+	return &registrar{store: s, key: agentsPrefix + id, entry: e, dirty: true, logger: logger, wake: make(chan struct{}, 1)}
+}
+
+// setDraining changes the entry.
+func (r *registrar) setDraining(draining bool) {
+	r.mu.Lock()
+	changed := r.entry.Draining != draining
+	r.entry.Draining = draining
+	r.dirty = r.dirty || changed
+	r.mu.Unlock()
+	if !changed {
+		return
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default: // A wake-up is already due.
+	}
+}
+
+// run keeps the entry until the context ends.
+func (r *registrar) run(ctx context.Context) error {
+	delay := retryDelay
+	for ctx.Err() == nil {
+		if err := r.step(ctx); err != nil && ctx.Err() == nil {
+			r.logger.Warn("entry not written", "key", r.key, "error", err)
+			wait(ctx, delay)
+			delay = min(2*delay, maxRetryDelay)
+			continue
+		}
+		delay = retryDelay
+		r.pause(ctx)
+	}
+	return nil
+}
+
+// pause waits for the next renewal or change.
+func (r *registrar) pause(ctx context.Context) {
+	t := time.NewTimer(renewInterval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-r.wake:
+	}
+}
+
+// step renews the lease, or writes the entry when it has changed or was lost.
+func (r *registrar) step(ctx context.Context) error {
+	r.mu.Lock()
+	entry, dirty := r.entry, r.dirty
+	r.mu.Unlock()
+	if r.lease != 0 && !dirty {
+		err := r.store.Renew(ctx, r.lease)
+		if !errors.Is(err, store.ErrNotFound) {
+			return err
+		}
+		r.logger.Warn("lease has ended, writing the entry again", "key", r.key)
+		r.lease = 0
+	}
+	if err := r.write(ctx, entry); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.dirty = r.entry != entry
+	r.mu.Unlock()
+	return nil
+}
+
+func (r *registrar) write(ctx context.Context, entry agentEntry) error {
+	if r.lease == 0 {
+		lease, err := r.store.Grant(ctx, leaseTTL)
+		if err != nil {
+			return err
+		}
+		r.lease = lease
+	}
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	revision, err := r.store.Swap(ctx, r.key, value, r.revision, r.lease)
+	if errors.Is(err, store.ErrConflict) {
+		revision, err = r.replace(ctx, value)
+	}
+	if errors.Is(err, store.ErrNotFound) {
+		r.lease = 0
+	}
+	if err != nil {
+		return err
+	}
+	r.revision = revision
+	r.logger.Info("entry written", "key", r.key, "revision", revision, "draining", entry.Draining)
+	return nil
+}
+
+// replace writes over the entry of an earlier process or of a write whose answer was lost.
+func (r *registrar) replace(ctx context.Context, value []byte) (store.Revision, error) {
+	old, err := r.store.Get(ctx, r.key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return 0, err
+	}
+	return r.store.Swap(ctx, r.key, value, old.Revision, r.lease)
+}
+
+// remove deletes the entry of an agent that stops; what is left ends with the lease.
+func (r *registrar) remove(ctx context.Context) {
+	if r.lease == 0 {
+		return
+	}
+	if err := r.store.Revoke(ctx, r.lease); err != nil {
+		r.logger.Warn("entry not removed, it ends with its lease", "key", r.key, "error", err)
+	}
+}
--- /dev/null
+++ b/pkg/passthrough/gate.go
@@ -0,0 +1,325 @@
+package passthrough
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/bramleymast/bramleymast/pkg/route"
+)
+
+const (
+	// handshakeTime is how long a caller that was answered may take to send its request.
+	handshakeTime = 250 * time.Millisecond
+	// workTime bounds how long a request counts whose answer is not seen.
+	workTime = 2 * time.Second
+	// maxSequenceGap is more bytes than a backend server sends on one flow.
+	maxSequenceGap = 1 << 28
+	// maxOwners is how many backend servers may have answered the copies of one opening packet.
+	maxOwners = 2
+)
+
+// Reason is why a packet was not given to the backend server; the text is the value of the reason label of a metric.
+type Reason string
+
+// Reasons.
+const (
+	ReasonDraining Reason = "draining"
+	ReasonZoneOut  Reason = "zone_out"
+	ReasonCold     Reason = "cold"
+	ReasonBusy     Reason = "busy"
+	ReasonReturned Reason = "returned"
+	ReasonNotReady Reason = "not_ready"
+)
+
+// Verdict is what an agent does with a packet: Deliver, PassOn, Refuse or Unknown.
+type Verdict interface{ verdict() }
+
+// Deliver gives the packet to the backend server.
+type Deliver struct{}
+
+// PassOn sends the packet to the next agent of its path, or refuses it when there is none.
+type PassOn struct{ Reason Reason }
+
+// Refuse ends the flow at the caller.
+type Refuse struct{ Reason Reason }
+
+// Forward sends the packet to the agent that owns its flow.
+type Forward struct{ Owner netip.AddrPort }
+
+// Unknown means that the agent does not know the flow.
+type Unknown struct{}
+
+func (Deliver) verdict() {}
+func (PassOn) verdict()  {}
+func (Refuse) verdict()  {}
+func (Forward) verdict() {}
+func (Unknown) verdict() {}
+
+// Gate is an agent's decision which packets its backend server gets. It is safe for concurrent use.
+type Gate struct {
+	flows  Table[held]
+	passed Table[netip.AddrPort]
+	owners Table[[maxOwners]owner]
+
+	mu        sync.Mutex
+	work      map[FlowID]request
+	slots     int
+	draining  bool
+	zoneOut   bool
+	coldUntil time.Time
+	coldLimit SlidingLimit
+	service   route.Service
+	started   time.Time
+}
+
+// held is a flow whose opening packet the backend server got.
+type held struct {
+	isn      uint32
+	accepted bool // the backend server has answered the opening packet
+	adopted  bool // the flow was open before the agent started, so its first sequence number is not known
+	probed   bool // the packet was delivered to find out whether the backend server holds the flow
+	foreign  bool // the backend server does not hold the flow
+}
+
+// owner is an agent that says that its backend server holds a flow.
+type owner struct {
+	agent netip.AddrPort
+	isn   uint32
+}
+
+// request is work that the backend server has or is about to get.
+type request struct {
+	since   time.Time
+	working bool
+}
+
+// NewGate returns the gate of an agent that started at a time.
+func NewGate(started time.Time) *Gate {
+	return &Gate{work: make(map[FlowID]request), slots: assumedSlots, started: started}
+}
+
+// SetService sets what the configuration states of the backend server.
+func (g *Gate) SetService(s route.Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.service = s
+}
+
+// SetZoneOut notes whether operators have taken the zone out of service.
+func (g *Gate) SetZoneOut(out bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.zoneOut = out
+}
+
+// SetBackend notes what the backend server says of itself; cold is how much longer it stays cold.
+func (g *Gate) SetBackend(now time.Time, slots int, draining bool, cold time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slots > 0 {
+		g.slots = slots
+	}
+	g.draining = draining
+	g.coldUntil = now.Add(cold)
+}
+
+// SetDraining makes the agent take no more flows.
+func (g *Gate) SetDraining() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+}
+
+// Load returns the load of the backend server.
+func (g *Gate) Load(now time.Time) Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Load{
+		InProgress: uint16(min(g.inProgress(now), 1<<15)), //nolint:gosec // bounded by min
+		Slots:      uint16(min(g.slots, 1<<15)),           //nolint:gosec // bounded by min
+		Opens:      !g.draining && !g.zoneOut,
+	}
+}
+
+// inProgress counts the work and forgets requests that can no longer be waiting.
+func (g *Gate) inProgress(now time.Time) int {
+	for f, r := range g.work {
+		limit := handshakeTime
+		if r.working {
+			limit = workTime
+		}
+		if now.Sub(r.since) > limit {
+			delete(g.work, f)
+		}
+	}
+	return len(g.work)
+}
+
+// limit is how many requests may be in progress: enough that no slot is idle while a caller's request is on its way.
+func (g *Gate) limit() int { return 2*g.slots + 2 }
+
+// Open decides on a packet that opens a flow.
+func (g *Gate) Open(now time.Time, seg Segment, path *Path) Verdict {
+	if h, ok := g.flows.Get(now, seg.Flow()); ok && seg.Copies() > 0 && !h.foreign {
+		return Deliver{}
+	}
+	v := g.admit(now, seg, path)
+	if _, ok := v.(Deliver); ok {
+		g.flows.Put(now, seg.Flow(), held{})
+		g.passed.Delete(seg.Flow())
+	}
+	return v
+}
+
+func (g *Gate) admit(now time.Time, seg Segment, path *Path) Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.draining:
+		return PassOn{ReasonDraining}
+	case g.zoneOut:
+		return PassOn{ReasonZoneOut}
+	case g.inProgress(now) >= g.limit() && path.Len() > 0:
+		return PassOn{ReasonBusy}
+	case !g.coldAllows(now):
+		return PassOn{ReasonCold}
+	}
+	g.work[seg.Flow()] = request{since: now}
+	return Deliver{}
+}
+
+// coldAllows applies the rate that a cold backend server bears.
+func (g *Gate) coldAllows(now time.Time) bool {
+	if g.service.ColdPerSecond <= 0 || !now.Before(g.coldUntil) {
+		return true
+	}
+	return g.coldLimit.Allow(now, max(1, int(g.service.ColdPerSecond)))
+}
+
+// PassedOn notes to which agent the packet that opens a flow was sent.
+func (g *Gate) PassedOn(now time.Time, f FlowID, agent netip.AddrPort) {
+	g.flows.Delete(f)
+	g.passed.Put(now, f, agent)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.work, f)
+}
+
+// settleTime is how long after its start an agent asks its backend server for flows that it does not know.
+const settleTime = 20 * time.Second
+
+// Continue decides on a packet of a flow that is already open.
+func (g *Gate) Continue(now time.Time, seg Segment) Verdict {
+	f := seg.Flow()
+	h, known := g.flows.Get(now, f)
+	if known && h.owns(seg) {
+		if seg.Size() > 0 && !h.adopted {
+			g.mu.Lock()
+			if r, ok := g.work[f]; ok && !r.working {
+				g.work[f] = request{since: now, working: true}
+			}
+			g.mu.Unlock()
+		}
+		return Deliver{}
+	}
+	if a, ok := g.passed.Get(now, f); ok {
+		return Forward{a}
+	}
+	if os, ok := g.owners.Get(now, f); ok {
+		if a, ok := match(os, seg); ok {
+			return Forward{a}
+		}
+	}
+	if !known && now.Sub(g.started) < settleTime {
+		g.flows.Put(now, f, held{probed: true})
+		return Deliver{}
+	}
+	return Unknown{}
+}
+
+// owns reports whether the caller's packet acknowledges bytes of this backend server.
+func (h held) owns(seg Segment) bool {
+	switch {
+	case h.foreign || h.probed:
+		return false
+	case h.adopted:
+		return true
+	}
+	return h.accepted && follows(h.isn, seg)
+}
+
+// follows reports whether a packet acknowledges bytes that begin after a first sequence number.
+func follows(isn uint32, seg Segment) bool {
+	return seg.Has(FlagReset) || seg.Ack()-isn < maxSequenceGap
+}
+
+func match(os [maxOwners]owner, seg Segment) (netip.AddrPort, bool) {
+	for _, o := range os {
+		if o.agent.IsValid() && follows(o.isn, seg) {
+			return o.agent, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// Own notes that another agent's backend server holds a flow.
+func (g *Gate) Own(now time.Time, f FlowID, agent netip.AddrPort, isn uint32) {
+	g.owners.Update(now, f, func(os [maxOwners]owner, _ bool) [maxOwners]owner {
+		if os[0].agent != agent {
+			os[1] = os[0]
+		}
+		os[0] = owner{agent: agent, isn: isn}
+		return os
+	})
+}
+
+// Answered notes a packet of the backend server and reports whether it accepts a new flow.
+func (g *Gate) Answered(now time.Time, seg Segment) (accepted bool) {
+	f := seg.Flow()
+	g.flows.Update(now, f, func(h held, known bool) held {
+		if seg.Has(FlagOpen | FlagAck) {
+			accepted = !h.accepted
+			return held{isn: seg.Seq(), accepted: true}
+		}
+		if !known || h.probed {
+			return held{adopted: true, accepted: true}
+		}
+		return h
+	})
+	if seg.Size() > 0 || seg.Has(FlagReset) || seg.Has(FlagFinish) {
+		g.mu.Lock()
+		delete(g.work, f)
+		g.mu.Unlock()
+	}
+	return accepted
+}
+
+// Returned decides on a caller's packet that the backend server gave back.
+func (g *Gate) Returned(now time.Time, seg Segment) Verdict {
+	f := seg.Flow()
+	h, known := g.flows.Get(now, f)
+	g.mu.Lock()
+	delete(g.work, f)
+	g.mu.Unlock()
+	switch {
+	case seg.Opens():
+		g.flows.Delete(f)
+		return PassOn{ReasonReturned}
+	case known && h.owns(seg):
+		g.flows.Delete(f)
+		return Refuse{ReasonReturned}
+	}
+	g.flows.Put(now, f, held{foreign: true})
+	return Unknown{}
+}
+
+// Sweep forgets flows without packets for longer than idle.
+func (g *Gate) Sweep(now time.Time, idle time.Duration) {
+	g.flows.Sweep(now, func(_ held, unused time.Duration) bool { return unused > idle })
+	g.passed.Sweep(now, func(_ netip.AddrPort, unused time.Duration) bool { return unused > idle })
+	g.owners.Sweep(now, func(_ [maxOwners]owner, unused time.Duration) bool { return unused > idle })
+}
+
+// Flows returns the number of flows that the agent remembers.
+func (g *Gate) Flows() int { return g.flows.Len() }
--- /dev/null
+++ b/pkg/passthrough/load.go
@@ -0,0 +1,23 @@
+package passthrough
+
+// Load is what an agent tells of its backend server; the zero value takes no flows.
+type Load struct {
+	// InProgress is the number of requests that hold a slot, wait for one or are about to come.
+	InProgress uint16
+	// Slots is how many requests the backend server processes at the same time.
+	Slots uint16
+	// Opens reports whether the backend server takes new flows.
+	Opens bool
+}
+
+// crossZoneRequests is the cost of a flow to another zone, in requests that wait before it.
+const crossZoneRequests = 0.5
+
+// cost returns the expected wait of one more flow in units of the backend server's slots.
+func (l Load) cost(unreported int, sameZone bool) float64 {
+	ahead := float64(l.InProgress) + float64(unreported)
+	if !sameZone {
+		ahead += crossZoneRequests
+	}
+	return (ahead + 1) / float64(max(l.Slots, 1))
+}
--- /dev/null
+++ b/pkg/passthrough/steerer.go
@@ -0,0 +1,292 @@
+package passthrough
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/bramleymast/bramleymast/pkg/flow"
+)
+
+const (
+	// suspectAfter is several round trips between zones; an agent that is silent longer gets no new flows.
+	suspectAfter = 150 * time.Millisecond
+	// probeInterval bounds how old the news of an agent without traffic gets.
+	probeInterval = 500 * time.Millisecond
+	// suspectProbeInterval lets an agent that is back get flows soon.
+	suspectProbeInterval = 100 * time.Millisecond
+	// reportLife is how long a reported load counts; later the agent counts as idle.
+	reportLife = time.Second
+	// directorySize is how many agents remember the owner of a flow.
+	directorySize = 2
+	// alternatives is how many further agents a packet that opens a flow may visit.
+	alternatives = 3
+	// copyTime is longer than a caller repeats the packet that opens a flow; later it is a new flow.
+	copyTime = 1500 * time.Millisecond
+	// assumedSlots is the slots of an agent that has not reported yet.
+	assumedSlots = 2
+)
+
+// Steerer is a balancer's decision which agent gets a caller's packet. It is safe for concurrent use.
+//
+// New flows go to the agent with the shortest expected wait, and later packets to the agent that is known to own
+// the flow. For a flow that the balancer does not know, the packet visits the agents that remember owners and then
+// the other agents of the service.
+type Steerer struct {
+	zone  string
+	flows Table[steered]
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*peer
+	views map[string]*flow.View
+}
+
+// steered is what a balancer remembers of a flow.
+type steered struct {
+	agent  netip.AddrPort
+	opened time.Time
+}
+
+// peer is an agent as a balancer sees it.
+type peer struct {
+	load       Load
+	sameZone   bool
+	admitted   bool // by the operator's and the agent's own state in the store
+	reported   bool
+	reportedAt time.Time
+	unreported int       // flows sent since the last report
+	waiting    time.Time // when the oldest message without an answer was sent; zero when there is none
+	sent       time.Time
+}
+
+// NewSteerer returns the steerer of a balancer in a zone.
+func NewSteerer(zone string) *Steerer {
+	return &Steerer{zone: zone, peers: make(map[netip.AddrPort]*peer), views: make(map[string]*flow.View)}
+}
+
+// SetViews replaces the members of all services.
+func (s *Steerer) SetViews(views map[string]*flow.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	peers := make(map[netip.AddrPort]*peer)
+	for _, v := range views {
+		for i := range v.Members() {
+			m := &v.Members()[i]
+			p, ok := s.peers[m.Data()]
+			if !ok {
+				p = &peer{load: Load{Slots: assumedSlots, Opens: true}}
+			}
+			p.sameZone = m.Zone() == s.zone
+			p.admitted = m.Opens()
+			peers[m.Data()] = p
+		}
+	}
+	s.peers, s.views = peers, views
+}
+
+// Opening says where a packet that opens a flow goes.
+type Opening struct {
+	Target netip.AddrPort
+	// Alternatives are the agents to which the target may pass the packet on.
+	Alternatives Path
+	// Directory are the agents that are told the owner of the flow.
+	Directory Path
+}
+
+// Open returns where a packet that opens a flow to a service goes, or false when no agent takes new flows.
+func (s *Steerer) Open(now time.Time, seg Segment, service string) (Opening, bool) {
+	known, repeated := s.flows.Get(now, seg.Flow())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.views[service]
+	if !ok {
+		return Opening{}, false
+	}
+	hash := seg.Flow().Hash()
+	var o Opening
+	repeated = repeated && now.Sub(known.opened) < copyTime && s.usable(now, known.agent)
+	if repeated {
+		o.Target = known.agent
+	}
+	s.rank(now, v, hash, &o)
+	if !o.Target.IsValid() {
+		return Opening{}, false
+	}
+	s.note(now, o.Target)
+	if !repeated {
+		s.peers[o.Target].unreported++
+		s.flows.Put(now, seg.Flow(), steered{agent: o.Target, opened: now})
+	}
+	var tried flow.Tried
+	for range directorySize {
+		m := v.First(hash, false, tried)
+		if m == nil {
+			break
+		}
+		tried.Add(m.Short())
+		o.Directory.Add(m.Data())
+	}
+	return o, true
+}
+
+// usable reports whether an agent takes new flows and answers.
+func (s *Steerer) usable(now time.Time, agent netip.AddrPort) bool {
+	p, ok := s.peers[agent]
+	return ok && p.admitted && p.load.Opens && !p.suspect(now)
+}
+
+// rank fills in the target, unless it is set, and the alternatives by expected wait.
+// When all agents are suspect they are used all the same, since the balancer itself may be cut off.
+func (s *Steerer) rank(now time.Time, v *flow.View, hash uint64, o *Opening) {
+	members := v.Members()
+	if len(members) == 0 {
+		return
+	}
+	var best [alternatives + 1]netip.AddrPort
+	var costs [alternatives + 1]float64
+	n := 0
+	start := int(hash % uint64(len(members)))
+	for i := range members {
+		a := members[(start+i)%len(members)].Data()
+		p, ok := s.peers[a]
+		if !ok || !p.admitted || !p.load.Opens || a == o.Target {
+			continue
+		}
+		c := p.cost(now)
+		j := n
+		for j > 0 && c < costs[j-1] {
+			j--
+		}
+		if j == len(best) {
+			continue
+		}
+		if n < len(best) {
+			n++
+		}
+		copy(best[j+1:n], best[j:n-1])
+		copy(costs[j+1:n], costs[j:n-1])
+		best[j], costs[j] = a, c
+	}
+	for _, a := range best[:n] {
+		if !o.Target.IsValid() {
+			o.Target = a
+		} else if o.Alternatives.Len() < alternatives {
+			o.Alternatives.Add(a)
+		}
+	}
+}
+
+// suspectCost ranks agents that do not answer behind all others.
+const suspectCost = 1e6
+
+func (p *peer) cost(now time.Time) float64 {
+	l := p.load
+	if now.Sub(p.reportedAt) > reportLife {
+		l.InProgress = 0
+	}
+	c := l.cost(p.unreported, p.sameZone)
+	if p.suspect(now) {
+		c += suspectCost
+	}
+	return c
+}
+
+func (p *peer) suspect(now time.Time) bool {
+	return !p.waiting.IsZero() && now.Sub(p.waiting) > suspectAfter
+}
+
+func (s *Steerer) note(now time.Time, agent netip.AddrPort) {
+	p, ok := s.peers[agent]
+	if !ok {
+		return
+	}
+	p.sent = now
+	if p.waiting.IsZero() {
+		p.waiting = now
+	}
+}
+
+// Continue returns the agent that owns a flow, if the balancer knows it.
+func (s *Steerer) Continue(now time.Time, f FlowID) (netip.AddrPort, bool) {
+	known, ok := s.flows.Get(now, f)
+	return known.agent, ok
+}
+
+// Find returns the agents of a service to ask for the owner of a flow that the balancer does not know.
+func (s *Steerer) Find(f FlowID, service string) Path {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var p Path
+	v, ok := s.views[service]
+	if !ok {
+		return p
+	}
+	var tried flow.Tried
+	for hash := f.Hash(); ; {
+		m := v.First(hash, false, tried)
+		if m == nil || !tried.Add(m.Short()) || !p.Add(m.Data()) {
+			return p
+		}
+	}
+}
+
+// Learn notes the owner of a flow.
+func (s *Steerer) Learn(now time.Time, f FlowID, agent netip.AddrPort) {
+	s.flows.Update(now, f, func(v steered, known bool) steered {
+		if !known {
+			v.opened = now
+		}
+		v.agent = agent
+		return v
+	})
+}
+
+// Heard notes the load that an agent has told.
+func (s *Steerer) Heard(now time.Time, agent netip.AddrPort, l Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.peers[agent]
+	if !ok {
+		return
+	}
+	p.load, p.reported, p.reportedAt = l, true, now
+	p.unreported = 0
+	p.waiting = time.Time{}
+}
+
+// Probes returns the agents that have to be asked for their load now.
+func (s *Steerer) Probes(now time.Time) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var due []netip.AddrPort
+	for a, p := range s.peers {
+		interval := probeInterval
+		if !p.waiting.IsZero() {
+			interval = suspectProbeInterval
+		}
+		if now.Sub(p.sent) >= interval && now.Sub(p.reportedAt) >= interval {
+			due = append(due, a)
+			s.note(now, a)
+		}
+	}
+	return due
+}
+
+// Silent returns how long an agent has not answered; 0 means that it has answered all messages.
+func (s *Steerer) Silent(now time.Time, agent netip.AddrPort) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.peers[agent]
+	if !ok || p.waiting.IsZero() {
+		return 0
+	}
+	return now.Sub(p.waiting)
+}
+
+// Flows returns the number of flows that the balancer remembers.
+func (s *Steerer) Flows() int { return s.flows.Len() }
+
+// Sweep forgets flows without packets for longer than idle.
+func (s *Steerer) Sweep(now time.Time, idle time.Duration) {
+	s.flows.Sweep(now, func(_ steered, unused time.Duration) bool { return unused > idle })
+}
--- /dev/null
+++ b/pkg/route/route.go
@@ -0,0 +1,88 @@
+// Package route holds which customer service each service address leads to.
+package route
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Kind says what may be done with a request whose outcome is unknown.
+type Kind uint8
+
+// Kinds of requests.
+const (
+	// Idempotent requests may be repeated.
+	Idempotent Kind = iota
+	// NonIdempotent requests may run once at most.
+	NonIdempotent
+)
+
+// Route leads a service address to a customer service.
+type Route struct {
+	// Service is the customer service that gets new flows.
+	Service string
+	Kind    Kind
+	// Timeout is how long a caller may wait for an answer; 0 means that it is not known.
+	Timeout time.Duration
+	// TargetLatency is the latency objective of the requests; 0 means that there is none.
+	TargetLatency time.Duration
+}
+
+// Service states what each backend server of a customer service may bear.
+type Service struct {
+	// Connections is how many flows a backend server bears; 0 means that it is not stated.
+	Connections int
+	// ColdPerSecond is how many requests a second a cold backend server bears; 0 means that it is not stated.
+	ColdPerSecond float64
+	// ColdTime is how long a backend server stays cold after its start.
+	ColdTime time.Duration
+}
+
+// Table is one version of the configuration; it is never changed after it is made.
+type Table struct {
+	revision    uint64
+	version     uint64
+	idleTimeout time.Duration
+	routes      map[netip.AddrPort]Route
+	services    map[string]Service
+}
+
+// NewTable returns the table of a configuration version, which the store holds at a revision.
+func NewTable(revision, version uint64, idle time.Duration, routes map[netip.AddrPort]Route, services map[string]Service) *Table {
+	return &Table{revision: revision, version: version, idleTimeout: idle, routes: routes, services: services}
+}
+
+// Revision returns the store revision, which orders the versions.
+func (t *Table) Revision() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.revision
+}
+
+// Version returns the operator's number of the version.
+func (t *Table) Version() uint64 { return t.version }
+
+// IdleTimeout returns after which time without packets a flow may be forgotten.
+func (t *Table) IdleTimeout() time.Duration { return t.idleTimeout }
+
+// Route returns the route of a service address.
+func (t *Table) Route(address netip.AddrPort) (Route, bool) {
+	if t == nil {
+		return Route{}, false
+	}
+	r, ok := t.routes[address]
+	return r, ok
+}
+
+// Len returns the number of routes.
+func (t *Table) Len() int { return len(t.routes) }
+
+// Service returns what is stated of a customer service.
+func (t *Table) Service(name string) (Service, bool) {
+	if t == nil {
+		return Service{}, false
+	}
+	s, ok := t.services[name]
+	return s, ok
+}
