fix: learn configurations that a watch misses, and reload on SIGHUP

Ruled out: a lost relist, since all processes were listing within 30 ms of the end of their watches. SIGHUP reloads the settings.

--- a/cmd/bramleymast-node/main.go
+++ b/cmd/bramleymast-node/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -44,6 +46,8 @@
 	}
 	received, stop := signals.Notify()
 	defer stop()
+	stopReload := onReload(func() { reload(s, d, logger) })
+	defer stopReload()
 	logger.Info("started", "role", args[0])
 	drain := func() {
 		logger.Info("graceful shutdown")
@@ -56,3 +60,24 @@
 	logger.Info("stopped")
 	return exitSuccess
 }
+
+// onReload calls f after each SIGHUP, until the returned function is called.
+func onReload(f func()) (stop func()) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	go func() {
+		for range c {
+			f()
+		}
+	}()
+	return func() { signal.Stop(c) }
+}
+
+func reload(running platform.Settings, d platform.Daemon, logger hclog.Logger) {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		logger.Error("settings not reloaded, the earlier ones stay in force", "error", err)
+		return
+	}
+	logger.Info("settings reloaded", "restart_needed", s.Reload(d, running))
+}
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -64,11 +64,13 @@
 	http       *httpServer
 	heartbeats *httpServer
 	registrar  *registrar
+	catchUp    *catchUp
 	backend    backendState
 	returning  passthrough.Table[returnPath] // what is needed to pass on a packet that the backend server gives back
 
 	leaving  atomic.Bool
 	draining chan struct{}
+	settle   atomic.Int64 // as time.Duration
 }
 
 // returnPath says where a packet came from and where it may go if the backend server gives it back.
@@ -82,7 +84,9 @@
 func NewAgent(cfg AgentConfig) (*Agent, error) {
 	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), gate: passthrough.NewGate(time.Now()), draining: make(chan struct{})}
 	a.beliefs = beliefs{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
+	a.catchUp = newCatchUp(&a.beliefs, false, cfg.Logger)
 	a.registrar = newRegistrar(cfg.Store, cfg.ID, agentEntry{Service: cfg.Service, Zone: cfg.Zone, Address: cfg.Link}, cfg.Logger)
+	a.SetSettle(cfg.Settle)
 	var err error
 	if a.outbound, err = listenUDP(cfg.Outbound); err != nil {
 		return nil, err
@@ -110,14 +114,22 @@
 	}
 }
 
+// SetSettle changes how long the process carries packets after Drain.
+func (a *Agent) SetSettle(d time.Duration) { a.settle.Store(int64(d)) }
+
 // Run serves until the context ends or the graceful shutdown is over.
 func (a *Agent) Run(ctx context.Context) error {
 	g, err := rungroup.New(ctx)
 	if err != nil {
 		return err
 	}
-	operator := &follower{store: a.cfg.Store, prefix: a.cfg.Layout.Operator, logger: a.cfg.Logger, apply: a.beliefs.applyOperator, loaded: func() {}}
+	operator := &follower{store: a.cfg.Store, prefix: a.cfg.Layout.Operator, logger: a.cfg.Logger, apply: a.beliefs.applyOperator}
 	g.Go(operator.run)
+	g.Go(a.catchUp.run)
+	loaded := make(chan struct{})
+	operator.loaded = once(func() { close(loaded) })
+	g.Go(func(ctx context.Context) error { return a.catchUp.start(ctx, a.cfg.Seeds, loaded, func() {}) })
+	g.Go(func(ctx context.Context) error { return servePeers(ctx, a.link.calls, &a.beliefs) })
 	g.Go(a.registrar.run)
 	g.Go(a.http.run)
 	g.Go(a.heartbeats.run)
@@ -130,7 +142,9 @@
 			return nil
 		case <-a.draining:
 		}
-		wait(ctx, a.cfg.Settle)
+		if !a.backend.hasLeft() {
+			wait(ctx, time.Duration(a.settle.Load()))
+		}
 		a.registrar.remove(ctx)
 		g.Stop()
 		return nil
@@ -155,16 +169,18 @@
 	now := time.Now()
 	switch m := m.(type) {
 	case *forward:
+		a.catchUp.heard(m.origin, m.revision)
 		a.onForward(now, m)
 	case *owner:
 		a.gate.Own(now, m.flow, m.agent, m.isn)
 	case *probe:
+		a.catchUp.heard(m.origin, m.revision)
 		a.report(now, m.origin)
 	}
 }
 
 func (a *Agent) report(now time.Time, to netip.AddrPort) {
-	a.link.send(to, &report{agent: a.link.self, revision: a.beliefs.Table().Revision(), load: a.gate.Load(now)})
+	a.link.send(to, &report{agent: a.link.self, revision: a.beliefs.operatorRevision(), load: a.gate.Load(now)})
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
@@ -290,7 +306,7 @@
 func (a *Agent) onReturned(now time.Time, seg passthrough.Segment, packet []byte) {
 	a.cfg.Codec.ClearReturned(packet)
 	r, _ := a.returning.Get(now, seg.Flow())
-	m := &forward{origin: r.origin, service: a.service, revision: a.beliefs.Table().Revision(), hops: 1, path: r.path, directory: r.directory, packet: packet}
+	m := &forward{origin: r.origin, service: a.service, revision: a.beliefs.operatorRevision(), hops: 1, path: r.path, directory: r.directory, packet: packet}
 	v := a.gate.Returned(now, seg)
 	a.cfg.Logger.Info("packet returned by backend server", "flow", seg.Flow().String(), "opens", seg.Opens(), "size", seg.Size())
 	a.carry(now, seg, m, v)
--- a/internal/passthrough/backend.go
+++ b/internal/passthrough/backend.go
@@ -36,6 +36,7 @@
 	mu     sync.Mutex
 	newest Backend
 	known  bool
+	left   bool // the backend server has said that it stops
 }
 
 // take keeps a heartbeat that is newer than the newest one.
@@ -46,14 +47,25 @@
 	if s.known && (b.Started.Before(old.Started) || (b.Started.Equal(old.Started) && b.Seq <= old.Seq)) {
 		return old, false
 	}
-	s.newest, s.known = b, true
+	s.newest, s.known, s.left = b, true, false
 	return old, true
 }
 
-func (s *backendState) id() string {
+// leave notes that the backend server with an id stops, and reports whether it is the one of the newest heartbeat.
+func (s *backendState) leave(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.newest.ID
+	if !s.known || s.newest.ID != id {
+		return false
+	}
+	s.left = true
+	return true
+}
+
+func (s *backendState) hasLeft() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left
 }
 
 // Heartbeat takes a heartbeat of the backend server.
@@ -77,7 +89,7 @@
 
 // Leave takes no more flows for the backend server that stops.
 func (a *Agent) Leave(id string) {
-	if id != a.backend.id() {
+	if !a.backend.leave(id) {
 		return
 	}
 	a.cfg.Logger.Info("backend server leaves", "backend", id)
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -58,16 +58,20 @@
 	link    *link
 	packets *net.UDPConn
 	http    *httpServer
+	catchUp *catchUp
 
 	loaded   atomic.Int32 // how many of the two prefixes have been listed
 	leaving  atomic.Bool
 	draining chan struct{}
+	settle   atomic.Int64 // as time.Duration
 }
 
 // NewBalancer binds the sockets of a balancer.
 func NewBalancer(cfg BalancerConfig) (*Balancer, error) {
 	b := &Balancer{cfg: cfg, steerer: passthrough.NewSteerer(cfg.Zone), draining: make(chan struct{})}
 	b.beliefs = beliefs{layout: cfg.Layout, logger: cfg.Logger, changed: b.refresh}
+	b.catchUp = newCatchUp(&b.beliefs, true, cfg.Logger)
+	b.SetSettle(cfg.Settle)
 	var err error
 	if b.packets, err = listenUDP(cfg.Packets); err != nil {
 		return nil, err
@@ -98,6 +102,9 @@
 	}
 }
 
+// SetSettle changes how long the process carries packets after Drain.
+func (b *Balancer) SetSettle(d time.Duration) { b.settle.Store(int64(d)) }
+
 // Run serves until the context ends or the graceful shutdown is over.
 func (b *Balancer) Run(ctx context.Context) error {
 	g, err := rungroup.New(ctx)
@@ -105,15 +112,24 @@
 		return err
 	}
 	ready := make(chan struct{})
+	start := once(func() { close(ready) })
 	loaded := func() {
-		if b.loaded.Add(1) == prefixes {
-			close(ready)
+		if b.loaded.Add(1) >= prefixes {
+			start()
 		}
 	}
 	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.Operator, logger: b.cfg.Logger, apply: b.beliefs.applyOperator, loaded: once(loaded)}
 	agents := &follower{store: b.cfg.Store, prefix: agentsPrefix, logger: b.cfg.Logger, apply: b.beliefs.applyAgent, loaded: once(loaded)}
 	g.Go(operator.run)
 	g.Go(agents.run)
+	g.Go(b.catchUp.run)
+	g.Go(func(ctx context.Context) error {
+		return b.catchUp.start(ctx, b.cfg.Seeds, ready, func() {
+			b.loaded.Add(prefixes)
+			start()
+		})
+	})
+	g.Go(func(ctx context.Context) error { return servePeers(ctx, b.link.calls, &b.beliefs) })
 	g.Go(b.http.run)
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.link.conn, b.onMessage) })
 	g.Go(func(ctx context.Context) error {
@@ -131,7 +147,7 @@
 			return nil
 		case <-b.draining:
 		}
-		wait(ctx, b.cfg.Settle)
+		wait(ctx, time.Duration(b.settle.Load()))
 		g.Stop()
 		return nil
 	})
@@ -208,14 +224,14 @@
 		return
 	}
 	b.link.send(o.Target, &forward{
-		origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: table.Revision(),
+		origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.beliefs.operatorRevision(),
 		path: o.Alternatives, directory: o.Directory, packet: packet,
 	})
 	b.cfg.Logger.Debug("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Copies(), "revision", table.Revision())
 }
 
 func (b *Balancer) proceed(now time.Time, seg passthrough.Segment, r route.Route, table *route.Table, packet []byte) {
-	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: table.Revision(), packet: packet}
+	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.beliefs.operatorRevision(), packet: packet}
 	m.path = b.steerer.Find(seg.Flow(), r.Service)
 	target, known := b.steerer.Continue(now, seg.Flow())
 	if !known {
@@ -240,6 +256,7 @@
 		b.steerer.Heard(now, m.agent, m.load)
 	case *report:
 		b.steerer.Heard(now, m.agent, m.load)
+		b.catchUp.heard(m.agent, m.revision)
 	}
 }
 
@@ -256,7 +273,7 @@
 		}
 		now := time.Now()
 		for _, a := range b.steerer.Probes(now) {
-			b.link.send(a, &probe{origin: b.link.self, revision: b.beliefs.Table().Revision()})
+			b.link.send(a, &probe{origin: b.link.self, revision: b.beliefs.operatorRevision()})
 		}
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
--- a/internal/passthrough/beliefs.go
+++ b/internal/passthrough/beliefs.go
@@ -34,6 +34,20 @@
 // Table returns the newest configuration, or nil before the first.
 func (b *beliefs) Table() *route.Table { return b.table.Load() }
 
+// operatorRevision returns the highest store revision of what operators have written.
+func (b *beliefs) operatorRevision() uint64 {
+	return max(b.table.Load().Revision(), b.board.ZoneRevision())
+}
+
+// apply takes an entry of the store.
+func (b *beliefs) apply(e store.Entry) {
+	if strings.HasPrefix(e.Key, agentsPrefix) {
+		b.applyAgent(e)
+		return
+	}
+	b.applyOperator(e)
+}
+
 // applyOperator takes an entry that an operator has written.
 func (b *beliefs) applyOperator(e store.Entry) {
 	switch zone, isZone := strings.CutPrefix(e.Key, b.layout.ZonesOut); {
--- a/internal/passthrough/layout.go
+++ b/internal/passthrough/layout.go
@@ -51,3 +51,12 @@
 	}
 	return a, nil
 }
+
+// encode returns the value that decodeAgent reads.
+func (e agentEntry) encode() []byte {
+	value, err := json.Marshal(e)
+	if err != nil {
+		panic(err) // The fields are texts, an address and a flag, which can always be encoded.
+	}
+	return value
+}
--- a/internal/passthrough/link.go
+++ b/internal/passthrough/link.go
@@ -8,10 +8,11 @@
 	"github.com/juju/errors"
 )
 
-// link is the UDP socket for datagrams between processes.
+// link is the UDP socket for datagrams between processes, with the TCP listener for their calls.
 type link struct {
-	conn *net.UDPConn
-	self netip.AddrPort
+	conn  *net.UDPConn
+	calls net.Listener
+	self  netip.AddrPort
 }
 
 // receiveBuffer holds the datagrams of about a second while the process gets no processor time.
@@ -32,7 +33,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &link{conn: conn, self: a}, nil
+	calls, err := net.Listen("tcp4", a.String()) //nolint:noctx // the listener ends with servePeers
+	if err != nil {
+		return nil, errors.Annotatef(err, "cannot listen on %s", a)
+	}
+	return &link{conn: conn, calls: calls, self: a}, nil
 }
 
 // send sends a message; a datagram that cannot be sent counts as lost, as any other datagram may be.
--- /dev/null
+++ b/internal/passthrough/peer.go
@@ -0,0 +1,196 @@
+package passthrough
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+const (
+	// fetchTimeout bounds a call to another process; a healthy one answers within a round trip.
+	fetchTimeout = time.Second
+	// fetchInterval bounds how often a process asks others for what it lacks.
+	fetchInterval = 100 * time.Millisecond
+	// seedDelay is how long a process that starts waits for the store before it asks other processes.
+	seedDelay = 150 * time.Millisecond
+	// seedInterval is the pause between two rounds of asking.
+	seedInterval = 500 * time.Millisecond
+)
+
+// EntryState is an entry of the store as a process knows it.
+type EntryState struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Deleted  bool
+}
+
+// StateArgs asks for the entries of the store that a process knows. Types of net/rpc must be exported.
+type StateArgs struct {
+	// Agents asks for the agents' entries too.
+	Agents bool
+}
+
+// StateReply holds entries of the store.
+type StateReply struct{ Entries []EntryState }
+
+// peerService answers the calls of other processes.
+type peerService struct{ beliefs *beliefs }
+
+// State returns the entries that the process knows.
+func (s *peerService) State(args StateArgs, reply *StateReply) error {
+	reply.Entries = s.beliefs.entries(args.Agents)
+	return nil
+}
+
+// peerName is the name of the service in net/rpc.
+const peerName = "Peer"
+
+// servePeers answers calls until the context ends.
+func servePeers(ctx context.Context, l net.Listener, b *beliefs) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(peerName, &peerService{beliefs: b}); err != nil {
+		return errors.Trace(err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Trace(err)
+		}
+		// One call a connection: a connection that went silent holds nothing up.
+		_ = conn.SetDeadline(time.Now().Add(fetchTimeout))
+		go server.ServeConn(conn)
+	}
+}
+
+// fetchState asks a process for its entries.
+func fetchState(ctx context.Context, from netip.AddrPort, agents bool) ([]EntryState, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", from.String())
+	if err != nil {
+		return nil, errors.Annotatef(err, "cannot reach %s", from)
+	}
+	deadline, _ := ctx.Deadline()
+	_ = conn.SetDeadline(deadline)
+	client := rpc.NewClient(conn)
+	defer client.Close()
+	var reply StateReply
+	if err := client.Call(peerName+".State", StateArgs{Agents: agents}, &reply); err != nil {
+		return nil, errors.Annotatef(err, "cannot ask %s", from)
+	}
+	return reply.Entries, nil
+}
+
+// catchUp asks other processes for entries that the store does not deliver to this process.
+type catchUp struct {
+	beliefs *beliefs
+	agents  bool
+	logger  hclog.Logger
+	due     chan netip.AddrPort
+	running atomic.Bool
+}
+
+func newCatchUp(b *beliefs, agents bool, logger hclog.Logger) *catchUp {
+	return &catchUp{beliefs: b, agents: agents, logger: logger, due: make(chan netip.AddrPort, 1)}
+}
+
+// heard notes the operator's revision that another process knows.
+func (c *catchUp) heard(from netip.AddrPort, revision uint64) {
+	if revision <= c.beliefs.operatorRevision() {
+		return
+	}
+	select {
+	case c.due <- from:
+	default: // A fetch is already due.
+	}
+}
+
+// run fetches until the context ends.
+func (c *catchUp) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case from := <-c.due:
+			c.fetch(ctx, from)
+		}
+		wait(ctx, fetchInterval)
+	}
+}
+
+func (c *catchUp) fetch(ctx context.Context, from netip.AddrPort) bool {
+	entries, err := fetchState(ctx, from, c.agents)
+	if err != nil {
+		c.logger.Warn("state not fetched", "from", from, "error", err)
+		return false
+	}
+	c.logger.Info("state fetched", "from", from, "entries", len(entries))
+	for _, e := range entries {
+		c.beliefs.apply(store.Entry{Key: e.Key, Value: e.Value, Revision: store.Revision(e.Revision), Deleted: e.Deleted})
+	}
+	return len(entries) > 0
+}
+
+// start asks the seeds while the store does not answer; loaded ends when the process knows enough.
+func (c *catchUp) start(ctx context.Context, seeds []netip.AddrPort, loaded <-chan struct{}, done func()) error {
+	for delay := seedDelay; ; delay = seedInterval {
+		t := time.NewTimer(delay)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return nil
+		case <-loaded:
+			t.Stop()
+			return nil
+		case <-t.C:
+		}
+		for _, s := range seeds {
+			if c.fetch(ctx, s) && c.beliefs.Table() != nil {
+				done()
+				return nil
+			}
+		}
+	}
+}
+
+// entries returns what the process knows of the operator's entries and, if asked, of the agents'.
+func (b *beliefs) entries(agents bool) []EntryState {
+	var all []EntryState
+	b.mu.Lock()
+	if t := b.table.Load(); t != nil {
+		all = append(all, EntryState{Key: b.layout.Config, Value: b.config, Revision: t.Revision()})
+	}
+	b.mu.Unlock()
+	for _, r := range b.board.Records(board.KindZone) {
+		if z, ok := r.Value.(board.Zone); ok {
+			all = append(all, EntryState{Key: b.layout.ZonesOut + r.ID.Key, Revision: r.Version.Seq, Deleted: !z.Out()})
+		}
+	}
+	if !agents {
+		return all
+	}
+	for _, r := range b.board.Records(board.KindAgent) {
+		a, ok := r.Value.(board.Agent)
+		if !ok {
+			continue
+		}
+		e := agentEntry{Service: a.Service, Zone: a.Zone, Address: a.Data, Draining: a.Phase == board.PhaseDraining}
+		all = append(all, EntryState{Key: agentsPrefix + r.ID.Key, Value: e.encode(), Revision: r.Version.Seq, Deleted: a.Phase == board.PhaseLeft})
+	}
+	return all
+}
--- a/internal/passthrough/registrar.go
+++ b/internal/passthrough/registrar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -30,8 +29,10 @@
 	entry agentEntry
 	dirty bool
 
+	calls    sync.Mutex // held during a call, and guards the fields below
 	lease    store.LeaseID
 	revision store.Revision
+	removed  bool
 }
 
 func newRegistrar(s store.Store, id string, e agentEntry, logger hclog.Logger) *registrar {
@@ -83,6 +84,11 @@
 
 // step renews the lease, or writes the entry when it has changed or was lost.
 func (r *registrar) step(ctx context.Context) error {
+	r.calls.Lock()
+	defer r.calls.Unlock()
+	if r.removed {
+		return nil
+	}
 	r.mu.Lock()
 	entry, dirty := r.entry, r.dirty
 	r.mu.Unlock()
@@ -111,10 +117,7 @@
 		}
 		r.lease = lease
 	}
-	value, err := json.Marshal(entry)
-	if err != nil {
-		return errors.Trace(err)
-	}
+	value := entry.encode()
 	revision, err := r.store.Swap(ctx, r.key, value, r.revision, r.lease)
 	if errors.Is(err, store.ErrConflict) {
 		revision, err = r.replace(ctx, value)
@@ -141,6 +144,9 @@
 
 // remove deletes the entry of an agent that stops; what is left ends with the lease.
 func (r *registrar) remove(ctx context.Context) {
+	r.calls.Lock()
+	defer r.calls.Unlock()
+	r.removed = true
 	if r.lease == 0 {
 		return
 	}
