feat: answer fresh callers first after an outage, send none to an absent backend server

Ruled out: slow starts, the process starts in 4 ms. Beyond 2 x slots + 2 requests in progress an opening packet is passed on or held, newest caller first; a copy gets a free slot only.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -53,6 +53,9 @@
 // maxHops bounds how many agents a packet visits.
 const maxHops = passthrough.MaxPath + 2
 
+// admitInterval is how often an agent looks for held packets that can be delivered.
+const admitInterval = 20 * time.Millisecond
+
 // Agent is the process beside a backend server.
 type Agent struct {
 	cfg        AgentConfig
@@ -136,6 +139,7 @@
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.link.conn, a.onMessage) })
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.outbound, a.onBackendPacket) })
 	g.Go(a.sweep)
+	g.Go(a.admit)
 	g.Go(func(ctx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -209,16 +213,43 @@
 		a.report(now, m.origin)
 		return
 	}
-	v := a.gate.Open(now, seg, &m.path)
-	if _, ok := v.(passthrough.Deliver); ok {
-		a.returning.Put(now, seg.Flow(), returnPath{origin: m.origin, path: m.path, directory: m.directory})
-		a.tellPlaced(now, seg.Flow(), m.origin)
-	} else {
+	arrival := passthrough.Arrival{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Packet: m.packet}
+	v := a.gate.Open(now, arrival)
+	switch v.(type) {
+	case passthrough.Deliver, passthrough.Hold:
+		a.accept(now, arrival)
+	default:
 		a.report(now, m.origin)
 	}
 	a.carry(now, seg, m, v)
 }
 
+// accept notes where a flow came from and tells its balancer that it is here.
+func (a *Agent) accept(now time.Time, r passthrough.Arrival) {
+	f := r.Segment.Flow()
+	a.returning.Put(now, f, returnPath{origin: r.Origin, path: r.Path, directory: r.Directory})
+	a.tellPlaced(now, f, r.Origin)
+}
+
+// admitWaiting delivers held packets that the backend server can take now.
+func (a *Agent) admitWaiting(now time.Time) {
+	deliver, passOn := a.gate.Due(now)
+	for _, r := range deliver {
+		a.deliver(r.Packet)
+	}
+	for _, r := range passOn {
+		m := &forward{
+			origin: r.Origin, service: a.service, revision: a.beliefs.operatorRevision(), hops: 1,
+			path: r.Path, directory: r.Directory, packet: r.Packet,
+		}
+		a.passOn(now, r.Segment, m, passthrough.ReasonBusy)
+	}
+}
+
+func (a *Agent) deliver(packet []byte) {
+	_, _ = a.outbound.WriteToUDPAddrPort(packet, a.cfg.Backend)
+}
+
 func (a *Agent) tellPlaced(now time.Time, f passthrough.FlowID, origin netip.AddrPort) {
 	a.link.send(origin, &placed{flow: f, agent: a.link.self, load: a.gate.Load(now)})
 }
@@ -227,7 +258,9 @@
 func (a *Agent) carry(now time.Time, seg passthrough.Segment, m *forward, v passthrough.Verdict) {
 	switch v := v.(type) {
 	case passthrough.Deliver:
-		_, _ = a.outbound.WriteToUDPAddrPort(m.packet, a.cfg.Backend)
+		a.deliver(m.packet)
+	case passthrough.Hold:
+		a.cfg.Logger.Debug("flow held", "flow", seg.Flow().String(), "copies", seg.Copies())
 	case passthrough.PassOn:
 		a.passOn(now, seg, m, v.Reason)
 	case passthrough.Forward:
@@ -301,6 +334,7 @@
 		}
 	}
 	a.toCaller(packet, seg.Flow())
+	a.admitWaiting(now)
 }
 
 func (a *Agent) onReturned(now time.Time, seg passthrough.Segment, packet []byte) {
@@ -310,6 +344,21 @@
 	v := a.gate.Returned(now, seg)
 	a.cfg.Logger.Info("packet returned by backend server", "flow", seg.Flow().String(), "opens", seg.Opens(), "size", seg.Size())
 	a.carry(now, seg, m, v)
+	a.admitWaiting(now)
+}
+
+// admit delivers held packets whose turn comes without a packet of the backend server.
+func (a *Agent) admit(ctx context.Context) error {
+	t := time.NewTicker(admitInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			a.admitWaiting(time.Now())
+		}
+	}
 }
 
 // sweep forgets old flows.
--- a/internal/passthrough/backend.go
+++ b/internal/passthrough/backend.go
@@ -81,6 +81,7 @@
 	}
 	a.gate.SetBackend(time.Now(), b.Slots, b.Draining || a.leaving.Load(), b.ColdFor)
 	a.registrar.setDraining(b.Draining || a.leaving.Load())
+	a.registrar.announce()
 	if old.ID != b.ID || !old.Started.Equal(b.Started) || old.Draining != b.Draining {
 		a.cfg.Logger.Info("backend server state", "backend", b.ID, "draining", b.Draining, "slots", b.Slots, "cold_for", b.ColdFor, "started", b.Started, "seq", b.Seq)
 	}
--- a/internal/passthrough/registrar.go
+++ b/internal/passthrough/registrar.go
@@ -24,6 +24,9 @@
 	key    string
 	logger hclog.Logger
 	wake   chan struct{}
+	// due ends when there is something to announce.
+	due     chan struct{}
+	dueOnce sync.Once
 
 	mu    sync.Mutex
 	entry agentEntry
@@ -36,7 +39,7 @@
 }
 
 func newRegistrar(s store.Store, id string, e agentEntry, logger hclog.Logger) *registrar {
-	return &registrar{store: s, key: agentsPrefix + id, entry: e, dirty: true, logger: logger, wake: make(chan struct{}, 1)}
+	return &registrar{store: s, key: agentsPrefix + id, entry: e, dirty: true, logger: logger, wake: make(chan struct{}, 1), due: make(chan struct{})}
 }
 
 // setDraining changes the entry.
@@ -55,8 +58,16 @@
 	}
 }
 
+// announce lets the entry be written: the backend server is there.
+func (r *registrar) announce() { r.dueOnce.Do(func() { close(r.due) }) }
+
 // run keeps the entry until the context ends.
 func (r *registrar) run(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-r.due:
+	}
 	delay := retryDelay
 	for ctx.Err() == nil {
 		if err := r.step(ctx); err != nil && ctx.Err() == nil {
--- a/pkg/passthrough/gate.go
+++ b/pkg/passthrough/gate.go
@@ -9,14 +9,16 @@
 )
 
 const (
-	// handshakeTime is how long a caller that was answered may take to send its request.
-	handshakeTime = 250 * time.Millisecond
+	// handshakeTime is several round trips to a caller; one that takes longer to send its request is not coming.
+	handshakeTime = 80 * time.Millisecond
 	// workTime bounds how long a request counts whose answer is not seen.
 	workTime = 2 * time.Second
 	// maxSequenceGap is more bytes than a backend server sends on one flow.
 	maxSequenceGap = 1 << 28
 	// maxOwners is how many backend servers may have answered the copies of one opening packet.
 	maxOwners = 2
+	// settleTime is how long after its start an agent asks its backend server for flows that it does not know.
+	settleTime = 20 * time.Second
 )
 
 // Reason is why a packet was not given to the backend server; the text is the value of the reason label of a metric.
@@ -29,10 +31,11 @@
 	ReasonCold     Reason = "cold"
 	ReasonBusy     Reason = "busy"
 	ReasonReturned Reason = "returned"
-	ReasonNotReady Reason = "not_ready"
+	ReasonAbsent   Reason = "backend_absent"
+	ReasonExpired  Reason = "expired"
 )
 
-// Verdict is what an agent does with a packet: Deliver, PassOn, Refuse or Unknown.
+// Verdict is what an agent does with a packet: Deliver, PassOn, Hold, Refuse, Forward or Unknown.
 type Verdict interface{ verdict() }
 
 // Deliver gives the packet to the backend server.
@@ -41,6 +44,9 @@
 // PassOn sends the packet to the next agent of its path, or refuses it when there is none.
 type PassOn struct{ Reason Reason }
 
+// Hold means that the gate has kept the packet until the backend server can take it.
+type Hold struct{}
+
 // Refuse ends the flow at the caller.
 type Refuse struct{ Reason Reason }
 
@@ -52,6 +58,7 @@
 
 func (Deliver) verdict() {}
 func (PassOn) verdict()  {}
+func (Hold) verdict()    {}
 func (Refuse) verdict()  {}
 func (Forward) verdict() {}
 func (Unknown) verdict() {}
@@ -64,6 +71,8 @@
 
 	mu        sync.Mutex
 	work      map[FlowID]request
+	waiting   waitingLine
+	presence  presence
 	slots     int
 	draining  bool
 	zoneOut   bool
@@ -122,6 +131,7 @@
 	}
 	g.draining = draining
 	g.coldUntil = now.Add(cold)
+	g.presence.seen(now)
 }
 
 // SetDraining makes the agent take no more flows.
@@ -135,13 +145,21 @@
 func (g *Gate) Load(now time.Time) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	n := g.inProgress(now) + g.waiting.len()
 	return Load{
-		InProgress: uint16(min(g.inProgress(now), 1<<15)), //nolint:gosec // bounded by min
-		Slots:      uint16(min(g.slots, 1<<15)),           //nolint:gosec // bounded by min
-		Opens:      !g.draining && !g.zoneOut,
+		InProgress: uint16(min(n, 1<<15)),       //nolint:gosec // bounded by min
+		Slots:      uint16(min(g.slots, 1<<15)), //nolint:gosec // bounded by min
+		Opens:      !g.draining && !g.zoneOut && !g.presence.absent(now),
 	}
 }
 
+// Confirmed reports whether the backend server has been seen since the agent started.
+func (g *Gate) Confirmed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.presence.confirmed
+}
+
 // inProgress counts the work and forgets requests that can no longer be waiting.
 func (g *Gate) inProgress(now time.Time) int {
 	for f, r := range g.work {
@@ -156,36 +174,60 @@
 	return len(g.work)
 }
 
-// limit is how many requests may be in progress: enough that no slot is idle while a caller's request is on its way.
+// limit is how many requests may be in progress: enough that no slot is idle while a caller's request is on its
+// way, and fewer than a backend server queues.
 func (g *Gate) limit() int { return 2*g.slots + 2 }
 
+// lateLimit is how many requests may be in progress when one is taken whose caller waits for long: it takes a free
+// slot, but no place before callers that can still be answered in time.
+func (g *Gate) lateLimit() int { return g.slots + 1 }
+
 // Open decides on a packet that opens a flow.
-func (g *Gate) Open(now time.Time, seg Segment, path *Path) Verdict {
+func (g *Gate) Open(now time.Time, a Arrival) Verdict {
+	seg := a.Segment
 	if h, ok := g.flows.Get(now, seg.Flow()); ok && seg.Copies() > 0 && !h.foreign {
 		return Deliver{}
 	}
-	v := g.admit(now, seg, path)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.admit(now, a)
 	if _, ok := v.(Deliver); ok {
-		g.flows.Put(now, seg.Flow(), held{})
-		g.passed.Delete(seg.Flow())
+		g.take(now, seg.Flow())
 	}
 	return v
 }
 
-func (g *Gate) admit(now time.Time, seg Segment, path *Path) Verdict {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// take notes that the backend server gets the packet that opens a flow.
+func (g *Gate) take(now time.Time, f FlowID) {
+	g.work[f] = request{since: now}
+	g.presence.delivered(now)
+	g.flows.Put(now, f, held{})
+	g.passed.Delete(f)
+}
+
+func (g *Gate) admit(now time.Time, a Arrival) Verdict {
 	switch {
 	case g.draining:
 		return PassOn{ReasonDraining}
 	case g.zoneOut:
 		return PassOn{ReasonZoneOut}
-	case g.inProgress(now) >= g.limit() && path.Len() > 0:
-		return PassOn{ReasonBusy}
-	case !g.coldAllows(now):
+	case !g.presence.allows(now):
+		return PassOn{ReasonAbsent}
+	}
+	limit := g.limit()
+	if a.Segment.Copies() > 0 {
+		limit = g.lateLimit()
+	}
+	if g.inProgress(now) >= limit {
+		if a.Path.Len() > 0 && a.Segment.Copies() == 0 {
+			return PassOn{ReasonBusy}
+		}
+		g.waiting.push(now, a)
+		return Hold{}
+	}
+	if !g.coldAllows(now) {
 		return PassOn{ReasonCold}
 	}
-	g.work[seg.Flow()] = request{since: now}
 	return Deliver{}
 }
 
@@ -197,6 +239,27 @@
 	return g.coldLimit.Allow(now, max(1, int(g.service.ColdPerSecond)))
 }
 
+// Due returns the held packets that the backend server can take now, and those that it will not get, which go to
+// other agents.
+func (g *Gate) Due(now time.Time) (deliver, passOn []Arrival) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining || g.zoneOut || !g.presence.allows(now) {
+		return nil, g.waiting.takeAll(now)
+	}
+	for n := g.inProgress(now); ; n++ {
+		a, ok := g.waiting.pop(now, n < g.limit(), n < g.lateLimit())
+		if !ok {
+			return deliver, nil
+		}
+		if !g.coldAllows(now) {
+			return deliver, []Arrival{a}
+		}
+		g.take(now, a.Segment.Flow())
+		deliver = append(deliver, a)
+	}
+}
+
 // PassedOn notes to which agent the packet that opens a flow was sent.
 func (g *Gate) PassedOn(now time.Time, f FlowID, agent netip.AddrPort) {
 	g.flows.Delete(f)
@@ -206,21 +269,12 @@
 	delete(g.work, f)
 }
 
-// settleTime is how long after its start an agent asks its backend server for flows that it does not know.
-const settleTime = 20 * time.Second
-
 // Continue decides on a packet of a flow that is already open.
 func (g *Gate) Continue(now time.Time, seg Segment) Verdict {
 	f := seg.Flow()
 	h, known := g.flows.Get(now, f)
 	if known && h.owns(seg) {
-		if seg.Size() > 0 && !h.adopted {
-			g.mu.Lock()
-			if r, ok := g.work[f]; ok && !r.working {
-				g.work[f] = request{since: now, working: true}
-			}
-			g.mu.Unlock()
-		}
+		g.noteRequest(now, seg)
 		return Deliver{}
 	}
 	if a, ok := g.passed.Get(now, f); ok {
@@ -238,6 +292,23 @@
 	return Unknown{}
 }
 
+// noteRequest notes that the backend server gets a caller's request, or that the caller has given up.
+func (g *Gate) noteRequest(now time.Time, seg Segment) {
+	ends := seg.Has(FlagReset)
+	if seg.Size() == 0 && !ends {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r, ok := g.work[seg.Flow()]
+	switch {
+	case ok && ends:
+		delete(g.work, seg.Flow())
+	case ok && !r.working:
+		g.work[seg.Flow()] = request{since: now, working: true}
+	}
+}
+
 // owns reports whether the caller's packet acknowledges bytes of this backend server.
 func (h held) owns(seg Segment) bool {
 	switch {
@@ -287,10 +358,11 @@
 		}
 		return h
 	})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.presence.seen(now)
 	if seg.Size() > 0 || seg.Has(FlagReset) || seg.Has(FlagFinish) {
-		g.mu.Lock()
 		delete(g.work, f)
-		g.mu.Unlock()
 	}
 	return accepted
 }
@@ -301,6 +373,9 @@
 	h, known := g.flows.Get(now, f)
 	g.mu.Lock()
 	delete(g.work, f)
+	if seg.Opens() {
+		g.presence.returned(now)
+	}
 	g.mu.Unlock()
 	switch {
 	case seg.Opens():
--- /dev/null
+++ b/pkg/passthrough/waiting.go
@@ -0,0 +1,109 @@
+package passthrough
+
+import (
+	"bytes"
+	"net/netip"
+	"time"
+)
+
+// Arrival is a packet that opens a flow, with what is needed to send it on.
+type Arrival struct {
+	Segment Segment
+	// Origin is the balancer that sent the packet.
+	Origin netip.AddrPort
+	// Path lists the agents that the packet may still visit.
+	Path Path
+	// Directory are the agents that are told the owner of the flow.
+	Directory Path
+	Packet    []byte
+}
+
+// maxWaiting bounds the memory of a waiting line.
+const maxWaiting = 512
+
+// attemptTime is when a caller gives up an attempt that was not answered.
+const attemptTime = 1400 * time.Millisecond
+
+// copyAges are the times after which a caller sends the copies of an opening packet.
+var copyAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// waitingLine holds opening packets until the backend server can take them; the zero value is empty.
+//
+// It answers a wave of callers after an outage. Callers whose first packet has just come can still be answered in
+// time, so they go first, the newest before the others; callers that wait for long get what is left.
+type waitingLine struct {
+	arrivals []waitingArrival
+}
+
+type waitingArrival struct {
+	Arrival
+	// began is when the caller sent its first packet.
+	began time.Time
+}
+
+func (w *waitingLine) len() int { return len(w.arrivals) }
+
+// push adds a copy of a packet; it replaces an earlier copy of the flow.
+func (w *waitingLine) push(now time.Time, a Arrival) {
+	w.remove(a.Segment.Flow())
+	if len(w.arrivals) >= maxWaiting {
+		w.arrivals = w.arrivals[1:]
+	}
+	a.Packet = bytes.Clone(a.Packet)
+	age := copyAges[min(a.Segment.Copies(), len(copyAges)-1)]
+	w.arrivals = append(w.arrivals, waitingArrival{Arrival: a, began: now.Add(-age)})
+}
+
+func (w *waitingLine) remove(f FlowID) {
+	for i := range w.arrivals {
+		if w.arrivals[i].Segment.Flow() == f {
+			w.arrivals = append(w.arrivals[:i], w.arrivals[i+1:]...)
+			return
+		}
+	}
+}
+
+// pop removes the packet that goes next: the one whose caller has waited for the shortest time. The flags say
+// whether a fresh and a late one may go.
+func (w *waitingLine) pop(now time.Time, fresh, late bool) (Arrival, bool) {
+	w.expire(now)
+	best := -1
+	for i := range w.arrivals {
+		a := &w.arrivals[i]
+		isFresh := now.Sub(a.began) < copyAges[1]
+		if (isFresh && !fresh) || (!isFresh && !late) {
+			continue
+		}
+		if best < 0 || a.began.After(w.arrivals[best].began) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Arrival{}, false
+	}
+	a := w.arrivals[best].Arrival
+	w.arrivals = append(w.arrivals[:best], w.arrivals[best+1:]...)
+	return a, true
+}
+
+// expire drops the packets of callers that have given up the attempt.
+func (w *waitingLine) expire(now time.Time) {
+	kept := w.arrivals[:0]
+	for _, a := range w.arrivals {
+		if now.Sub(a.began) < attemptTime {
+			kept = append(kept, a)
+		}
+	}
+	w.arrivals = kept
+}
+
+// takeAll removes all packets whose callers still wait.
+func (w *waitingLine) takeAll(now time.Time) []Arrival {
+	w.expire(now)
+	all := make([]Arrival, 0, len(w.arrivals))
+	for _, a := range w.arrivals {
+		all = append(all, a.Arrival)
+	}
+	w.arrivals = nil
+	return all
+}
