--- /dev/null
+++ b/pkg/passthrough/steerer_test.go
@@ -0,0 +1,159 @@
+package passthrough_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/bramleymast/bramleymast/pkg/flow"
+	"github.com/bramleymast/bramleymast/pkg/passthrough"
+)
+
+const service = "orders"
+
+// views returns a service with agents in two zones by turns, of which the listed ones take no flows.
+func views(n int, closed ...int) map[string]*flow.View {
+	var ms []flow.Member
+	for i := range n {
+		opens := true
+		for _, c := range closed {
+			opens = opens && c != i
+		}
+		ms = append(ms, flow.NewMember(fmt.Sprintf("agent-%d", i), address(i), fmt.Sprintf("zone-%d", i%2), opens, true))
+	}
+	return map[string]*flow.View{service: flow.NewView(flow.ServiceIDOf(service), ms)}
+}
+
+func steerer(n int, closed ...int) *passthrough.Steerer {
+	s := passthrough.NewSteerer("zone-0")
+	s.SetViews(views(n, closed...))
+	for i := range n {
+		s.Heard(start, address(i), passthrough.Load{Slots: 2, Opens: true})
+	}
+	return s
+}
+
+// Guards against flows to agents that leave, whose zone is out or that say that they take none.
+func TestSteererOpensAtOpenAgents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		closed := rapid.SliceOfDistinct(rapid.IntRange(0, 5), rapid.ID).Draw(t, "closed")
+		refusing := rapid.SliceOfDistinct(rapid.IntRange(0, 5), rapid.ID).Draw(t, "refusing")
+		s := steerer(6, closed...)
+		bad := make(map[netip.AddrPort]bool)
+		for _, i := range closed {
+			bad[address(i)] = true
+		}
+		for _, i := range refusing {
+			s.Heard(start, address(i), passthrough.Load{Slots: 2})
+			bad[address(i)] = true
+		}
+		for i := range 30 {
+			o, ok := s.Open(start, opening(i, 0), service)
+			if ok != (len(bad) < 6) {
+				t.Fatalf("opened %v with %d agents closed", ok, len(bad))
+			}
+			if !ok {
+				return
+			}
+			for _, a := range append(o.Alternatives.All(), o.Target) {
+				if bad[a] {
+					t.Fatalf("flow %d to closed agent %s", i, a)
+				}
+			}
+		}
+	})
+}
+
+// Guards against unequal load while reports are older than the flows sent since.
+func TestSteererSpreadsBetweenReports(t *testing.T) {
+	s := steerer(4)
+	count := make(map[netip.AddrPort]int)
+	for i := range 40 {
+		o, ok := s.Open(start, opening(i, 0), service)
+		assert.Assert(t, ok)
+		count[o.Target]++
+	}
+	for a, n := range count {
+		assert.Assert(t, n >= 9 && n <= 11, "%d flows to %s", n, a)
+	}
+}
+
+// Guards against a busy agent that gets flows while another is idle, also in another zone.
+func TestSteererPrefersShorterWait(t *testing.T) {
+	s := steerer(3)
+	s.Heard(start, address(0), passthrough.Load{InProgress: 4, Slots: 2, Opens: true})
+	s.Heard(start, address(2), passthrough.Load{InProgress: 3, Slots: 2, Opens: true})
+	o, _ := s.Open(start, opening(1, 0), service)
+	assert.Equal(t, o.Target, address(1))
+	assert.DeepEqual(t, o.Alternatives.All(), []netip.AddrPort{address(2), address(0)}, cmpAddrPort)
+}
+
+// Guards against flows to an agent that has stopped answering, and against copies that follow the first packet there.
+func TestSteererAvoidsSilentAgent(t *testing.T) {
+	s := steerer(2)
+	first, _ := s.Open(start, opening(1, 0), service)
+	now := start.Add(200 * time.Millisecond)
+	other := address(0)
+	if first.Target == other {
+		other = address(1)
+	}
+	s.Heard(now, other, passthrough.Load{Slots: 2, Opens: true})
+	again, _ := s.Open(now, opening(1, 1), service)
+	assert.Equal(t, again.Target, other)
+	s.Heard(now, first.Target, passthrough.Load{Slots: 2, Opens: true})
+	back, _ := s.Open(now, opening(3, 0), service)
+	assert.Equal(t, back.Target, first.Target)
+}
+
+// Guards against a copy of an opening packet that opens a second flow while the first agent answers.
+func TestSteererKeepsCopiesTogether(t *testing.T) {
+	s := steerer(6)
+	first, _ := s.Open(start, opening(1, 0), service)
+	s.Heard(start, first.Target, passthrough.Load{InProgress: 9, Slots: 2, Opens: true})
+	again, _ := s.Open(start.Add(200*time.Millisecond), opening(1, 1), service)
+	assert.Equal(t, again.Target, first.Target)
+}
+
+// Guards against a flow that two balancers look for at agents that do not know it.
+func TestSteererFindsDirectoryFirst(t *testing.T) {
+	o, _ := steerer(12).Open(start, opening(1, 0), service)
+	p := steerer(12).Find(flowOf(1), service)
+	assert.DeepEqual(t, p.All()[:2], o.Directory.All(), cmpAddrPort)
+	assert.Equal(t, p.Len(), passthrough.MaxPath)
+}
+
+// Guards against a learned owner that is forgotten when agents come and go.
+func TestSteererLearnsOwner(t *testing.T) {
+	s := steerer(4)
+	s.Learn(start, flowOf(1), address(3))
+	s.SetViews(views(5))
+	a, ok := s.Continue(start, flowOf(1))
+	assert.Assert(t, ok)
+	assert.Equal(t, a, address(3))
+	s.Sweep(start.Add(time.Minute), 30*time.Second)
+	_, ok = s.Continue(start, flowOf(1))
+	assert.Assert(t, !ok)
+}
+
+// Guards against agents that are never asked for their load, and against probes of agents with news.
+func TestSteererProbes(t *testing.T) {
+	s := steerer(2)
+	assert.Equal(t, len(s.Probes(start.Add(100*time.Millisecond))), 0)
+	now := start.Add(600 * time.Millisecond)
+	assert.Equal(t, len(s.Probes(now)), 2)
+	assert.Equal(t, len(s.Probes(now.Add(50*time.Millisecond))), 0)
+	s.Heard(now.Add(60*time.Millisecond), address(0), passthrough.Load{Slots: 2, Opens: true})
+	assert.DeepEqual(t, s.Probes(now.Add(150*time.Millisecond)), []netip.AddrPort{address(1)}, cmpAddrPort)
+}
+
+// Guards against memory that each packet of an open flow costs.
+func TestSteererContinueAllocatesNothing(t *testing.T) {
+	s := steerer(4)
+	_, _ = s.Open(start, opening(1, 0), service)
+	f := flowOf(1)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { s.Continue(start, f) }), 0.0)
+}
