--- a/cmd/bramleymast-node/main.go
+++ b/cmd/bramleymast-node/main.go
@@ -4,12 +4,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bramleymast/bramleymast/internal/boundedlog"
 	"github.com/bramleymast/bramleymast/internal/signals"
 	"github.com/bramleymast/bramleymast/platform"
 )
@@ -29,7 +31,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadInput
 	}
-	logger := hclog.New(&hclog.LoggerOptions{Name: "bramleymast", Output: os.Stdout, JSONFormat: true, Level: hclog.Info})
+	logger, stopLog := newLogger(ctx)
+	defer stopLog()
 	var d platform.Daemon
 	switch {
 	case len(args) == 1 && args[0] == "balancer":
@@ -61,6 +64,22 @@
 	return exitSuccess
 }
 
+// newLogger returns a logger that never blocks, and a function that writes what is left.
+func newLogger(ctx context.Context) (logger hclog.Logger, stop func()) {
+	w := boundedlog.New(os.Stdout)
+	ctx, cancel := context.WithCancel(ctx)
+	go func() { _ = w.Run(ctx) }() // It returns no error.
+	important := w.Important()
+	logger = hclog.New(&hclog.LoggerOptions{
+		Name: "bramleymast", JSONFormat: true, Level: hclog.Info,
+		Output: hclog.NewLeveledWriter(w, map[hclog.Level]io.Writer{hclog.Warn: important, hclog.Error: important}),
+	})
+	return logger, func() {
+		cancel()
+		<-w.Done()
+	}
+}
+
 // onReload calls f after each SIGHUP, until the returned function is called.
 func onReload(f func()) (stop func()) {
 	c := make(chan os.Signal, 1)
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -60,7 +60,7 @@
 type Agent struct {
 	cfg        AgentConfig
 	service    flow.ServiceID
-	beliefs    beliefs
+	blackboard    blackboard
 	gate       *passthrough.Gate
 	link       *link
 	outbound   *net.UDPConn
@@ -86,8 +86,8 @@
 // NewAgent binds the sockets of an agent.
 func NewAgent(cfg AgentConfig) (*Agent, error) {
 	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), gate: passthrough.NewGate(time.Now()), draining: make(chan struct{})}
-	a.beliefs = beliefs{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
-	a.catchUp = newCatchUp(&a.beliefs, false, cfg.Logger)
+	a.blackboard = blackboard{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
+	a.catchUp = newCatchUp(&a.blackboard, false, cfg.Logger)
 	a.registrar = newRegistrar(cfg.Store, cfg.ID, agentEntry{Service: cfg.Service, Zone: cfg.Zone, Address: cfg.Link}, cfg.Logger)
 	a.SetSettle(cfg.Settle)
 	var err error
@@ -126,13 +126,13 @@
 	if err != nil {
 		return err
 	}
-	operator := &follower{store: a.cfg.Store, prefix: a.cfg.Layout.Operator, logger: a.cfg.Logger, apply: a.beliefs.applyOperator}
+	operator := &follower{store: a.cfg.Store, prefix: a.cfg.Layout.Operator, logger: a.cfg.Logger, apply: a.blackboard.applyOperator, changed: a.refresh}
 	g.Go(operator.run)
 	g.Go(a.catchUp.run)
 	loaded := make(chan struct{})
 	operator.loaded = once(func() { close(loaded) })
 	g.Go(func(ctx context.Context) error { return a.catchUp.start(ctx, a.cfg.Seeds, loaded, func() {}) })
-	g.Go(func(ctx context.Context) error { return servePeers(ctx, a.link.calls, &a.beliefs) })
+	g.Go(func(ctx context.Context) error { return servePeers(ctx, a.link.calls, &a.blackboard) })
 	g.Go(a.registrar.run)
 	g.Go(a.http.run)
 	g.Go(a.heartbeats.run)
@@ -158,9 +158,9 @@
 
 // refresh applies a new configuration or zone state.
 func (a *Agent) refresh() {
-	s, _ := a.beliefs.Table().Service(a.cfg.Service)
+	s, _ := a.blackboard.Table().Service(a.cfg.Service)
 	a.gate.SetService(s)
-	out, _ := a.beliefs.board.ZoneOut(a.cfg.Zone)
+	out, _ := a.blackboard.board.ZoneOut(a.cfg.Zone)
 	a.gate.SetZoneOut(out)
 }
 
@@ -184,7 +184,7 @@
 }
 
 func (a *Agent) report(now time.Time, to netip.AddrPort) {
-	a.link.send(to, &report{agent: a.link.self, revision: a.beliefs.operatorRevision(), load: a.gate.Load(now)})
+	a.link.send(to, &report{agent: a.link.self, revision: a.blackboard.operatorRevision(), load: a.gate.Load(now)})
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
@@ -199,7 +199,11 @@
 	}
 	v := a.gate.Continue(now, seg)
 	if _, ok := v.(passthrough.Deliver); ok {
-		a.returning.Put(now, seg.Flow(), returnPath{origin: m.origin, path: m.path})
+		a.logRequest(seg, m.packet)
+		a.returning.Update(now, seg.Flow(), func(p returnPath, _ bool) returnPath {
+			p.origin, p.path = m.origin, m.path
+			return p
+		})
 		if m.hops > 0 {
 			a.tellPlaced(now, seg.Flow(), m.origin)
 		}
@@ -235,17 +239,23 @@
 func (a *Agent) admitWaiting(now time.Time) {
 	deliver, passOn := a.gate.Due(now)
 	for _, r := range deliver {
+		a.logAccepted(now, r.Segment, r.Origin)
 		a.deliver(r.Packet)
 	}
 	for _, r := range passOn {
 		m := &forward{
-			origin: r.Origin, service: a.service, revision: a.beliefs.operatorRevision(), hops: 1,
+			origin: r.Origin, service: a.service, revision: a.blackboard.operatorRevision(), hops: 1,
 			path: r.Path, directory: r.Directory, packet: r.Packet,
 		}
 		a.passOn(now, r.Segment, m, passthrough.ReasonBusy)
 	}
 }
 
+func (a *Agent) logAccepted(now time.Time, seg passthrough.Segment, origin netip.AddrPort) {
+	load := a.gate.Load(now)
+	a.cfg.Logger.Info("flow accepted", "flow", seg.Flow().String(), "copies", seg.Copies(), "in_progress", load.InProgress, "slots", load.Slots, "origin", origin)
+}
+
 func (a *Agent) deliver(packet []byte) {
 	_, _ = a.outbound.WriteToUDPAddrPort(packet, a.cfg.Backend)
 }
@@ -254,13 +264,26 @@
 	a.link.send(origin, &placed{flow: f, agent: a.link.self, load: a.gate.Load(now)})
 }
 
+// logRequest logs the id of a request where its head passes, so that a request is found by its id.
+func (a *Agent) logRequest(seg passthrough.Segment, packet []byte) {
+	if seg.Size() == 0 {
+		return
+	}
+	if id := a.cfg.Codec.RequestID(packet); id != "" {
+		a.cfg.Logger.Info("request", "flow", seg.Flow().String(), "request_id", id)
+	}
+}
+
 // carry does what the gate has decided.
 func (a *Agent) carry(now time.Time, seg passthrough.Segment, m *forward, v passthrough.Verdict) {
 	switch v := v.(type) {
 	case passthrough.Deliver:
+		if seg.Opens() {
+			a.logAccepted(now, seg, m.origin)
+		}
 		a.deliver(m.packet)
 	case passthrough.Hold:
-		a.cfg.Logger.Debug("flow held", "flow", seg.Flow().String(), "copies", seg.Copies())
+		a.cfg.Logger.Info("flow held", "flow", seg.Flow().String(), "copies", seg.Copies())
 	case passthrough.PassOn:
 		a.passOn(now, seg, m, v.Reason)
 	case passthrough.Forward:
@@ -276,7 +299,7 @@
 			next, ok = m.path.Next()
 		}
 		if !ok || m.hops >= maxHops {
-			a.cfg.Logger.Info("packet dropped", "flow", seg.Flow().String(), "reason", "unknown_flow", "hops", m.hops, "origin", m.origin)
+			a.cfg.Logger.Warn("packet dropped", "flow", seg.Flow().String(), "reason", "unknown_flow", "hops", m.hops, "origin", m.origin)
 			return
 		}
 		m.hops++
@@ -292,14 +315,14 @@
 	}
 	m.hops++
 	a.gate.PassedOn(now, seg.Flow(), next)
-	a.cfg.Logger.Info("flow passed on", "flow", seg.Flow().String(), "reason", string(reason), "to", next, "copies", seg.Copies(), "hops", m.hops)
+	a.cfg.Logger.Warn("flow passed on", "flow", seg.Flow().String(), "reason", string(reason), "to", next, "copies", seg.Copies(), "hops", m.hops)
 	a.link.send(next, m)
 }
 
 // refuse ends a flow at its caller.
 func (a *Agent) refuse(seg passthrough.Segment, reason passthrough.Reason) {
 	load := a.gate.Load(time.Now())
-	a.cfg.Logger.Info("flow refused", "flow", seg.Flow().String(), "reason", string(reason), "opens", seg.Opens(), "copies", seg.Copies(), "in_progress", load.InProgress, "slots", load.Slots)
+	a.cfg.Logger.Warn("flow refused", "flow", seg.Flow().String(), "reason", string(reason), "opens", seg.Opens(), "copies", seg.Copies(), "in_progress", load.InProgress, "slots", load.Slots)
 	seq := seg.Ack()
 	if seg.Opens() {
 		seq = 0
@@ -340,9 +363,9 @@
 func (a *Agent) onReturned(now time.Time, seg passthrough.Segment, packet []byte) {
 	a.cfg.Codec.ClearReturned(packet)
 	r, _ := a.returning.Get(now, seg.Flow())
-	m := &forward{origin: r.origin, service: a.service, revision: a.beliefs.operatorRevision(), hops: 1, path: r.path, directory: r.directory, packet: packet}
+	m := &forward{origin: r.origin, service: a.service, revision: a.blackboard.operatorRevision(), hops: 1, path: r.path, directory: r.directory, packet: packet}
 	v := a.gate.Returned(now, seg)
-	a.cfg.Logger.Info("packet returned by backend server", "flow", seg.Flow().String(), "opens", seg.Opens(), "size", seg.Size())
+	a.cfg.Logger.Warn("packet returned by backend server", "flow", seg.Flow().String(), "opens", seg.Opens(), "size", seg.Size())
 	a.carry(now, seg, m, v)
 	a.admitWaiting(now)
 }
@@ -370,7 +393,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C:
-			idle := a.beliefs.idleTimeout()
+			idle := a.blackboard.idleTimeout()
 			a.gate.Sweep(now, idle)
 			a.returning.Sweep(now, func(_ returnPath, unused time.Duration) bool { return unused > idle })
 		}
--- a/internal/passthrough/backend.go
+++ b/internal/passthrough/backend.go
@@ -36,21 +36,34 @@
 	mu     sync.Mutex
 	newest Backend
 	known  bool
-	left   bool // the backend server has said that it stops
+	heard  time.Time // when the newest heartbeat came
+	left   bool      // the backend server has said that it stops
 }
 
+// silentStart is after how long without its heartbeats the newest start of a backend server gives way to one whose
+// clock says that it is older: the clock may have been set back between the two.
+const silentStart = 3 * time.Second
+
 // take keeps a heartbeat that is newer than the newest one.
-func (s *backendState) take(b Backend) (old Backend, taken bool) {
+func (s *backendState) take(now time.Time, b Backend) (old Backend, taken bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old = s.newest
-	if s.known && (b.Started.Before(old.Started) || (b.Started.Equal(old.Started) && b.Seq <= old.Seq)) {
+	if s.known && !newer(b, old) && (b.Started.Equal(old.Started) || now.Sub(s.heard) < silentStart) {
 		return old, false
 	}
-	s.newest, s.known, s.left = b, true, false
+	s.newest, s.known, s.left, s.heard = b, true, false, now
 	return old, true
 }
 
+// newer orders heartbeats by start and then by number.
+func newer(b, old Backend) bool {
+	if b.Started.Equal(old.Started) {
+		return b.Seq > old.Seq
+	}
+	return b.Started.After(old.Started)
+}
+
 // leave notes that the backend server with an id stops, and reports whether it is the one of the newest heartbeat.
 func (s *backendState) leave(id string) bool {
 	s.mu.Lock()
@@ -74,12 +87,13 @@
 		a.cfg.Logger.Warn("heartbeat skipped", "backend", b.ID, "reason", "other_service", "service", b.Service)
 		return false
 	}
-	old, taken := a.backend.take(b)
+	now := time.Now()
+	old, taken := a.backend.take(now, b)
 	if !taken {
 		a.cfg.Logger.Info("heartbeat skipped", "backend", b.ID, "reason", "older", "seq", b.Seq, "started", b.Started)
 		return true
 	}
-	a.gate.SetBackend(time.Now(), b.Slots, b.Draining || a.leaving.Load(), b.ColdFor)
+	a.gate.SetBackend(now, b.Slots, b.Draining || a.leaving.Load(), b.ColdFor)
 	a.registrar.setDraining(b.Draining || a.leaving.Load())
 	a.registrar.announce()
 	if old.ID != b.ID || !old.Started.Equal(b.Started) || old.Draining != b.Draining {
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -22,6 +22,8 @@
 	tickInterval = 50 * time.Millisecond
 	// sweepInterval is how often old flows are forgotten.
 	sweepInterval = time.Second
+	// unheardTime is how long an agent without an entry may be silent; it writes its entry again within 2 s.
+	unheardTime = 3 * time.Second
 	// flowIdle is how long a flow without packets is remembered when the configuration states no idle timeout.
 	flowIdle = 15 * time.Second
 )
@@ -53,7 +55,7 @@
 // Balancer is the process on an entry host.
 type Balancer struct {
 	cfg     BalancerConfig
-	beliefs beliefs
+	blackboard blackboard
 	steerer *passthrough.Steerer
 	link    *link
 	packets *net.UDPConn
@@ -69,8 +71,8 @@
 // NewBalancer binds the sockets of a balancer.
 func NewBalancer(cfg BalancerConfig) (*Balancer, error) {
 	b := &Balancer{cfg: cfg, steerer: passthrough.NewSteerer(cfg.Zone), draining: make(chan struct{})}
-	b.beliefs = beliefs{layout: cfg.Layout, logger: cfg.Logger, changed: b.refresh}
-	b.catchUp = newCatchUp(&b.beliefs, true, cfg.Logger)
+	b.blackboard = blackboard{layout: cfg.Layout, logger: cfg.Logger, changed: b.refresh}
+	b.catchUp = newCatchUp(&b.blackboard, true, cfg.Logger)
 	b.SetSettle(cfg.Settle)
 	var err error
 	if b.packets, err = listenUDP(cfg.Packets); err != nil {
@@ -118,8 +120,8 @@
 			start()
 		}
 	}
-	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.Operator, logger: b.cfg.Logger, apply: b.beliefs.applyOperator, loaded: once(loaded)}
-	agents := &follower{store: b.cfg.Store, prefix: agentsPrefix, logger: b.cfg.Logger, apply: b.beliefs.applyAgent, loaded: once(loaded)}
+	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.Operator, logger: b.cfg.Logger, apply: b.blackboard.applyOperator, changed: b.refresh, loaded: once(loaded)}
+	agents := &follower{store: b.cfg.Store, prefix: agentsPrefix, logger: b.cfg.Logger, apply: b.blackboard.applyAgent, changed: b.refresh, loaded: once(loaded)}
 	g.Go(operator.run)
 	g.Go(agents.run)
 	g.Go(b.catchUp.run)
@@ -129,7 +131,7 @@
 			start()
 		})
 	})
-	g.Go(func(ctx context.Context) error { return servePeers(ctx, b.link.calls, &b.beliefs) })
+	g.Go(func(ctx context.Context) error { return servePeers(ctx, b.link.calls, &b.blackboard) })
 	g.Go(b.http.run)
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.link.conn, b.onMessage) })
 	g.Go(func(ctx context.Context) error {
@@ -166,13 +168,23 @@
 
 // refresh derives the views of the services from the board.
 func (b *Balancer) refresh() {
-	members := make(map[string][]flow.Member)
-	for _, r := range b.beliefs.board.Records(board.KindAgent) {
+	newest := make(map[netip.AddrPort]board.Record) // the platform uses addresses again
+	for _, r := range b.blackboard.board.Records(board.KindAgent) {
 		a, ok := r.Value.(board.Agent)
 		if !ok || a.Phase == board.PhaseLeft {
 			continue
 		}
-		out, _ := b.beliefs.board.ZoneOut(a.Zone)
+		if old, ok := newest[a.Data]; !ok || old.Version.Seq < r.Version.Seq {
+			newest[a.Data] = r
+		}
+	}
+	members := make(map[string][]flow.Member)
+	for _, r := range newest {
+		a, ok := r.Value.(board.Agent)
+		if !ok {
+			continue
+		}
+		out, _ := b.blackboard.board.ZoneOut(a.Zone)
 		opens := a.Phase == board.PhaseReady && !out
 		members[a.Service] = append(members[a.Service], flow.NewMember(r.ID.Key, a.Data, a.Zone, opens, true))
 	}
@@ -186,11 +198,11 @@
 func (b *Balancer) onPacket(_ netip.AddrPort, packet []byte) {
 	seg, err := b.cfg.Codec.Decode(packet, true)
 	if err != nil {
-		b.cfg.Logger.Debug("packet dropped", "reason", "malformed", "error", err)
+		b.cfg.Logger.Warn("packet dropped", "reason", "malformed", "error", err)
 		return
 	}
 	now := time.Now()
-	table := b.beliefs.Table()
+	table := b.blackboard.Table()
 	r, ok := table.Route(seg.Flow().Address())
 	switch {
 	case !ok:
@@ -207,7 +219,7 @@
 	if seg.Has(passthrough.FlagReset) {
 		return
 	}
-	b.cfg.Logger.Info("flow refused", "flow", seg.Flow().String(), "reason", reason, "opens", seg.Opens(), "copies", seg.Copies(), "revision", table.Revision())
+	b.cfg.Logger.Warn("flow refused", "flow", seg.Flow().String(), "reason", reason, "opens", seg.Opens(), "copies", seg.Copies(), "revision", table.Revision())
 	var buf [64]byte
 	seq := seg.Ack()
 	if seg.Opens() {
@@ -224,15 +236,15 @@
 		return
 	}
 	b.link.send(o.Target, &forward{
-		origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.beliefs.operatorRevision(),
+		origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.blackboard.operatorRevision(),
 		path: o.Alternatives, directory: o.Directory, packet: packet,
 	})
-	b.cfg.Logger.Debug("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Copies(), "revision", table.Revision())
+	b.cfg.Logger.Info("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Copies(), "revision", table.Revision())
 }
 
 func (b *Balancer) proceed(now time.Time, seg passthrough.Segment, r route.Route, table *route.Table, packet []byte) {
-	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.beliefs.operatorRevision(), packet: packet}
-	m.path = b.steerer.Find(seg.Flow(), r.Service)
+	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.blackboard.operatorRevision(), packet: packet}
+	m.path = b.findPath(seg.Flow(), r)
 	target, known := b.steerer.Continue(now, seg.Flow())
 	if !known {
 		target, known = m.path.Next()
@@ -243,6 +255,27 @@
 	b.link.send(target, m)
 }
 
+// findPath returns the agents that may own a flow. When the route has led to another service before, flows that are
+// open may still be there.
+func (b *Balancer) findPath(f passthrough.FlowID, r route.Route) passthrough.Path {
+	p := b.steerer.Find(f, r.Service)
+	old, ok := b.blackboard.previousTable().Route(f.Address())
+	if !ok || old.Service == r.Service {
+		return p
+	}
+	other := b.steerer.Find(f, old.Service)
+	var both passthrough.Path
+	for both.Len() < passthrough.MaxPath && (p.Len() > 0 || other.Len() > 0) {
+		if a, ok := p.Next(); ok {
+			both.Add(a)
+		}
+		if a, ok := other.Next(); ok {
+			both.Add(a)
+		}
+	}
+	return both
+}
+
 func (b *Balancer) onMessage(_ netip.AddrPort, data []byte) {
 	m, err := decodeMessage(data)
 	if err != nil {
@@ -273,11 +306,12 @@
 		}
 		now := time.Now()
 		for _, a := range b.steerer.Probes(now) {
-			b.link.send(a, &probe{origin: b.link.self, revision: b.beliefs.operatorRevision()})
+			b.link.send(a, &probe{origin: b.link.self, revision: b.blackboard.operatorRevision()})
 		}
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
-			b.steerer.Sweep(now, b.beliefs.idleTimeout())
+			b.steerer.Sweep(now, b.blackboard.idleTimeout())
+			b.blackboard.dropUnheard(func(a netip.AddrPort) bool { return b.steerer.Silent(now, a) < unheardTime })
 		}
 	}
 }
--- a/internal/passthrough/beliefs.go
+++ b/internal/passthrough/blackboard.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,9 +15,9 @@
 	"github.com/bramleymast/bramleymast/pkg/store"
 )
 
-// beliefs is the blackboard of a process: the configuration, the states of the zones and the agents.
+// blackboard is the blackboard of a process: the configuration, the states of the zones and the agents.
 // Versions only rise.
-type beliefs struct {
+type blackboard struct {
 	layout Layout
 	logger hclog.Logger
 	board  board.Board
@@ -27,20 +28,27 @@
 	config []byte
 	// previous is the table before the newest one, which open flows may still follow.
 	previous *route.Table
-	// changed is called after a new configuration, zone state or agent.
+	// changed is called after entries were taken.
 	changed func()
 }
 
 // Table returns the newest configuration, or nil before the first.
-func (b *beliefs) Table() *route.Table { return b.table.Load() }
+func (b *blackboard) Table() *route.Table { return b.table.Load() }
+
+// previousTable returns the table before the newest one, or nil.
+func (b *blackboard) previousTable() *route.Table {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.previous
+}
 
 // operatorRevision returns the highest store revision of what operators have written.
-func (b *beliefs) operatorRevision() uint64 {
+func (b *blackboard) operatorRevision() uint64 {
 	return max(b.table.Load().Revision(), b.board.ZoneRevision())
 }
 
 // apply takes an entry of the store.
-func (b *beliefs) apply(e store.Entry) {
+func (b *blackboard) apply(e store.Entry) {
 	if strings.HasPrefix(e.Key, agentsPrefix) {
 		b.applyAgent(e)
 		return
@@ -49,7 +57,7 @@
 }
 
 // applyOperator takes an entry that an operator has written.
-func (b *beliefs) applyOperator(e store.Entry) {
+func (b *blackboard) applyOperator(e store.Entry) {
 	switch zone, isZone := strings.CutPrefix(e.Key, b.layout.ZonesOut); {
 	case e.Key == b.layout.Config:
 		if !e.Deleted {
@@ -60,28 +68,26 @@
 	}
 }
 
-func (b *beliefs) takeConfig(value []byte, revision store.Revision) bool {
+func (b *blackboard) takeConfig(value []byte, revision store.Revision) {
 	b.mu.Lock()
 	old := b.table.Load()
 	if old.Revision() >= uint64(revision) {
 		b.mu.Unlock()
-		return false
+		return
 	}
 	t, err := b.layout.DecodeConfig(value, revision)
 	if err != nil {
 		b.mu.Unlock()
 		b.logger.Error("configuration cannot be read, the earlier one stays in force", "revision", revision, "error", err)
-		return false
+		return
 	}
 	b.config, b.previous = value, old
 	b.table.Store(t)
 	b.mu.Unlock()
 	b.logger.Info("configuration in force", "version", t.Version(), "revision", revision, "routes", t.Len())
-	b.changed()
-	return true
 }
 
-func (b *beliefs) takeZone(zone string, out bool, revision store.Revision) {
+func (b *blackboard) takeZone(zone string, out bool, revision store.Revision) {
 	r := board.Record{
 		ID:      board.ID{Kind: board.KindZone, Key: zone},
 		Version: board.Version{Seq: uint64(revision)},
@@ -91,22 +97,21 @@
 		return // An older state, since the kind always fits.
 	}
 	b.logger.Info("zone state", "zone", zone, "out", out, "revision", revision)
-	b.changed()
 }
 
 // applyAgent takes an agent's entry in the store.
-func (b *beliefs) applyAgent(e store.Entry) {
-	id := strings.TrimPrefix(e.Key, agentsPrefix)
-	rid := board.ID{Kind: board.KindAgent, Key: id}
+//
+// An entry that is gone does not mean that the agent is: its lease may have ended while the store was away. The agent
+// stays in use as suspect until it is not heard any more; see dropUnheard.
+func (b *blackboard) applyAgent(e store.Entry) {
+	id := board.ID{Kind: board.KindAgent, Key: strings.TrimPrefix(e.Key, agentsPrefix)}
 	v := board.Version{Seq: uint64(e.Revision)}
 	if e.Deleted {
-		old, ok := b.board.Get(rid)
-		a, isAgent := old.Value.(board.Agent)
-		if !ok || !isAgent {
-			return
+		old, ok := b.board.Get(id)
+		if a, isAgent := old.Value.(board.Agent); ok && isAgent && a.Phase != board.PhaseLeft {
+			v.Verdict = board.Suspect
+			b.mergeAgent(board.Record{ID: id, Version: v, Value: a})
 		}
-		a.Phase = board.PhaseLeft
-		b.mergeAgent(board.Record{ID: rid, Version: v, Value: a})
 		return
 	}
 	a, err := decodeAgent(e.Value)
@@ -114,22 +119,46 @@
 		b.logger.Warn("agent entry skipped", "key", e.Key, "revision", e.Revision, "error", err)
 		return
 	}
-	b.mergeAgent(board.Record{ID: rid, Version: v, Value: a})
+	b.mergeAgent(board.Record{ID: id, Version: v, Value: a})
 }
 
-func (b *beliefs) mergeAgent(r board.Record) {
+func (b *blackboard) mergeAgent(r board.Record) {
 	taken, err := b.board.Merge(r)
-	if err != nil || !taken {
+	a, ok := r.Value.(board.Agent)
+	if err != nil || !taken || !ok {
 		return // An older state, since the kind always fits.
 	}
-	if a, ok := r.Value.(board.Agent); ok {
-		b.logger.Info("agent state", "agent", r.ID.Key, "service", a.Service, "zone", a.Zone, "address", a.Data, "phase", a.Phase.String(), "revision", r.Version.Seq)
+	b.logger.Info("agent state", "agent", r.ID.Key, "service", a.Service, "zone", a.Zone, "address", a.Data, "phase", a.Phase.String(), "listed", r.Version.Verdict == board.Alive, "revision", r.Version.Seq)
+}
+
+// dropUnheard drops the agents without an entry that heard does not report.
+func (b *blackboard) dropUnheard(heard func(address netip.AddrPort) bool) {
+	dropped := false
+	for _, r := range b.board.Records(board.KindAgent) {
+		a, ok := r.Value.(board.Agent)
+		if ok && r.Version.Verdict == board.Suspect && a.Phase != board.PhaseLeft && !heard(a.Data) {
+			b.drop(r, a, "unheard")
+			dropped = true
+		}
+	}
+	if dropped {
+		b.changed()
+	}
+}
+
+// drop marks an agent as gone at the version at which it was seen last; any later entry overrides it.
+func (b *blackboard) drop(r board.Record, a board.Agent, reason string) {
+	a.Phase = board.PhaseLeft
+	r.Version.Verdict, r.Value = board.Dead, a
+	if _, err := b.board.Merge(r); err != nil {
+		b.logger.Error("agent not dropped", "agent", r.ID.Key, "error", err)
+		return
 	}
-	b.changed()
+	b.logger.Info("agent dropped", "agent", r.ID.Key, "address", a.Data, "reason", reason, "revision", r.Version.Seq)
 }
 
 // idleTimeout returns after which time without packets a flow may be forgotten.
-func (b *beliefs) idleTimeout() time.Duration {
+func (b *blackboard) idleTimeout() time.Duration {
 	if t := b.table.Load(); t != nil && t.IdleTimeout() > 0 {
 		return t.IdleTimeout()
 	}
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -23,6 +23,8 @@
 	logger hclog.Logger
 	// apply takes a change; an entry that is missing from a whole list comes as deleted.
 	apply func(e store.Entry)
+	// changed is called after the changes of one answer.
+	changed func()
 	// loaded is called after each whole list.
 	loaded func()
 
@@ -79,6 +81,7 @@
 	for key := range missing {
 		f.take(store.Entry{Key: key, Revision: page.Revision, Deleted: true})
 	}
+	f.changed()
 	f.loaded()
 	return page.Revision, nil
 }
@@ -91,6 +94,9 @@
 	for _, e := range page.Entries {
 		f.take(e)
 	}
+	if len(page.Entries) > 0 {
+		f.changed()
+	}
 	return max(at, page.Revision), nil
 }
 
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -44,11 +44,11 @@
 type StateReply struct{ Entries []EntryState }
 
 // peerService answers the calls of other processes.
-type peerService struct{ beliefs *beliefs }
+type peerService struct{ blackboard *blackboard }
 
 // State returns the entries that the process knows.
 func (s *peerService) State(args StateArgs, reply *StateReply) error {
-	reply.Entries = s.beliefs.entries(args.Agents)
+	reply.Entries = s.blackboard.entries(args.Agents)
 	return nil
 }
 
@@ -56,9 +56,9 @@
 const peerName = "Peer"
 
 // servePeers answers calls until the context ends.
-func servePeers(ctx context.Context, l net.Listener, b *beliefs) error {
+func servePeers(ctx context.Context, l net.Listener, b *blackboard) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(peerName, &peerService{beliefs: b}); err != nil {
+	if err := server.RegisterName(peerName, &peerService{blackboard: b}); err != nil {
 		return errors.Trace(err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
@@ -98,20 +98,20 @@
 
 // catchUp asks other processes for entries that the store does not deliver to this process.
 type catchUp struct {
-	beliefs *beliefs
+	blackboard *blackboard
 	agents  bool
 	logger  hclog.Logger
 	due     chan netip.AddrPort
 	running atomic.Bool
 }
 
-func newCatchUp(b *beliefs, agents bool, logger hclog.Logger) *catchUp {
-	return &catchUp{beliefs: b, agents: agents, logger: logger, due: make(chan netip.AddrPort, 1)}
+func newCatchUp(b *blackboard, agents bool, logger hclog.Logger) *catchUp {
+	return &catchUp{blackboard: b, agents: agents, logger: logger, due: make(chan netip.AddrPort, 1)}
 }
 
 // heard notes the operator's revision that another process knows.
 func (c *catchUp) heard(from netip.AddrPort, revision uint64) {
-	if revision <= c.beliefs.operatorRevision() {
+	if revision <= c.blackboard.operatorRevision() {
 		return
 	}
 	select {
@@ -141,12 +141,14 @@
 	}
 	c.logger.Info("state fetched", "from", from, "entries", len(entries))
 	for _, e := range entries {
-		c.beliefs.apply(store.Entry{Key: e.Key, Value: e.Value, Revision: store.Revision(e.Revision), Deleted: e.Deleted})
+		c.blackboard.apply(store.Entry{Key: e.Key, Value: e.Value, Revision: store.Revision(e.Revision), Deleted: e.Deleted})
 	}
+	c.blackboard.changed()
 	return len(entries) > 0
 }
 
-// start asks the seeds while the store does not answer; loaded ends when the process knows enough.
+// start asks the seeds while the store does not answer; loaded ends when the process knows enough. A process that
+// follows agents asks one seed in any case, for agents whose entries have lapsed.
 func (c *catchUp) start(ctx context.Context, seeds []netip.AddrPort, loaded <-chan struct{}, done func()) error {
 	for delay := seedDelay; ; delay = seedInterval {
 		t := time.NewTimer(delay)
@@ -156,20 +158,31 @@
 			return nil
 		case <-loaded:
 			t.Stop()
+			if c.agents {
+				c.fetchAny(ctx, seeds)
+			}
 			return nil
 		case <-t.C:
 		}
-		for _, s := range seeds {
-			if c.fetch(ctx, s) && c.beliefs.Table() != nil {
-				done()
-				return nil
-			}
+		if c.fetchAny(ctx, seeds) && c.blackboard.Table() != nil {
+			done()
+			return nil
+		}
+	}
+}
+
+// fetchAny fetches from the first seed that answers.
+func (c *catchUp) fetchAny(ctx context.Context, seeds []netip.AddrPort) bool {
+	for _, s := range seeds {
+		if c.fetch(ctx, s) {
+			return true
 		}
 	}
+	return false
 }
 
 // entries returns what the process knows of the operator's entries and, if asked, of the agents'.
-func (b *beliefs) entries(agents bool) []EntryState {
+func (b *blackboard) entries(agents bool) []EntryState {
 	var all []EntryState
 	b.mu.Lock()
 	if t := b.table.Load(); t != nil {
--- a/pkg/passthrough/flow.go
+++ b/pkg/passthrough/flow.go
@@ -133,6 +133,8 @@
 	Decode(packet []byte, fromCaller bool) (Segment, error)
 	// AppendReset appends a packet that ends a flow at its caller; seq is the caller's last acknowledgement.
 	AppendReset(b []byte, flow FlowID, seq uint32) []byte
+	// RequestID returns the id of the request whose head is in a packet, or an empty string.
+	RequestID(packet []byte) string
 	// ClearReturned removes the mark of a returned packet, so that another backend server may get it.
 	ClearReturned(packet []byte)
 }
