feat: fewer store calls, and a faster start while the store is away

After a kill of all processes during an outage the first retry came up to 0.8 s, or 1 s of a silent call, after the store was back.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -38,8 +38,6 @@
 	Heartbeats netip.AddrPort
 	// HeartbeatHandler returns the handler of the heartbeats.
 	HeartbeatHandler func(s BackendSink) http.Handler
-	// Seeds are link addresses of other processes, which are asked when the store does not answer.
-	Seeds []netip.AddrPort
 	// Settle is how long a stopping agent still carries packets.
 	Settle time.Duration
 	// ReadyPath is the path of the platform's readiness call.
@@ -60,7 +58,7 @@
 type Agent struct {
 	cfg        AgentConfig
 	service    flow.ServiceID
-	blackboard    blackboard
+	blackboard blackboard
 	gate       *passthrough.Gate
 	link       *link
 	outbound   *net.UDPConn
@@ -126,12 +124,7 @@
 	if err != nil {
 		return err
 	}
-	operator := &follower{store: a.cfg.Store, prefix: a.cfg.Layout.Operator, logger: a.cfg.Logger, apply: a.blackboard.applyOperator, changed: a.refresh}
-	g.Go(operator.run)
 	g.Go(a.catchUp.run)
-	loaded := make(chan struct{})
-	operator.loaded = once(func() { close(loaded) })
-	g.Go(func(ctx context.Context) error { return a.catchUp.start(ctx, a.cfg.Seeds, loaded, func() {}) })
 	g.Go(func(ctx context.Context) error { return servePeers(ctx, a.link.calls, &a.blackboard) })
 	g.Go(a.registrar.run)
 	g.Go(a.http.run)
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -24,6 +24,8 @@
 	sweepInterval = time.Second
 	// unheardTime is how long an agent without an entry may be silent; it writes its entry again within 2 s.
 	unheardTime = 3 * time.Second
+	// agentsPause collects changes of agents, of which balancers hear by their reports too.
+	agentsPause = 500 * time.Millisecond
 	// flowIdle is how long a flow without packets is remembered when the configuration states no idle timeout.
 	flowIdle = 15 * time.Second
 )
@@ -47,6 +49,8 @@
 	// ReadyPath is the path of the platform's readiness call.
 	ReadyPath string
 	Store     store.Store
+	// LongStore is the same store with watches that wait for long.
+	LongStore store.Store
 	Layout    Layout
 	Codec     passthrough.Codec
 	Logger    hclog.Logger
@@ -54,13 +58,13 @@
 
 // Balancer is the process on an entry host.
 type Balancer struct {
-	cfg     BalancerConfig
+	cfg        BalancerConfig
 	blackboard blackboard
-	steerer *passthrough.Steerer
-	link    *link
-	packets *net.UDPConn
-	http    *httpServer
-	catchUp *catchUp
+	steerer    *passthrough.Steerer
+	link       *link
+	packets    *net.UDPConn
+	http       *httpServer
+	catchUp    *catchUp
 
 	loaded   atomic.Int32 // how many of the two prefixes have been listed
 	leaving  atomic.Bool
@@ -121,7 +125,7 @@
 		}
 	}
 	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.Operator, logger: b.cfg.Logger, apply: b.blackboard.applyOperator, changed: b.refresh, loaded: once(loaded)}
-	agents := &follower{store: b.cfg.Store, prefix: agentsPrefix, logger: b.cfg.Logger, apply: b.blackboard.applyAgent, changed: b.refresh, loaded: once(loaded)}
+	agents := &follower{store: b.cfg.LongStore, prefix: agentsPrefix, pause: agentsPause, logger: b.cfg.Logger, apply: b.blackboard.applyAgent, changed: b.refresh, loaded: once(loaded)}
 	g.Go(operator.run)
 	g.Go(agents.run)
 	g.Go(b.catchUp.run)
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -11,16 +12,23 @@
 )
 
 const (
-	// retryDelay is the pause after a failed store call; it doubles up to maxRetryDelay.
-	retryDelay    = 100 * time.Millisecond
-	maxRetryDelay = 800 * time.Millisecond
+	// startDelay is the pause after a failed store call of a process that cannot serve before the call succeeds.
+	startDelay = 100 * time.Millisecond
+	// retryDelay is the pause after a failed store call otherwise; it doubles up to maxRetryDelay.
+	retryDelay    = 200 * time.Millisecond
+	maxRetryDelay = 1600 * time.Millisecond
 )
 
+// jitter spreads the calls of processes that failed together over half to one and a half times a pause.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) } //nolint:gosec // no secret
+
 // follower keeps up with a prefix of the store.
 type follower struct {
 	store  store.Store
 	prefix string
 	logger hclog.Logger
+	// pause is how long changes are collected before the next call.
+	pause time.Duration
 	// apply takes a change; an entry that is missing from a whole list comes as deleted.
 	apply func(e store.Entry)
 	// changed is called after the changes of one answer.
@@ -61,7 +69,10 @@
 			f.logger.Warn("store does not answer", "prefix", f.prefix, "revision", at, "error", err)
 		}
 		reachable = false
-		wait(ctx, delay)
+		if !listed {
+			delay = startDelay
+		}
+		wait(ctx, jitter(delay))
 		delay = min(2*delay, maxRetryDelay)
 	}
 	return nil
@@ -96,6 +107,7 @@
 	}
 	if len(page.Entries) > 0 {
 		f.changed()
+		wait(ctx, f.pause)
 	}
 	return max(at, page.Revision), nil
 }
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -99,10 +99,10 @@
 // catchUp asks other processes for entries that the store does not deliver to this process.
 type catchUp struct {
 	blackboard *blackboard
-	agents  bool
-	logger  hclog.Logger
-	due     chan netip.AddrPort
-	running atomic.Bool
+	agents     bool
+	logger     hclog.Logger
+	due        chan netip.AddrPort
+	running    atomic.Bool
 }
 
 func newCatchUp(b *blackboard, agents bool, logger hclog.Logger) *catchUp {
--- a/internal/passthrough/registrar.go
+++ b/internal/passthrough/registrar.go
@@ -14,6 +14,8 @@
 const (
 	// leaseTTL outlives a restart of the process, so that balancers need not forget the agent.
 	leaseTTL = 12 * time.Second
+	// maxEntryDelay bounds the pause after a failed call; an entry must be back within 2 s of the store's return.
+	maxEntryDelay = 800 * time.Millisecond
 	// renewInterval leaves time for two failed renewals.
 	renewInterval = leaseTTL / 4
 )
@@ -72,8 +74,8 @@
 	for ctx.Err() == nil {
 		if err := r.step(ctx); err != nil && ctx.Err() == nil {
 			r.logger.Warn("entry not written", "key", r.key, "error", err)
-			wait(ctx, delay)
-			delay = min(2*delay, maxRetryDelay)
+			wait(ctx, jitter(delay))
+			delay = min(2*delay, maxEntryDelay)
 			continue
 		}
 		delay = retryDelay
