feat: know how long a packet has waited before it is placed

Change: a starting balancer reads its packets and replays them with their age, the newest first, without those whose callers have given up; a packet carries its delay; it is passed on once at most because backend servers are busy.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -210,7 +210,7 @@
 		a.report(now, m.origin)
 		return
 	}
-	arrival := passthrough.Arrival{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Packet: m.packet}
+	arrival := passthrough.Arrival{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Packet: m.packet}
 	v := a.gate.Open(now, arrival)
 	switch v.(type) {
 	case passthrough.Deliver, passthrough.Hold:
@@ -237,7 +237,7 @@
 	}
 	for _, r := range passOn {
 		m := &forward{
-			origin: r.Origin, service: a.service, revision: a.blackboard.operatorRevision(), hops: 1,
+			origin: r.Origin, service: a.service, revision: a.blackboard.operatorRevision(), hops: r.Hops, delay: r.Delay,
 			path: r.Path, directory: r.Directory, packet: r.Packet,
 		}
 		a.passOn(now, r.Segment, m, passthrough.ReasonBusy)
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -1,9 +1,12 @@
 package passthrough
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +69,10 @@
 	http       *httpServer
 	catchUp    *catchUp
 
+	earlyMu sync.Mutex
+	early   []earlyPacket
+	started atomic.Bool
+
 	loaded   atomic.Int32 // how many of the two prefixes have been listed
 	leaving  atomic.Bool
 	draining chan struct{}
@@ -138,13 +145,14 @@
 	g.Go(func(ctx context.Context) error { return servePeers(ctx, b.link.calls, &b.blackboard) })
 	g.Go(b.http.run)
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.link.conn, b.onMessage) })
+	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.packets, b.receive) })
 	g.Go(func(ctx context.Context) error {
-		select { // Packets wait in the socket until the balancer knows where to send them.
+		select {
 		case <-ready:
+			b.replay()
 		case <-ctx.Done():
-			return nil
 		}
-		return readPackets(ctx, b.packets, b.onPacket)
+		return nil
 	})
 	g.Go(b.tick)
 	g.Go(func(ctx context.Context) error {
@@ -199,7 +207,53 @@
 	b.steerer.SetViews(views)
 }
 
-func (b *Balancer) onPacket(_ netip.AddrPort, packet []byte) {
+// earlyPacket is a packet that came before the balancer knew where to send it.
+type earlyPacket struct {
+	at     time.Time
+	packet []byte
+}
+
+// maxEarly bounds the memory of early packets; the oldest are dropped.
+const maxEarly = 4096
+
+// receive takes a packet of a caller. Until the balancer knows where to send packets, they wait with the time at
+// which they came: a socket's buffer would not tell the callers that have given up from those that have just come.
+func (b *Balancer) receive(_ netip.AddrPort, packet []byte) {
+	if b.started.Load() || !b.keepEarly(packet) {
+		b.onPacket(packet, 0)
+	}
+}
+
+// keepEarly keeps a packet unless the balancer has begun to serve.
+func (b *Balancer) keepEarly(packet []byte) bool {
+	b.earlyMu.Lock()
+	defer b.earlyMu.Unlock()
+	if b.started.Load() {
+		return false
+	}
+	if len(b.early) >= maxEarly {
+		b.early = b.early[1:]
+	}
+	b.early = append(b.early, earlyPacket{at: time.Now(), packet: bytes.Clone(packet)})
+	return true
+}
+
+// replay sends the early packets, the newest first.
+func (b *Balancer) replay() {
+	b.earlyMu.Lock()
+	b.started.Store(true)
+	early := b.early
+	b.early = nil
+	b.earlyMu.Unlock()
+	now := time.Now()
+	for _, e := range slices.Backward(early) {
+		b.onPacket(e.packet, now.Sub(e.at))
+	}
+	b.cfg.Logger.Info("serving", "early_packets", len(early))
+}
+
+// onPacket sends a caller's packet on; delay is how long it has waited here.
+func (b *Balancer) onPacket(packet []byte, delay time.Duration) {
 	seg, err := b.cfg.Codec.Decode(packet, true)
 	if err != nil {
 		b.cfg.Logger.Warn("packet dropped", "reason", "malformed", "error", err)
@@ -212,7 +266,11 @@
 	case !ok:
 		b.refuse(seg, "no_route", table)
 	case seg.Opens():
-		b.open(now, seg, r, table, packet)
+		a := passthrough.Arrival{Segment: seg, Delay: delay, Packet: packet}
+		if a.Expired() {
+			return
+		}
+		b.open(now, a, r, table)
 	default:
 		b.proceed(now, seg, r, table, packet)
 	}
@@ -233,7 +291,8 @@
 	_, _ = b.packets.WriteToUDPAddrPort(b.cfg.Codec.AppendReset(buf[:0], seg.Flow(), seq), to)
 }
 
-func (b *Balancer) open(now time.Time, seg passthrough.Segment, r route.Route, table *route.Table, packet []byte) {
+func (b *Balancer) open(now time.Time, a passthrough.Arrival, r route.Route, table *route.Table) {
+	seg := a.Segment
 	o, ok := b.steerer.Open(now, seg, r.Service)
 	if !ok {
 		b.refuse(seg, "no_agent", table)
@@ -241,7 +300,7 @@
 	}
 	b.link.send(o.Target, &forward{
 		origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.blackboard.operatorRevision(),
-		path: o.Alternatives, directory: o.Directory, packet: packet,
+		path: o.Alternatives, directory: o.Directory, delay: a.Delay, packet: a.Packet,
 	})
 	b.cfg.Logger.Info("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Copies(), "revision", table.Revision())
 }
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -50,6 +51,8 @@
 	revision uint64
 	// hops is how many agents the packet has visited.
 	hops uint8
+	// delay is how long the packet has been within the system.
+	delay time.Duration
 	// path lists the agents to visit next, and directory those that remember the owner.
 	path      passthrough.Path
 	directory passthrough.Path
@@ -118,6 +121,7 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(m.service))
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	b = append(b, m.hops)
+	b = binary.BigEndian.AppendUint16(b, uint16(min(max(m.delay.Milliseconds(), 0), 1<<16-1))) //nolint:gosec // bounded
 	b = appendPath(b, &m.path)
 	b = appendPath(b, &m.directory)
 	return append(b, m.packet...)
@@ -208,6 +212,7 @@
 	switch k {
 	case kindForward:
 		m := &forward{origin: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), hops: r.take(1)[0]}
+		m.delay = time.Duration(binary.BigEndian.Uint16(r.take(2))) * time.Millisecond
 		m.path, m.directory = r.path(), r.path()
 		m.packet = r.rest
 		return m
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -23,7 +23,7 @@
 	// seedDelay is how long a process that starts waits for the store before it asks other processes.
 	seedDelay = 150 * time.Millisecond
 	// seedInterval is the pause between two rounds of asking.
-	seedInterval = 500 * time.Millisecond
+	seedInterval = 200 * time.Millisecond
 )
 
 // EntryState is an entry of the store as a process knows it.
--- a/pkg/passthrough/gate.go
+++ b/pkg/passthrough/gate.go
@@ -17,6 +17,9 @@
 	maxSequenceGap = 1 << 28
 	// maxOwners is how many backend servers may have answered the copies of one opening packet.
 	maxOwners = 2
+	// maxBusyHops bounds how often a packet is passed on because backend servers are busy. When all are, a second
+	// choice gains nothing and costs every agent time.
+	maxBusyHops = 1
 	// settleTime is how long after its start an agent asks its backend server for flows that it does not know.
 	settleTime = 20 * time.Second
 )
@@ -215,11 +218,11 @@
 		return PassOn{ReasonAbsent}
 	}
 	limit := g.limit()
-	if a.Segment.Copies() > 0 {
+	if a.late() {
 		limit = g.lateLimit()
 	}
 	if g.inProgress(now) >= limit {
-		if a.Path.Len() > 0 && a.Segment.Copies() == 0 {
+		if a.Path.Len() > 0 && a.Hops < maxBusyHops && !a.late() {
 			return PassOn{ReasonBusy}
 		}
 		g.waiting.push(now, a)
--- a/pkg/passthrough/waiting.go
+++ b/pkg/passthrough/waiting.go
@@ -15,9 +15,24 @@
 	Path Path
 	// Directory are the agents that are told the owner of the flow.
 	Directory Path
-	Packet    []byte
+	// Hops is how many agents the packet has visited before.
+	Hops uint8
+	// Delay is how long the packet has been on its way within the system.
+	Delay  time.Duration
+	Packet []byte
 }
 
+// waited returns how long the caller has waited at least.
+func (a *Arrival) waited() time.Duration {
+	return a.Delay + copyAges[min(a.Segment.Copies(), len(copyAges)-1)]
+}
+
+// late reports whether the caller has waited so long that it has sent a copy.
+func (a *Arrival) late() bool { return a.waited() >= copyAges[1] }
+
+// Expired reports whether the caller has given up the attempt.
+func (a *Arrival) Expired() bool { return a.waited() >= attemptTime }
+
 // maxWaiting bounds the memory of a waiting line.
 const maxWaiting = 512
 
@@ -39,6 +54,15 @@
 	Arrival
 	// began is when the caller sent its first packet.
 	began time.Time
+	// pushed is when the packet came into the line.
+	pushed time.Time
+}
+
+// leave returns the arrival with the time in the line added to its delay.
+func (a *waitingArrival) leave(now time.Time) Arrival {
+	r := a.Arrival
+	r.Delay += now.Sub(a.pushed)
+	return r
 }
 
 func (w *waitingLine) len() int { return len(w.arrivals) }
@@ -50,8 +74,7 @@
 		w.arrivals = w.arrivals[1:]
 	}
 	a.Packet = bytes.Clone(a.Packet)
-	age := copyAges[min(a.Segment.Copies(), len(copyAges)-1)]
-	w.arrivals = append(w.arrivals, waitingArrival{Arrival: a, began: now.Add(-age)})
+	w.arrivals = append(w.arrivals, waitingArrival{Arrival: a, began: now.Add(-a.waited()), pushed: now})
 }
 
 func (w *waitingLine) remove(f FlowID) {
@@ -81,7 +104,7 @@
 	if best < 0 {
 		return Arrival{}, false
 	}
-	a := w.arrivals[best].Arrival
+	a := w.arrivals[best].leave(now)
 	w.arrivals = append(w.arrivals[:best], w.arrivals[best+1:]...)
 	return a, true
 }
@@ -101,8 +124,8 @@
 func (w *waitingLine) takeAll(now time.Time) []Arrival {
 	w.expire(now)
 	all := make([]Arrival, 0, len(w.arrivals))
-	for _, a := range w.arrivals {
-		all = append(all, a.Arrival)
+	for i := range w.arrivals {
+		all = append(all, w.arrivals[i].leave(now))
 	}
 	w.arrivals = nil
 	return all
