feat: prefer backend servers whose answers succeed, count decisions, and test the store's followers

Counters by event and reason and gauges are served on the readiness address. Tests with fake stores for entries and lists. Ruled out: health checks, which these backend servers answer well.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -66,6 +66,7 @@
 	heartbeats *httpServer
 	registrar  *registrar
 	catchUp    *catchUp
+	metrics    *metrics
 	backend    backendState
 	returning  passthrough.Table[returnPath] // what is needed to pass on a packet that the backend server gives back
 
@@ -87,6 +88,12 @@
 	a.blackboard = blackboard{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
 	a.catchUp = newCatchUp(&a.blackboard, false, cfg.Logger)
 	a.registrar = newRegistrar(cfg.Store, cfg.ID, agentEntry{Service: cfg.Service, Zone: cfg.Zone, Address: cfg.Link}, cfg.Logger)
+	a.metrics = newMetrics("agent", beliefs{
+		revision: func() float64 { return float64(a.blackboard.operatorRevision()) },
+		flows:    func() float64 { return float64(a.gate.Flows()) },
+		agents:   func() float64 { return 1 },
+	})
+	a.catchUp.metrics = a.metrics
 	a.SetSettle(cfg.Settle)
 	var err error
 	if a.outbound, err = listenUDP(cfg.Outbound); err != nil {
@@ -103,6 +110,7 @@
 		return nil, err
 	}
 	a.heartbeats.mux.Handle("/", cfg.HeartbeatHandler(a))
+	a.http.mux.Handle("GET "+metricsPath, a.metrics.handler())
 	return a, nil
 }
 
@@ -183,6 +191,7 @@
 func (a *Agent) onForward(now time.Time, m *forward) {
 	seg, err := a.cfg.Codec.Decode(m.packet, true)
 	if err != nil {
+		a.metrics.count(eventDropped, "malformed")
 		a.cfg.Logger.Warn("packet dropped", "reason", "malformed", "error", err)
 		return
 	}
@@ -206,6 +215,7 @@
 
 func (a *Agent) onOpening(now time.Time, seg passthrough.Segment, m *forward) {
 	if m.service != a.service {
+		a.metrics.count(eventDropped, "other_service")
 		a.cfg.Logger.Warn("flow dropped", "flow", seg.Flow().String(), "reason", "other_service", "origin", m.origin, "revision", m.revision)
 		a.report(now, m.origin)
 		return
@@ -246,6 +256,7 @@
 
 func (a *Agent) logAccepted(now time.Time, seg passthrough.Segment, origin netip.AddrPort) {
 	load := a.gate.Load(now)
+	a.metrics.count(eventAccepted, reasonNone)
 	a.cfg.Logger.Info("flow accepted", "flow", seg.Flow().String(), "copies", seg.Copies(), "in_progress", load.InProgress, "slots", load.Slots, "origin", origin)
 }
 
@@ -276,6 +287,7 @@
 		}
 		a.deliver(m.packet)
 	case passthrough.Hold:
+		a.metrics.count(eventHeld, reasonNone)
 		a.cfg.Logger.Info("flow held", "flow", seg.Flow().String(), "copies", seg.Copies())
 	case passthrough.PassOn:
 		a.passOn(now, seg, m, v.Reason)
@@ -292,6 +304,7 @@
 			next, ok = m.path.Next()
 		}
 		if !ok || m.hops >= maxHops {
+			a.metrics.count(eventDropped, "unknown_flow")
 			a.cfg.Logger.Warn("packet dropped", "flow", seg.Flow().String(), "reason", "unknown_flow", "hops", m.hops, "origin", m.origin)
 			return
 		}
@@ -308,6 +321,7 @@
 	}
 	m.hops++
 	a.gate.PassedOn(now, seg.Flow(), next)
+	a.metrics.count(eventPassedOn, string(reason))
 	a.cfg.Logger.Warn("flow passed on", "flow", seg.Flow().String(), "reason", string(reason), "to", next, "copies", seg.Copies(), "hops", m.hops)
 	a.link.send(next, m)
 }
@@ -315,6 +329,7 @@
 // refuse ends a flow at its caller.
 func (a *Agent) refuse(seg passthrough.Segment, reason passthrough.Reason) {
 	load := a.gate.Load(time.Now())
+	a.metrics.count(eventRefused, string(reason))
 	a.cfg.Logger.Warn("flow refused", "flow", seg.Flow().String(), "reason", string(reason), "opens", seg.Opens(), "copies", seg.Copies(), "in_progress", load.InProgress, "slots", load.Slots)
 	seq := seg.Ack()
 	if seg.Opens() {
@@ -334,6 +349,7 @@
 	now := time.Now()
 	seg, err := a.cfg.Codec.Decode(packet, false)
 	if err != nil {
+		a.metrics.count(eventDropped, "malformed")
 		a.cfg.Logger.Warn("packet dropped", "reason", "malformed", "source", "backend", "error", err)
 		return
 	}
@@ -341,7 +357,7 @@
 		a.onReturned(now, seg, packet)
 		return
 	}
-	if a.gate.Answered(now, seg) {
+	if a.gate.Answered(now, seg, a.cfg.Codec.Failed(packet)) {
 		r, _ := a.returning.Get(now, seg.Flow())
 		for _, d := range r.directory.All() {
 			if d != a.link.self {
@@ -358,6 +374,7 @@
 	r, _ := a.returning.Get(now, seg.Flow())
 	m := &forward{origin: r.origin, service: a.service, revision: a.blackboard.operatorRevision(), hops: 1, path: r.path, directory: r.directory, packet: packet}
 	v := a.gate.Returned(now, seg)
+	a.metrics.count(eventReturned, string(passthrough.ReasonReturned))
 	a.cfg.Logger.Warn("packet returned by backend server", "flow", seg.Flow().String(), "opens", seg.Opens(), "size", seg.Size())
 	a.carry(now, seg, m, v)
 	a.admitWaiting(now)
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -28,7 +28,7 @@
 	// unheardTime is how long an agent without an entry may be silent; it writes its entry again within 2 s.
 	unheardTime = 3 * time.Second
 	// agentsPause collects changes of agents, of which balancers hear by their reports too.
-	agentsPause = 500 * time.Millisecond
+	agentsPause = time.Second
 	// flowIdle is how long a flow without packets is remembered when the configuration states no idle timeout.
 	flowIdle = 15 * time.Second
 )
@@ -61,6 +61,7 @@
 
 // Balancer is the process on an entry host.
 type Balancer struct {
+	metrics    *metrics
 	cfg        BalancerConfig
 	blackboard blackboard
 	steerer    *passthrough.Steerer
@@ -84,6 +85,12 @@
 	b := &Balancer{cfg: cfg, steerer: passthrough.NewSteerer(cfg.Zone), draining: make(chan struct{})}
 	b.blackboard = blackboard{layout: cfg.Layout, logger: cfg.Logger, changed: b.refresh}
 	b.catchUp = newCatchUp(&b.blackboard, true, cfg.Logger)
+	b.metrics = newMetrics("balancer", beliefs{
+		revision: func() float64 { return float64(b.blackboard.operatorRevision()) },
+		flows:    func() float64 { return float64(b.steerer.Flows()) },
+		agents:   func() float64 { return float64(len(b.blackboard.board.Records(board.KindAgent))) },
+	})
+	b.catchUp.metrics = b.metrics
 	b.SetSettle(cfg.Settle)
 	var err error
 	if b.packets, err = listenUDP(cfg.Packets); err != nil {
@@ -97,6 +104,7 @@
 		return nil, err
 	}
 	b.http.handleReady(cfg.ReadyPath, b.Ready)
+	b.http.mux.Handle("GET "+metricsPath, b.metrics.handler())
 	return b, nil
 }
 
@@ -254,8 +262,10 @@
 
 // onPacket sends a caller's packet on; delay is how long it has waited here.
 func (b *Balancer) onPacket(packet []byte, delay time.Duration) {
+	b.metrics.packets.Inc()
 	seg, err := b.cfg.Codec.Decode(packet, true)
 	if err != nil {
+		b.metrics.count(eventDropped, "malformed")
 		b.cfg.Logger.Warn("packet dropped", "reason", "malformed", "error", err)
 		return
 	}
@@ -272,7 +282,7 @@
 		}
 		b.open(now, a, r, table)
 	default:
-		b.proceed(now, seg, r, table, packet)
+		b.proceed(now, seg, r, packet)
 	}
 }
 
@@ -281,6 +291,7 @@
 	if seg.Has(passthrough.FlagReset) {
 		return
 	}
+	b.metrics.count(eventRefused, reason)
 	b.cfg.Logger.Warn("flow refused", "flow", seg.Flow().String(), "reason", reason, "opens", seg.Opens(), "copies", seg.Copies(), "revision", table.Revision())
 	var buf [64]byte
 	seq := seg.Ack()
@@ -302,10 +313,11 @@
 		origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.blackboard.operatorRevision(),
 		path: o.Alternatives, directory: o.Directory, delay: a.Delay, packet: a.Packet,
 	})
+	b.metrics.count(eventPlaced, reasonNone)
 	b.cfg.Logger.Info("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Copies(), "revision", table.Revision())
 }
 
-func (b *Balancer) proceed(now time.Time, seg passthrough.Segment, r route.Route, table *route.Table, packet []byte) {
+func (b *Balancer) proceed(now time.Time, seg passthrough.Segment, r route.Route, packet []byte) {
 	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.blackboard.operatorRevision(), packet: packet}
 	m.path = b.findPath(seg.Flow(), r)
 	target, known := b.steerer.Continue(now, seg.Flow())
--- /dev/null
+++ b/internal/passthrough/follower_test.go
@@ -0,0 +1,82 @@
+package passthrough
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/bramleymast/bramleymast/pkg/store"
+)
+
+// follow runs a follower on a fake store and returns what it knows.
+func follow(t *testing.T, s *fakeStore) map[string]string {
+	t.Helper()
+	known := make(map[string]string)
+	f := &follower{
+		store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {},
+		apply: func(e store.Entry) {
+			if e.Deleted {
+				delete(known, e.Key)
+			} else {
+				known[e.Key] = string(e.Value)
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return known
+}
+
+// Guards against changes that are lost when the store drops its history while they are made.
+func TestFollowerListsAfterCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(store.Entry{Key: "a", Value: []byte("1")})
+		s.put(store.Entry{Key: "b", Value: []byte("1")})
+		known := follow(t, s)
+		synctest.Wait()
+		assert.DeepEqual(t, known, map[string]string{"a": "1", "b": "1"})
+		s.set(func() {
+			delete(s.entries, "a")
+			s.entries["b"] = store.Entry{Key: "b", Value: []byte("2"), Revision: s.revision + 1}
+			s.revision += 2
+			s.compact = s.revision
+			close(s.changed)
+			s.changed = make(chan struct{})
+		})
+		synctest.Wait()
+		assert.DeepEqual(t, known, map[string]string{"b": "2"})
+	})
+}
+
+// Guards against a process that does not serve soon after the store is back, and against calls without end meanwhile.
+func TestFollowerRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.entries["a"] = store.Entry{Key: "a", Value: []byte("1"), Revision: 5}
+		s.err = store.ErrUnavailable
+		known := follow(t, s)
+		time.Sleep(10 * time.Second)
+		n := s.callCount()
+		assert.Assert(t, n <= 200, "%d calls", n)
+		s.set(func() { s.err = nil })
+		time.Sleep(150 * time.Millisecond)
+		synctest.Wait()
+		assert.DeepEqual(t, known, map[string]string{"a": "1"})
+		s.set(func() { s.put(store.Entry{Key: "a", Value: []byte("2")}) })
+		synctest.Wait()
+		assert.DeepEqual(t, known, map[string]string{"a": "2"})
+	})
+}
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -107,6 +107,7 @@
 func appendLoad(b []byte, l passthrough.Load) []byte {
 	b = binary.BigEndian.AppendUint16(b, l.InProgress)
 	b = binary.BigEndian.AppendUint16(b, l.Slots)
+	b = append(b, l.Failing)
 	if l.Opens {
 		return append(b, 1)
 	}
@@ -189,9 +190,9 @@
 }
 
 func (r *reader) load() passthrough.Load {
-	b := r.take(5)
+	b := r.take(6)
 	return passthrough.Load{
-		InProgress: binary.BigEndian.Uint16(b), Slots: binary.BigEndian.Uint16(b[2:]), Opens: b[4] == 1,
+		InProgress: binary.BigEndian.Uint16(b), Slots: binary.BigEndian.Uint16(b[2:]), Failing: b[4], Opens: b[5] == 1,
 	}
 }
 
--- /dev/null
+++ b/internal/passthrough/message_test.go
@@ -0,0 +1,102 @@
+package passthrough
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/bramleymast/bramleymast/pkg/flow"
+	"github.com/bramleymast/bramleymast/pkg/passthrough"
+)
+
+func drawAddress(t *rapid.T, name string) netip.AddrPort {
+	ip := rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, name)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(ip)), rapid.Uint16().Draw(t, name+" port"))
+}
+
+func drawPath(t *rapid.T, name string) passthrough.Path {
+	var p passthrough.Path
+	for range rapid.IntRange(0, passthrough.MaxPath).Draw(t, name) {
+		p.Add(drawAddress(t, name))
+	}
+	return p
+}
+
+func drawLoad(t *rapid.T) passthrough.Load {
+	return passthrough.Load{
+		InProgress: rapid.Uint16().Draw(t, "in progress"), Slots: rapid.Uint16().Draw(t, "slots"),
+		Failing: rapid.Byte().Draw(t, "failing"), Opens: rapid.Bool().Draw(t, "opens"),
+	}
+}
+
+func drawMessage(t *rapid.T) message {
+	f := passthrough.NewFlowID(drawAddress(t, "caller"), drawAddress(t, "service"))
+	switch rapid.IntRange(1, 5).Draw(t, "kind") {
+	case 1:
+		return &forward{
+			origin: drawAddress(t, "origin"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")),
+			revision: rapid.Uint64().Draw(t, "revision"), hops: rapid.Byte().Draw(t, "hops"),
+			delay: time.Duration(rapid.Uint16().Draw(t, "delay")) * time.Millisecond,
+			path:  drawPath(t, "path"), directory: drawPath(t, "directory"),
+			packet: rapid.SliceOfN(rapid.Byte(), 1, 1231).Draw(t, "packet"),
+		}
+	case 2:
+		return &placed{flow: f, agent: drawAddress(t, "agent"), load: drawLoad(t)}
+	case 3:
+		return &owner{flow: f, agent: drawAddress(t, "agent"), isn: rapid.Uint32().Draw(t, "isn")}
+	case 4:
+		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision")}
+	default:
+		return &report{agent: drawAddress(t, "agent"), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t)}
+	}
+}
+
+var cmpMessages = cmp.Options{
+	cmp.AllowUnexported(forward{}, placed{}, owner{}, probe{}, report{}),
+	cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
+	cmp.Comparer(func(a, b passthrough.Path) bool { return a == b }),
+	cmp.Comparer(func(a, b passthrough.FlowID) bool { return a == b }),
+}
+
+// Guards against a message that another process reads differently, and against datagrams that do not fit.
+func TestMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMessage(t)
+		b := m.append(nil)
+		if len(b) > maxMessage {
+			t.Fatalf("%d bytes", len(b))
+		}
+		got, err := decodeMessage(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(m, got, cmpMessages); diff != "" {
+			t.Fatal(diff)
+		}
+		for n := range min(len(b), 40) {
+			if short, err := decodeMessage(b[:n]); err == nil {
+				if _, ok := short.(*forward); !ok {
+					t.Fatalf("%d of %d bytes are read as %T", n, len(b), short)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a datagram of another sender that ends the process.
+func FuzzDecodeMessage(f *testing.F) {
+	f.Add([]byte{magic, version, byte(kindProbe), 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14})
+	f.Add((&report{agent: netip.MustParseAddrPort("10.0.0.1:1")}).append(nil))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := decodeMessage(b)
+		if err != nil {
+			assert.ErrorIs(t, err, errMessage)
+			return
+		}
+		_ = m.append(nil)
+	})
+}
--- /dev/null
+++ b/internal/passthrough/metrics.go
@@ -0,0 +1,76 @@
+package passthrough
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metricsPath is the path of the metrics.
+const metricsPath = "/metrics"
+
+// flowEvent is what happened to a flow or packet; the text is the value of the event label.
+type flowEvent string
+
+// Events of flows and packets.
+const (
+	eventPlaced   flowEvent = "placed"
+	eventAccepted flowEvent = "accepted"
+	eventHeld     flowEvent = "held"
+	eventPassedOn flowEvent = "passed_on"
+	eventRefused  flowEvent = "refused"
+	eventReturned flowEvent = "returned"
+	eventDropped  flowEvent = "dropped"
+)
+
+// reasonNone is the reason of events that need none.
+const reasonNone = ""
+
+// metrics counts what a process does and shows what it believes.
+type metrics struct {
+	registry *prometheus.Registry
+	events   *prometheus.CounterVec
+	packets  prometheus.Counter
+	fetches  *prometheus.CounterVec
+}
+
+// beliefs are read when the metrics are asked for.
+type beliefs struct {
+	revision func() float64
+	flows    func() float64
+	agents   func() float64
+}
+
+func newMetrics(role string, b beliefs) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleymast_flow_events_total", Help: "Decisions on flows and packets.",
+		}, []string{"event", "reason"}),
+		packets: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bramleymast_packets_total", Help: "Packets of callers.",
+		}),
+		fetches: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleymast_state_fetches_total", Help: "Calls for state to other processes.",
+		}, []string{"outcome"}),
+	}
+	labels := prometheus.Labels{"role": role}
+	gauge := func(name, help string, f func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels}, f)
+	}
+	m.registry.MustRegister(m.events, m.packets, m.fetches,
+		gauge("bramleymast_operator_revision", "Store revision of the newest configuration or zone state.", b.revision),
+		gauge("bramleymast_flows", "Flows that the process remembers.", b.flows),
+		gauge("bramleymast_agents", "Agents that the process knows.", b.agents),
+	)
+	return m
+}
+
+func (m *metrics) count(e flowEvent, reason string) {
+	m.events.WithLabelValues(string(e), reason).Inc()
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/netip"
 	"net/rpc"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -88,7 +87,7 @@
 	deadline, _ := ctx.Deadline()
 	_ = conn.SetDeadline(deadline)
 	client := rpc.NewClient(conn)
-	defer client.Close()
+	defer func() { _ = client.Close() }() // The answer is complete, or the error is reported already.
 	var reply StateReply
 	if err := client.Call(peerName+".State", StateArgs{Agents: agents}, &reply); err != nil {
 		return nil, errors.Annotatef(err, "cannot ask %s", from)
@@ -98,11 +97,11 @@
 
 // catchUp asks other processes for entries that the store does not deliver to this process.
 type catchUp struct {
+	metrics    *metrics
 	blackboard *blackboard
 	agents     bool
 	logger     hclog.Logger
 	due        chan netip.AddrPort
-	running    atomic.Bool
 }
 
 func newCatchUp(b *blackboard, agents bool, logger hclog.Logger) *catchUp {
@@ -136,9 +135,11 @@
 func (c *catchUp) fetch(ctx context.Context, from netip.AddrPort) bool {
 	entries, err := fetchState(ctx, from, c.agents)
 	if err != nil {
+		c.metrics.fetches.WithLabelValues("failed").Inc()
 		c.logger.Warn("state not fetched", "from", from, "error", err)
 		return false
 	}
+	c.metrics.fetches.WithLabelValues("done").Inc()
 	c.logger.Info("state fetched", "from", from, "entries", len(entries))
 	for _, e := range entries {
 		c.blackboard.apply(store.Entry{Key: e.Key, Value: e.Value, Revision: store.Revision(e.Revision), Deleted: e.Deleted})
--- a/pkg/passthrough/flow.go
+++ b/pkg/passthrough/flow.go
@@ -135,6 +135,8 @@
 	AppendReset(b []byte, flow FlowID, seq uint32) []byte
 	// RequestID returns the id of the request whose head is in a packet, or an empty string.
 	RequestID(packet []byte) string
+	// Failed reports whether a backend server's packet begins the answer to a request that has failed there.
+	Failed(packet []byte) bool
 	// ClearReturned removes the mark of a returned packet, so that another backend server may get it.
 	ClearReturned(packet []byte)
 }
--- a/pkg/passthrough/gate.go
+++ b/pkg/passthrough/gate.go
@@ -76,6 +76,7 @@
 	work      map[FlowID]request
 	waiting   waitingLine
 	presence  presence
+	outcomes  outcomes
 	slots     int
 	draining  bool
 	zoneOut   bool
@@ -104,6 +105,7 @@
 type request struct {
 	since   time.Time
 	working bool
+	hangs   bool // counted as failed
 }
 
 // NewGate returns the gate of an agent that started at a time.
@@ -152,6 +154,7 @@
 	return Load{
 		InProgress: uint16(min(n, 1<<15)),       //nolint:gosec // bounded by min
 		Slots:      uint16(min(g.slots, 1<<15)), //nolint:gosec // bounded by min
+		Failing:    g.outcomes.failing(now),
 		Opens:      !g.draining && !g.zoneOut && !g.presence.absent(now),
 	}
 }
@@ -170,6 +173,11 @@
 		if r.working {
 			limit = workTime
 		}
+		if r.working && !r.hangs && now.Sub(r.since) > hangTime {
+			r.hangs = true
+			g.work[f] = r
+			g.outcomes.note(now, true)
+		}
 		if now.Sub(r.since) > limit {
 			delete(g.work, f)
 		}
@@ -348,8 +356,9 @@
 	})
 }
 
-// Answered notes a packet of the backend server and reports whether it accepts a new flow.
-func (g *Gate) Answered(now time.Time, seg Segment) (accepted bool) {
+// Answered notes a packet of the backend server and reports whether it accepts a new flow. The flag says that the
+// packet begins the answer to a failed request.
+func (g *Gate) Answered(now time.Time, seg Segment, failed bool) (accepted bool) {
 	f := seg.Flow()
 	g.flows.Update(now, f, func(h held, known bool) held {
 		if seg.Has(FlagOpen | FlagAck) {
@@ -365,6 +374,9 @@
 	defer g.mu.Unlock()
 	g.presence.seen(now)
 	if seg.Size() > 0 || seg.Has(FlagReset) || seg.Has(FlagFinish) {
+		if r, ok := g.work[f]; ok && r.working && !r.hangs {
+			g.outcomes.note(now, failed || seg.Size() == 0)
+		}
 		delete(g.work, f)
 	}
 	return accepted
--- a/pkg/passthrough/gate_test.go
+++ b/pkg/passthrough/gate_test.go
@@ -80,7 +80,7 @@
 func TestGateKeepsOpenFlowsWhenClosed(t *testing.T) {
 	g := newGate(2)
 	assert.Equal(t, g.Open(start, arrival(1, 0)), passthrough.Verdict(passthrough.Deliver{}))
-	assert.Assert(t, g.Answered(start, accepting(1, 5000)))
+	assert.Assert(t, g.Answered(start, accepting(1, 5000), false))
 	g.SetBackend(start, 2, true, 0)
 	g.SetZoneOut(true)
 	assert.Equal(t, g.Continue(start, data(1, 5001)), passthrough.Verdict(passthrough.Deliver{}))
@@ -138,7 +138,7 @@
 	assert.Equal(t, g.Open(later, arrival(2, 0, address(2))), passthrough.Verdict(passthrough.PassOn{Reason: passthrough.ReasonAbsent}))
 	trial := start.Add(300 * time.Millisecond)
 	assert.Equal(t, g.Open(trial, arrival(3, 0, address(2))), passthrough.Verdict(passthrough.Deliver{}))
-	g.Answered(trial, accepting(3, 1))
+	g.Answered(trial, accepting(3, 1), false)
 	assert.Assert(t, g.Load(trial).Opens)
 }
 
@@ -147,7 +147,7 @@
 	const own, other = 5000, 3_000_000_000
 	g := newGate(2)
 	g.Open(start, arrival(1, 0))
-	g.Answered(start, accepting(1, own))
+	g.Answered(start, accepting(1, own), false)
 	assert.Equal(t, g.Continue(start, data(1, other+1)), passthrough.Verdict(passthrough.Unknown{}))
 	g.Own(start, flowOf(1), address(2), other)
 	assert.Equal(t, g.Continue(start, data(1, other+1)), passthrough.Verdict(passthrough.Forward{Owner: address(2)}))
@@ -171,7 +171,7 @@
 	assert.Equal(t, g.Continue(start, data(1, 77)), passthrough.Verdict(passthrough.Unknown{}))
 
 	assert.Equal(t, g.Continue(start, data(2, 77)), passthrough.Verdict(passthrough.Deliver{}))
-	g.Answered(start, answer(2))
+	g.Answered(start, answer(2), false)
 	assert.Equal(t, g.Continue(start, data(2, 78)), passthrough.Verdict(passthrough.Deliver{}))
 }
 
@@ -179,11 +179,11 @@
 func TestGateReturnedData(t *testing.T) {
 	g := newGate(2)
 	g.Open(start, arrival(1, 0))
-	g.Answered(start, accepting(1, 5000))
+	g.Answered(start, accepting(1, 5000), false)
 	assert.Equal(t, g.Returned(start, data(1, 3_000_000_000)), passthrough.Verdict(passthrough.Unknown{}))
 	g = newGate(2)
 	g.Open(start, arrival(1, 0))
-	g.Answered(start, accepting(1, 5000))
+	g.Answered(start, accepting(1, 5000), false)
 	assert.Equal(t, g.Returned(start, data(1, 5001)), passthrough.Verdict(passthrough.Refuse{Reason: passthrough.ReasonReturned}))
 }
 
@@ -201,8 +201,8 @@
 	assert.Equal(t, g.Open(start, arrival(101, 0)), passthrough.Verdict(passthrough.Hold{}))
 	deliver, passOn := g.Due(start)
 	assert.Equal(t, len(deliver)+len(passOn), 0)
-	g.Answered(start, accepting(0, 1))
-	g.Answered(start, answer(0))
+	g.Answered(start, accepting(0, 1), false)
+	g.Answered(start, answer(0), false)
 	deliver, _ = g.Due(start)
 	assert.Equal(t, len(deliver), 1)
 	assert.Equal(t, deliver[0].Segment.Flow(), flowOf(101))
@@ -222,3 +222,33 @@
 	assert.Equal(t, len(deliver), 0)
 	assert.Equal(t, len(passOn), 3)
 }
+
+// Guards against flows to a backend server that fails requests while its health check is good, and against one that
+// is never tried again.
+func TestGateReportsFailures(t *testing.T) {
+	for name, end := range map[string]func(g *passthrough.Gate, now time.Time, i int){
+		"errors": func(g *passthrough.Gate, now time.Time, i int) { g.Answered(now, answer(i), true) },
+		"resets": func(g *passthrough.Gate, now time.Time, i int) {
+			g.Answered(now, passthrough.NewSegment(flowOf(i), passthrough.FlagReset, 1, 1, 0), false)
+		},
+		"hangs": func(*passthrough.Gate, time.Time, int) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGate(50)
+			for i := range 20 {
+				g.Open(start, arrival(i, 0))
+				g.Answered(start, accepting(i, 1), false)
+				g.Continue(start, data(i, 2))
+				if i%2 == 0 {
+					g.Answered(start, answer(i), false)
+				} else {
+					end(g, start, i)
+				}
+			}
+			now := start.Add(time.Second)
+			failing := g.Load(now).Failing
+			assert.Assert(t, failing >= 30 && failing <= 50, "%d%%", failing)
+			assert.Assert(t, g.Load(now.Add(time.Minute)).Failing == 0)
+		})
+	}
+}
--- a/pkg/passthrough/load.go
+++ b/pkg/passthrough/load.go
@@ -6,6 +6,8 @@
 	InProgress uint16
 	// Slots is how many requests the backend server processes at the same time.
 	Slots uint16
+	// Failing is the share of requests that fail, in percent.
+	Failing uint8
 	// Opens reports whether the backend server takes new flows.
 	Opens bool
 }
@@ -13,11 +15,17 @@
 // crossZoneRequests is the cost of a flow to another zone, in requests that wait before it.
 const crossZoneRequests = 0.5
 
+// failingRequests is the cost of a flow to a backend server that fails all requests, in requests that wait before
+// it: far more than others have under a usual load, so that they get nearly all flows, and not so many that the rest
+// of the service falls over when the failures are everywhere.
+const failingRequests = 24
+
 // cost returns the expected wait of one more flow in units of the backend server's slots.
 func (l Load) cost(unreported int, sameZone bool) float64 {
 	ahead := float64(l.InProgress) + float64(unreported)
 	if !sameZone {
 		ahead += crossZoneRequests
 	}
+	ahead += failingRequests * float64(l.Failing) / 100
 	return (ahead + 1) / float64(max(l.Slots, 1))
 }
--- a/pkg/passthrough/steerer_test.go
+++ b/pkg/passthrough/steerer_test.go
@@ -17,7 +17,7 @@
 
 // views returns a service with agents in two zones by turns, of which the listed ones take no flows.
 func views(n int, closed ...int) map[string]*flow.View {
-	var ms []flow.Member
+	ms := make([]flow.Member, 0, n)
 	for i := range n {
 		opens := true
 		for _, c := range closed {
@@ -157,3 +157,22 @@
 	f := flowOf(1)
 	assert.Equal(t, testing.AllocsPerRun(100, func() { s.Continue(start, f) }), 0.0)
 }
+
+// Guards against callers that get errors while other backend servers could answer, and against a false alarm at half
+// of the agents that overloads the others.
+func TestSteererAvoidsFailingBackends(t *testing.T) {
+	s := steerer(4)
+	s.Heard(start, address(0), passthrough.Load{Slots: 2, Failing: 40, Opens: true})
+	s.Heard(start, address(1), passthrough.Load{Slots: 2, Failing: 40, Opens: true})
+	count := make(map[netip.AddrPort]int)
+	for i := range 16 {
+		o, _ := s.Open(start, opening(i, 0), service)
+		count[o.Target]++
+	}
+	assert.Equal(t, count[address(0)]+count[address(1)], 0)
+	for i := range 40 {
+		o, _ := s.Open(start, opening(100+i, 0), service)
+		count[o.Target]++
+	}
+	assert.Assert(t, count[address(0)] >= 5 && count[address(1)] >= 5, "%v", count)
+}
--- a/pkg/passthrough/wave_test.go
+++ b/pkg/passthrough/wave_test.go
@@ -67,7 +67,7 @@
 
 // accept lets the backend server answer the opening packet, and the caller send its request.
 func (w *wave) accept(i int) {
-	w.gate.Answered(w.time(), accepting(i, 1))
+	w.gate.Answered(w.time(), accepting(i, 1), false)
 	w.at(w.now+2*w.trip, func() {
 		if w.done[i] != 0 {
 			return
@@ -87,7 +87,7 @@
 		w.at(w.now+w.work, func() {
 			w.busy--
 			w.done[i] = w.now + w.trip
-			w.gate.Answered(w.time(), answer(i))
+			w.gate.Answered(w.time(), answer(i), false)
 			w.admit()
 			w.start()
 		})
