--- a/cmd/bramleymast-node/main.go
+++ b/cmd/bramleymast-node/main.go
@@ -31,7 +31,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadInput
 	}
-	logger, stopLog := newLogger(ctx)
+	logger, stopLog := newLogger(ctx, s.ID())
 	defer stopLog()
 	var d platform.Daemon
 	switch {
@@ -65,7 +65,7 @@
 }
 
 // newLogger returns a logger that never blocks, and a function that writes what is left.
-func newLogger(ctx context.Context) (logger hclog.Logger, stop func()) {
+func newLogger(ctx context.Context, id string) (logger hclog.Logger, stop func()) {
 	w := boundedlog.New(os.Stdout)
 	ctx, cancel := context.WithCancel(ctx)
 	go func() { _ = w.Run(ctx) }() // It returns no error.
@@ -74,7 +74,7 @@
 		Name: "bramleymast", JSONFormat: true, Level: hclog.Info,
 		Output: hclog.NewLeveledWriter(w, map[hclog.Level]io.Writer{hclog.Warn: important, hclog.Error: important}),
 	})
-	return logger, func() {
+	return logger.With("process", id), func() {
 		cancel()
 		<-w.Done()
 	}
--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -116,7 +116,7 @@
 
 // commands returns the commands that stand alone.
 func commands() []command {
-	return []command{&status{}, &balancerCommand{}, &agentCommand{}, &demoCommand{}, &capacityCommand{}}
+	return []command{&status{}, &balancerCommand{}, &agentCommand{}, &demoCommand{}, &capacityCommand{}, &explainCommand{}}
 }
 
 // attach declares every command and returns all of them with their declarations.
