--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -195,7 +195,7 @@
 		}
 		key := line.Process + "\x00" + line.Message
 		for _, a := range about {
-			key += "\x00" + fmt.Sprint(line.Fields[a])
+			key += "\x00" + line.field(a)
 		}
 		if old, ok := newest[key]; !ok || !line.Time.Before(old.Time) {
 			line.Belief, line.Shift = true, f.Shift
