fix: give no flows to an agent of another service at a reused address, nor packets to an isolated balancer

Its address had been that of an agent of another service, which fell silent; it answered probes without load, and its refusals were reports that it takes flows. Ruled out: stale entries alone, which silence would have made suspect. Change: reports name their service, and one of another service drops the known agent; such an agent passes flows on. A balancer that no agent has answered for 0.4 s is not ready.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -185,7 +185,7 @@
 }
 
 func (a *Agent) report(now time.Time, to netip.AddrPort) {
-	a.link.send(to, &report{agent: a.link.self, revision: a.blackboard.operatorRevision(), load: a.gate.Load(now)})
+	a.link.send(to, &report{agent: a.link.self, service: a.service, revision: a.blackboard.operatorRevision(), load: a.gate.Load(now)})
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
@@ -215,9 +215,8 @@
 
 func (a *Agent) onOpening(now time.Time, seg passthrough.Segment, m *forward) {
 	if m.service != a.service {
-		a.metrics.count(eventDropped, "other_service")
-		a.cfg.Logger.Warn("flow dropped", "flow", seg.Flow().String(), "reason", "other_service", "origin", m.origin, "revision", m.revision)
 		a.report(now, m.origin)
+		a.passOn(now, seg, m, passthrough.ReasonOtherService)
 		return
 	}
 	arrival := passthrough.Arrival{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Packet: m.packet}
@@ -265,7 +264,7 @@
 }
 
 func (a *Agent) tellPlaced(now time.Time, f passthrough.FlowID, origin netip.AddrPort) {
-	a.link.send(origin, &placed{flow: f, agent: a.link.self, load: a.gate.Load(now)})
+	a.link.send(origin, &placed{flow: f, agent: a.link.self, service: a.service, load: a.gate.Load(now)})
 }
 
 // logRequest logs the id of a request where its head passes, so that a request is found by its id.
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -108,8 +108,11 @@
 	return b, nil
 }
 
-// Ready reports whether the platform may send packets to the balancer.
-func (b *Balancer) Ready() bool { return b.hasLoaded() && !b.leaving.Load() }
+// Ready reports whether the platform may send packets to the balancer. One that reaches no agent is not ready, so
+// that callers get to others.
+func (b *Balancer) Ready() bool {
+	return b.hasLoaded() && !b.leaving.Load() && !b.steerer.Isolated(time.Now())
+}
 
 // prefixes is how many prefixes of the store a balancer follows.
 const prefixes = 2
@@ -361,13 +364,21 @@
 	switch m := m.(type) {
 	case *placed:
 		b.steerer.Learn(now, m.flow, m.agent)
-		b.steerer.Heard(now, m.agent, m.load)
+		b.heard(now, m.agent, m.service, m.load)
 	case *report:
-		b.steerer.Heard(now, m.agent, m.load)
+		b.heard(now, m.agent, m.service, m.load)
 		b.catchUp.heard(m.agent, m.revision)
 	}
 }
 
+// heard takes what an agent tells of itself. An agent of another service than the one known at its address shows
+// that the known one is gone.
+func (b *Balancer) heard(now time.Time, agent netip.AddrPort, service flow.ServiceID, l passthrough.Load) {
+	if !b.steerer.Heard(now, agent, service, l) {
+		b.blackboard.dropAt(agent, service)
+	}
+}
+
 // tick probes agents and forgets old flows.
 func (b *Balancer) tick(ctx context.Context) error {
 	t := time.NewTicker(tickInterval)
--- a/internal/passthrough/blackboard.go
+++ b/internal/passthrough/blackboard.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/contract"
+	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/route"
 	"github.com/bramleymast/bramleymast/pkg/store"
 )
@@ -146,6 +147,17 @@
 	}
 }
 
+// dropAt drops the agents of other services at an address.
+func (b *blackboard) dropAt(address netip.AddrPort, service flow.ServiceID) {
+	for _, r := range b.board.Records(board.KindAgent) {
+		a, ok := r.Value.(board.Agent)
+		if ok && a.Data == address && a.Phase != board.PhaseLeft && flow.ServiceIDOf(a.Service) != service {
+			b.drop(r, a, "address_reused")
+		}
+	}
+	b.changed()
+}
+
 // drop marks an agent as gone at the version at which it was seen last; any later entry overrides it.
 func (b *blackboard) drop(r board.Record, a board.Agent, reason string) {
 	a.Phase = board.PhaseLeft
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -61,9 +61,10 @@
 
 // placed tells a balancer which agent owns a flow.
 type placed struct {
-	flow  passthrough.FlowID
-	agent netip.AddrPort
-	load  passthrough.Load
+	flow    passthrough.FlowID
+	agent   netip.AddrPort
+	service flow.ServiceID
+	load    passthrough.Load
 }
 
 // owner tells an agent which other agent owns a flow.
@@ -82,7 +83,9 @@
 
 // report tells a balancer the load of an agent.
 type report struct {
-	agent    netip.AddrPort
+	agent netip.AddrPort
+	// service is the agent's, since the platform uses addresses again.
+	service  flow.ServiceID
 	revision uint64
 	load     passthrough.Load
 }
@@ -132,6 +135,7 @@
 	b = header(b, kindPlaced)
 	b = m.flow.Append(b)
 	b = appendAddress(b, m.agent)
+	b = binary.BigEndian.AppendUint64(b, uint64(m.service))
 	return appendLoad(b, m.load)
 }
 
@@ -151,6 +155,7 @@
 func (m *report) append(b []byte) []byte {
 	b = header(b, kindReport)
 	b = appendAddress(b, m.agent)
+	b = binary.BigEndian.AppendUint64(b, uint64(m.service))
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	return appendLoad(b, m.load)
 }
@@ -218,7 +223,7 @@
 		m.packet = r.rest
 		return m
 	case kindPlaced:
-		return &placed{flow: passthrough.DecodeFlowID(r.take(passthrough.FlowIDSize)), agent: r.address(), load: r.load()}
+		return &placed{flow: passthrough.DecodeFlowID(r.take(passthrough.FlowIDSize)), agent: r.address(), service: flow.ServiceID(r.uint64()), load: r.load()}
 	case kindOwner:
 		m := &owner{flow: passthrough.DecodeFlowID(r.take(passthrough.FlowIDSize)), agent: r.address()}
 		m.isn = binary.BigEndian.Uint32(r.take(4))
@@ -226,7 +231,7 @@
 	case kindProbe:
 		return &probe{origin: r.address(), revision: r.uint64()}
 	case kindReport:
-		return &report{agent: r.address(), revision: r.uint64(), load: r.load()}
+		return &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
 	}
 	return nil
 }
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -45,13 +45,13 @@
 			packet: rapid.SliceOfN(rapid.Byte(), 1, 1231).Draw(t, "packet"),
 		}
 	case 2:
-		return &placed{flow: f, agent: drawAddress(t, "agent"), load: drawLoad(t)}
+		return &placed{flow: f, agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), load: drawLoad(t)}
 	case 3:
 		return &owner{flow: f, agent: drawAddress(t, "agent"), isn: rapid.Uint32().Draw(t, "isn")}
 	case 4:
 		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision")}
 	default:
-		return &report{agent: drawAddress(t, "agent"), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t)}
+		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t)}
 	}
 }
 
--- a/pkg/passthrough/gate.go
+++ b/pkg/passthrough/gate.go
@@ -35,7 +35,8 @@
 	ReasonBusy     Reason = "busy"
 	ReasonReturned Reason = "returned"
 	ReasonAbsent   Reason = "backend_absent"
-	ReasonExpired  Reason = "expired"
+	// ReasonOtherService means that a balancer took the agent for one of another service.
+	ReasonOtherService Reason = "other_service"
 )
 
 // Verdict is what an agent does with a packet: Deliver, PassOn, Hold, Refuse, Forward or Unknown.
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -11,6 +11,9 @@
 const (
 	// suspectAfter is several round trips between zones; an agent that is silent longer gets no new flows.
 	suspectAfter = 150 * time.Millisecond
+	// isolatedAfter is how long no agent has answered a balancer that is cut off; it is longer than a restart of all
+	// agents' processes would need to answer a probe.
+	isolatedAfter = 400 * time.Millisecond
 	// probeInterval bounds how old the news of an agent without traffic gets.
 	probeInterval = 500 * time.Millisecond
 	// suspectProbeInterval lets an agent that is back get flows soon.
@@ -49,6 +52,7 @@
 
 // peer is an agent as a balancer sees it.
 type peer struct {
+	service    flow.ServiceID
 	load       Load
 	sameZone   bool
 	admitted   bool // by the operator's and the agent's own state in the store
@@ -73,8 +77,8 @@
 		for i := range v.Members() {
 			m := &v.Members()[i]
 			p, ok := s.peers[m.Data()]
-			if !ok {
-				p = &peer{load: Load{Slots: assumedSlots, Opens: true}}
+			if !ok || p.service != v.Service() {
+				p = &peer{service: v.Service(), load: Load{Slots: assumedSlots, Opens: true}}
 			}
 			p.sameZone = m.Zone() == s.zone
 			p.admitted = m.Opens()
@@ -241,17 +245,22 @@
 	})
 }
 
-// Heard notes the load that an agent has told.
-func (s *Steerer) Heard(now time.Time, agent netip.AddrPort, l Load) {
+// Heard notes the load that an agent of a service has told. It reports false when the agent at the address is known
+// as one of another service.
+func (s *Steerer) Heard(now time.Time, agent netip.AddrPort, service flow.ServiceID, l Load) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p, ok := s.peers[agent]
 	if !ok {
-		return
+		return true
+	}
+	if p.service != service {
+		return false
 	}
 	p.load, p.reported, p.reportedAt = l, true, now
 	p.unreported = 0
 	p.waiting = time.Time{}
+	return true
 }
 
 // Probes returns the agents that have to be asked for their load now.
@@ -283,6 +292,18 @@
 	return now.Sub(p.waiting)
 }
 
+// Isolated reports whether the balancer knows agents and none of them has answered for a while.
+func (s *Steerer) Isolated(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.peers {
+		if p.waiting.IsZero() || now.Sub(p.waiting) < isolatedAfter {
+			return false
+		}
+	}
+	return len(s.peers) > 0
+}
+
 // Flows returns the number of flows that the balancer remembers.
 func (s *Steerer) Flows() int { return s.flows.Len() }
 
--- a/pkg/passthrough/steerer_test.go
+++ b/pkg/passthrough/steerer_test.go
@@ -15,6 +15,8 @@
 
 const service = "orders"
 
+var serviceID = flow.ServiceIDOf(service)
+
 // views returns a service with agents in two zones by turns, of which the listed ones take no flows.
 func views(n int, closed ...int) map[string]*flow.View {
 	ms := make([]flow.Member, 0, n)
@@ -32,7 +34,7 @@
 	s := passthrough.NewSteerer("zone-0")
 	s.SetViews(views(n, closed...))
 	for i := range n {
-		s.Heard(start, address(i), passthrough.Load{Slots: 2, Opens: true})
+		s.Heard(start, address(i), serviceID, passthrough.Load{Slots: 2, Opens: true})
 	}
 	return s
 }
@@ -48,7 +50,7 @@
 			bad[address(i)] = true
 		}
 		for _, i := range refusing {
-			s.Heard(start, address(i), passthrough.Load{Slots: 2})
+			s.Heard(start, address(i), serviceID, passthrough.Load{Slots: 2})
 			bad[address(i)] = true
 		}
 		for i := range 30 {
@@ -85,8 +87,8 @@
 // Guards against a busy agent that gets flows while another is idle, also in another zone.
 func TestSteererPrefersShorterWait(t *testing.T) {
 	s := steerer(3)
-	s.Heard(start, address(0), passthrough.Load{InProgress: 4, Slots: 2, Opens: true})
-	s.Heard(start, address(2), passthrough.Load{InProgress: 3, Slots: 2, Opens: true})
+	s.Heard(start, address(0), serviceID, passthrough.Load{InProgress: 4, Slots: 2, Opens: true})
+	s.Heard(start, address(2), serviceID, passthrough.Load{InProgress: 3, Slots: 2, Opens: true})
 	o, _ := s.Open(start, opening(1, 0), service)
 	assert.Equal(t, o.Target, address(1))
 	assert.DeepEqual(t, o.Alternatives.All(), []netip.AddrPort{address(2), address(0)}, cmpAddrPort)
@@ -101,10 +103,10 @@
 	if first.Target == other {
 		other = address(1)
 	}
-	s.Heard(now, other, passthrough.Load{Slots: 2, Opens: true})
+	s.Heard(now, other, serviceID, passthrough.Load{Slots: 2, Opens: true})
 	again, _ := s.Open(now, opening(1, 1), service)
 	assert.Equal(t, again.Target, other)
-	s.Heard(now, first.Target, passthrough.Load{Slots: 2, Opens: true})
+	s.Heard(now, first.Target, serviceID, passthrough.Load{Slots: 2, Opens: true})
 	back, _ := s.Open(now, opening(3, 0), service)
 	assert.Equal(t, back.Target, first.Target)
 }
@@ -113,7 +115,7 @@
 func TestSteererKeepsCopiesTogether(t *testing.T) {
 	s := steerer(6)
 	first, _ := s.Open(start, opening(1, 0), service)
-	s.Heard(start, first.Target, passthrough.Load{InProgress: 9, Slots: 2, Opens: true})
+	s.Heard(start, first.Target, serviceID, passthrough.Load{InProgress: 9, Slots: 2, Opens: true})
 	again, _ := s.Open(start.Add(200*time.Millisecond), opening(1, 1), service)
 	assert.Equal(t, again.Target, first.Target)
 }
@@ -146,7 +148,7 @@
 	now := start.Add(600 * time.Millisecond)
 	assert.Equal(t, len(s.Probes(now)), 2)
 	assert.Equal(t, len(s.Probes(now.Add(50*time.Millisecond))), 0)
-	s.Heard(now.Add(60*time.Millisecond), address(0), passthrough.Load{Slots: 2, Opens: true})
+	s.Heard(now.Add(60*time.Millisecond), address(0), serviceID, passthrough.Load{Slots: 2, Opens: true})
 	assert.DeepEqual(t, s.Probes(now.Add(150*time.Millisecond)), []netip.AddrPort{address(1)}, cmpAddrPort)
 }
 
@@ -162,8 +164,8 @@
 // of the agents that overloads the others.
 func TestSteererAvoidsFailingBackends(t *testing.T) {
 	s := steerer(4)
-	s.Heard(start, address(0), passthrough.Load{Slots: 2, Failing: 40, Opens: true})
-	s.Heard(start, address(1), passthrough.Load{Slots: 2, Failing: 40, Opens: true})
+	s.Heard(start, address(0), serviceID, passthrough.Load{Slots: 2, Failing: 40, Opens: true})
+	s.Heard(start, address(1), serviceID, passthrough.Load{Slots: 2, Failing: 40, Opens: true})
 	count := make(map[netip.AddrPort]int)
 	for i := range 16 {
 		o, _ := s.Open(start, opening(i, 0), service)
@@ -176,3 +178,24 @@
 	}
 	assert.Assert(t, count[address(0)] >= 5 && count[address(1)] >= 5, "%v", count)
 }
+
+// Guards against an agent of another service, at an address that is used again, that counts as idle.
+func TestSteererHearsOtherService(t *testing.T) {
+	s := steerer(2)
+	s.Heard(start, address(0), serviceID, passthrough.Load{InProgress: 9, Slots: 2, Opens: true})
+	assert.Assert(t, !s.Heard(start, address(0), flow.ServiceIDOf("pages"), passthrough.Load{Slots: 2, Opens: true}))
+	o, _ := s.Open(start, opening(1, 0), service)
+	assert.Equal(t, o.Target, address(1))
+}
+
+// Guards against a balancer that is cut off from all agents and still takes callers' packets.
+func TestSteererIsolated(t *testing.T) {
+	s := steerer(2)
+	assert.Assert(t, !s.Isolated(start.Add(time.Minute)))
+	s.Probes(start.Add(time.Minute))
+	now := start.Add(time.Minute + 500*time.Millisecond)
+	assert.Assert(t, s.Isolated(now))
+	s.Heard(now, address(1), serviceID, passthrough.Load{Slots: 2, Opens: true})
+	assert.Assert(t, !s.Isolated(now))
+	assert.Assert(t, !passthrough.NewSteerer("zone-0").Isolated(now))
+}
