--- a/internal/cmd/explain.go
+++ b/internal/cmd/explain.go
@@ -80,6 +80,6 @@
 	if err != nil {
 		return errors.Annotate(err, "cannot read the log")
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // Nothing was written.
 	return log.Read(strings.TrimSuffix(filepath.Base(name), filepath.Ext(name)), f)
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -193,10 +193,11 @@
 		if !ok || !known || line.Time.After(f.Time) {
 			continue
 		}
-		key := line.Process + "\x00" + line.Message
+		parts := []string{line.Process, line.Message}
 		for _, a := range about {
-			key += "\x00" + line.field(a)
+			parts = append(parts, line.field(a))
 		}
+		key := strings.Join(parts, "\x00")
 		if old, ok := newest[key]; !ok || !line.Time.Before(old.Time) {
 			line.Belief, line.Shift = true, f.Shift
 			newest[key] = line
