feat: tell callers that come back, and those that cannot be answered in time, from fresh ones

Change: balancers remember unanswered attempts for 1.5 s and mark the packets of callers that come back; a packet is late when a third of the latency objective of its route is spent. Late ones get free slots only. The order of a story begins with the first packet of the flow, not with a copy.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -158,11 +158,10 @@
 // shift moves the lines of processes whose clock is behind: no process can have seen a flow before the first balancer
 // placed it.
 func shift(lines []Line) {
-	placed := slices.IndexFunc(lines, func(l Line) bool { return l.Message == "flow placed" })
-	if placed < 0 {
+	cause, ok := firstPlaced(lines)
+	if !ok {
 		return
 	}
-	cause := lines[placed]
 	behind := make(map[string]time.Duration)
 	for _, l := range lines {
 		if d := cause.Time.Sub(l.Time); l.Process != cause.Process && d > behind[l.Process] {
@@ -174,6 +173,22 @@
 	}
 }
 
+// firstPlaced returns the line about the first packet of the flow: a copy that another balancer got comes later.
+func firstPlaced(lines []Line) (first Line, ok bool) {
+	for _, l := range lines {
+		if l.Message == "flow placed" && (!ok || l.copies() < first.copies()) {
+			first, ok = l, true
+		}
+	}
+	return first, ok
+}
+
+// copies returns how many copies the caller had sent before.
+func (l Line) copies() float64 {
+	n, _ := l.Fields["copies"].(float64)
+	return n
+}
+
 func sortByTime(lines []Line) {
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Add(a.Shift).Compare(b.Time.Add(b.Shift)) })
 }
@@ -193,7 +208,7 @@
 		if !ok || !known || line.Time.After(f.Time) {
 			continue
 		}
-		parts := []string{line.Process, line.Message}
+		parts := append(make([]string, 0, 2+len(about)), line.Process, line.Message)
 		for _, a := range about {
 			parts = append(parts, line.field(a))
 		}
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -207,7 +207,7 @@
 			return p
 		})
 		if m.hops > 0 {
-			a.tellPlaced(now, seg.Flow(), m.origin)
+			a.tellPlaced(now, seg.Flow(), m.origin, true)
 		}
 	}
 	a.carry(now, seg, m, v)
@@ -219,11 +219,13 @@
 		a.passOn(now, seg, m, passthrough.ReasonOtherService)
 		return
 	}
-	arrival := passthrough.Arrival{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Packet: m.packet}
+	arrival := passthrough.Arrival{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, Returning: m.returning, Packet: m.packet}
 	v := a.gate.Open(now, arrival)
 	switch v.(type) {
-	case passthrough.Deliver, passthrough.Hold:
-		a.accept(now, arrival)
+	case passthrough.Deliver:
+		a.accept(now, arrival, true)
+	case passthrough.Hold:
+		a.accept(now, arrival, false)
 	default:
 		a.report(now, m.origin)
 	}
@@ -231,10 +233,10 @@
 }
 
 // accept notes where a flow came from and tells its balancer that it is here.
-func (a *Agent) accept(now time.Time, r passthrough.Arrival) {
+func (a *Agent) accept(now time.Time, r passthrough.Arrival, delivered bool) {
 	f := r.Segment.Flow()
 	a.returning.Put(now, f, returnPath{origin: r.Origin, path: r.Path, directory: r.Directory})
-	a.tellPlaced(now, f, r.Origin)
+	a.tellPlaced(now, f, r.Origin, delivered)
 }
 
 // admitWaiting delivers held packets that the backend server can take now.
@@ -242,11 +244,12 @@
 	deliver, passOn := a.gate.Due(now)
 	for _, r := range deliver {
 		a.logAccepted(now, r.Segment, r.Origin)
+		a.tellPlaced(now, r.Segment.Flow(), r.Origin, true)
 		a.deliver(r.Packet)
 	}
 	for _, r := range passOn {
 		m := &forward{
-			origin: r.Origin, service: a.service, revision: a.blackboard.operatorRevision(), hops: r.Hops, delay: r.Delay,
+			origin: r.Origin, service: a.service, revision: a.blackboard.operatorRevision(), hops: r.Hops, delay: r.Delay, objective: r.Objective, returning: r.Returning,
 			path: r.Path, directory: r.Directory, packet: r.Packet,
 		}
 		a.passOn(now, r.Segment, m, passthrough.ReasonBusy)
@@ -263,8 +266,8 @@
 	_, _ = a.outbound.WriteToUDPAddrPort(packet, a.cfg.Backend)
 }
 
-func (a *Agent) tellPlaced(now time.Time, f passthrough.FlowID, origin netip.AddrPort) {
-	a.link.send(origin, &placed{flow: f, agent: a.link.self, service: a.service, load: a.gate.Load(now)})
+func (a *Agent) tellPlaced(now time.Time, f passthrough.FlowID, origin netip.AddrPort, delivered bool) {
+	a.link.send(origin, &placed{flow: f, agent: a.link.self, service: a.service, delivered: delivered, load: a.gate.Load(now)})
 }
 
 // logRequest logs the id of a request where its head passes, so that a request is found by its id.
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -61,6 +61,8 @@
 
 // Balancer is the process on an entry host.
 type Balancer struct {
+	// attempts tells callers that try again from those that have just come.
+	attempts   passthrough.Attempts
 	metrics    *metrics
 	cfg        BalancerConfig
 	blackboard blackboard
@@ -312,12 +314,14 @@
 		b.refuse(seg, "no_agent", table)
 		return
 	}
+	a.Returning = seg.Copies() == 0 && b.attempts.Returns(now, seg.Flow())
+	b.attempts.Note(now, a)
 	b.link.send(o.Target, &forward{
 		origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.blackboard.operatorRevision(),
-		path: o.Alternatives, directory: o.Directory, delay: a.Delay, packet: a.Packet,
+		path: o.Alternatives, directory: o.Directory, delay: a.Delay, objective: r.TargetLatency, returning: a.Returning, packet: a.Packet,
 	})
 	b.metrics.count(eventPlaced, reasonNone)
-	b.cfg.Logger.Info("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Copies(), "revision", table.Revision())
+	b.cfg.Logger.Info("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Copies(), "returning", a.Returning, "revision", table.Revision())
 }
 
 func (b *Balancer) proceed(now time.Time, seg passthrough.Segment, r route.Route, packet []byte) {
@@ -364,6 +368,9 @@
 	switch m := m.(type) {
 	case *placed:
 		b.steerer.Learn(now, m.flow, m.agent)
+		if m.delivered {
+			b.attempts.Answered(m.flow)
+		}
 		b.heard(now, m.agent, m.service, m.load)
 	case *report:
 		b.heard(now, m.agent, m.service, m.load)
@@ -396,6 +403,7 @@
 		}
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
+			b.attempts.Sweep(now)
 			b.steerer.Sweep(now, b.blackboard.idleTimeout())
 			b.blackboard.dropUnheard(func(a netip.AddrPort) bool { return b.steerer.Silent(now, a) < unheardTime })
 		}
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -53,6 +53,10 @@
 	hops uint8
 	// delay is how long the packet has been within the system.
 	delay time.Duration
+	// objective is the latency objective of the caller's requests.
+	objective time.Duration
+	// returning means that an earlier attempt of the caller got no answer.
+	returning bool
 	// path lists the agents to visit next, and directory those that remember the owner.
 	path      passthrough.Path
 	directory passthrough.Path
@@ -64,7 +68,9 @@
 	flow    passthrough.FlowID
 	agent   netip.AddrPort
 	service flow.ServiceID
-	load    passthrough.Load
+	// delivered means that the backend server has got the packet that opens the flow.
+	delivered bool
+	load      passthrough.Load
 }
 
 // owner tells an agent which other agent owns a flow.
@@ -111,7 +117,17 @@
 	b = binary.BigEndian.AppendUint16(b, l.InProgress)
 	b = binary.BigEndian.AppendUint16(b, l.Slots)
 	b = append(b, l.Failing)
-	if l.Opens {
+	return appendFlag(b, l.Opens)
+}
+
+// appendMilliseconds appends a time of up to a minute.
+func appendMilliseconds(b []byte, d time.Duration) []byte {
+	ms := min(max(d.Milliseconds(), 0), 1<<16-1)
+	return binary.BigEndian.AppendUint16(b, uint16(ms)) //nolint:gosec // bounded above
+}
+
+func appendFlag(b []byte, flag bool) []byte {
+	if flag {
 		return append(b, 1)
 	}
 	return append(b, 0)
@@ -125,7 +141,9 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(m.service))
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	b = append(b, m.hops)
-	b = binary.BigEndian.AppendUint16(b, uint16(min(max(m.delay.Milliseconds(), 0), 1<<16-1))) //nolint:gosec // bounded
+	b = appendMilliseconds(b, m.delay)
+	b = appendMilliseconds(b, m.objective)
+	b = appendFlag(b, m.returning)
 	b = appendPath(b, &m.path)
 	b = appendPath(b, &m.directory)
 	return append(b, m.packet...)
@@ -136,6 +154,7 @@
 	b = m.flow.Append(b)
 	b = appendAddress(b, m.agent)
 	b = binary.BigEndian.AppendUint64(b, uint64(m.service))
+	b = appendFlag(b, m.delivered)
 	return appendLoad(b, m.load)
 }
 
@@ -178,6 +197,10 @@
 
 func (r *reader) uint64() uint64 { return binary.BigEndian.Uint64(r.take(8)) }
 
+func (r *reader) milliseconds() time.Duration {
+	return time.Duration(binary.BigEndian.Uint16(r.take(2))) * time.Millisecond
+}
+
 func (r *reader) address() netip.AddrPort {
 	b := r.take(addressSize)
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b)), binary.BigEndian.Uint16(b[4:]))
@@ -218,12 +241,13 @@
 	switch k {
 	case kindForward:
 		m := &forward{origin: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), hops: r.take(1)[0]}
-		m.delay = time.Duration(binary.BigEndian.Uint16(r.take(2))) * time.Millisecond
+		m.delay, m.objective = r.milliseconds(), r.milliseconds()
+		m.returning = r.take(1)[0] == 1
 		m.path, m.directory = r.path(), r.path()
 		m.packet = r.rest
 		return m
 	case kindPlaced:
-		return &placed{flow: passthrough.DecodeFlowID(r.take(passthrough.FlowIDSize)), agent: r.address(), service: flow.ServiceID(r.uint64()), load: r.load()}
+		return &placed{flow: passthrough.DecodeFlowID(r.take(passthrough.FlowIDSize)), agent: r.address(), service: flow.ServiceID(r.uint64()), delivered: r.take(1)[0] == 1, load: r.load()}
 	case kindOwner:
 		m := &owner{flow: passthrough.DecodeFlowID(r.take(passthrough.FlowIDSize)), agent: r.address()}
 		m.isn = binary.BigEndian.Uint32(r.take(4))
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -40,12 +40,14 @@
 		return &forward{
 			origin: drawAddress(t, "origin"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")),
 			revision: rapid.Uint64().Draw(t, "revision"), hops: rapid.Byte().Draw(t, "hops"),
-			delay: time.Duration(rapid.Uint16().Draw(t, "delay")) * time.Millisecond,
-			path:  drawPath(t, "path"), directory: drawPath(t, "directory"),
+			delay:     time.Duration(rapid.Uint16().Draw(t, "delay")) * time.Millisecond,
+			objective: time.Duration(rapid.Uint16().Draw(t, "objective")) * time.Millisecond,
+			returning: rapid.Bool().Draw(t, "returning"),
+			path:      drawPath(t, "path"), directory: drawPath(t, "directory"),
 			packet: rapid.SliceOfN(rapid.Byte(), 1, 1231).Draw(t, "packet"),
 		}
 	case 2:
-		return &placed{flow: f, agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), load: drawLoad(t)}
+		return &placed{flow: f, agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), delivered: rapid.Bool().Draw(t, "delivered"), load: drawLoad(t)}
 	case 3:
 		return &owner{flow: f, agent: drawAddress(t, "agent"), isn: rapid.Uint32().Draw(t, "isn")}
 	case 4:
--- /dev/null
+++ b/pkg/passthrough/attempts.go
@@ -0,0 +1,95 @@
+package passthrough
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// returnEarly and returnLate bound when a caller opens the next flow after the start of an attempt that got no
+	// answer: it gives up after attemptTime and tries again at once.
+	returnEarly = attemptTime - 20*time.Millisecond
+	returnLate  = attemptTime + 80*time.Millisecond
+	// maxAttempts bounds what is remembered of one caller's address.
+	maxAttempts = 64
+)
+
+// Attempts remembers the unanswered attempts of callers, so that a caller that tries again is told from one that has
+// just come; the zero value is empty. It is safe for concurrent use.
+//
+// Under overload as many callers come back as come, and all their packets look fresh. Served in turn with the others,
+// they leave half of the answers too late for everyone. An address may stand for several callers: an unanswered
+// attempt marks one opening packet only, so the number of marked packets is right even when the packet is another's.
+type Attempts struct {
+	mu      sync.Mutex
+	callers map[uint32][]attempt
+}
+
+// attempt is a flow that its caller has begun to open.
+type attempt struct {
+	flow  FlowID
+	began time.Time
+}
+
+// Note remembers the attempt of an opening packet, until Answered is called for its flow.
+func (t *Attempts) Note(now time.Time, a Arrival) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := a.Segment.Flow()
+	list := t.callers[f.caller]
+	for _, known := range list {
+		if known.flow == f {
+			return
+		}
+	}
+	if t.callers == nil {
+		t.callers = make(map[uint32][]attempt)
+	}
+	if len(list) >= maxAttempts {
+		list = list[1:]
+	}
+	t.callers[f.caller] = append(list, attempt{flow: f, began: now.Add(-a.waited())})
+}
+
+// Answered forgets the attempt of a flow that a backend server gets.
+func (t *Attempts) Answered(f FlowID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remove(f.caller, func(a attempt) bool { return a.flow == f })
+}
+
+// Returns reports whether an opening packet is that of a caller whose earlier attempt got no answer.
+func (t *Attempts) Returns(now time.Time, f FlowID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.callers[f.caller] {
+		if age := now.Sub(a.began); age >= returnEarly && age <= returnLate {
+			t.remove(f.caller, func(o attempt) bool { return o == a })
+			return true
+		}
+	}
+	return false
+}
+
+// Sweep forgets attempts whose callers have come back or never will.
+func (t *Attempts) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for caller := range t.callers {
+		t.remove(caller, func(a attempt) bool { return now.Sub(a.began) > returnLate })
+	}
+}
+
+func (t *Attempts) remove(caller uint32, of func(a attempt) bool) {
+	kept := t.callers[caller][:0]
+	for _, a := range t.callers[caller] {
+		if !of(a) {
+			kept = append(kept, a)
+		}
+	}
+	if len(kept) == 0 {
+		delete(t.callers, caller)
+		return
+	}
+	t.callers[caller] = kept
+}
--- a/pkg/passthrough/waiting.go
+++ b/pkg/passthrough/waiting.go
@@ -18,8 +18,12 @@
 	// Hops is how many agents the packet has visited before.
 	Hops uint8
 	// Delay is how long the packet has been on its way within the system.
-	Delay  time.Duration
-	Packet []byte
+	Delay time.Duration
+	// Objective is the latency objective of the caller's requests; 0 means that there is none.
+	Objective time.Duration
+	// Returning means that an earlier attempt of the caller got no answer.
+	Returning bool
+	Packet    []byte
 }
 
 // waited returns how long the caller has waited at least.
@@ -27,8 +31,21 @@
 	return a.Delay + copyAges[min(a.Segment.Copies(), len(copyAges)-1)]
 }
 
-// late reports whether the caller has waited so long that it has sent a copy.
-func (a *Arrival) late() bool { return a.waited() >= copyAges[1] }
+// objectiveShare is the part of a latency objective that may be spent waiting; the rest is for the handshake, the
+// requests ahead at the backend server, and the work.
+const objectiveShare = 3
+
+// freshTime returns how long the caller may wait before it counts as late: while it has not sent a copy and its
+// request can still be answered within its objective.
+func (a *Arrival) freshTime() time.Duration {
+	if a.Objective <= 0 {
+		return copyAges[1]
+	}
+	return min(copyAges[1], a.Objective/objectiveShare)
+}
+
+// late reports whether the caller has waited for too long, or has tried before.
+func (a *Arrival) late() bool { return a.Returning || a.waited() >= a.freshTime() }
 
 // Expired reports whether the caller has given up the attempt.
 func (a *Arrival) Expired() bool { return a.waited() >= attemptTime }
@@ -93,7 +110,7 @@
 	best := -1
 	for i := range w.arrivals {
 		a := &w.arrivals[i]
-		isFresh := now.Sub(a.began) < copyAges[1]
+		isFresh := !a.Returning && now.Sub(a.began) < a.freshTime()
 		if (isFresh && !fresh) || (!isFresh && !late) {
 			continue
 		}
