--- /dev/null
+++ b/pkg/passthrough/attempts_test.go
@@ -0,0 +1,54 @@
+package passthrough_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/bramleymast/bramleymast/pkg/passthrough"
+)
+
+// callerFlow returns the flow of a caller's try, each from a port of its own.
+func callerFlow(caller, try int) passthrough.FlowID {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(caller >> 8), byte(caller)}), uint16(2000+try))
+	return passthrough.NewFlowID(a, netip.MustParseAddrPort("198.18.0.1:443"))
+}
+
+func attemptOf(caller, try, copies int) passthrough.Arrival {
+	seg := passthrough.NewSegment(callerFlow(caller, try), passthrough.FlagOpen, 1, uint32(copies), 0)
+	return passthrough.Arrival{Segment: seg, Packet: []byte{1}}
+}
+
+// Guards against a caller that comes back and takes the place of one that has just come, and against one that is
+// marked although it was answered, has just come or comes later.
+func TestAttempts(t *testing.T) {
+	const attemptTime = 1400 * time.Millisecond
+	for name, c := range map[string]struct {
+		answered bool
+		copies   int
+		after    time.Duration
+		want     bool
+	}{
+		"comes back":              {after: attemptTime + 10*time.Millisecond, want: true},
+		"only a copy was seen":    {copies: 2, after: attemptTime - 590*time.Millisecond, want: true},
+		"was answered":            {answered: true, after: attemptTime + 10*time.Millisecond},
+		"another request":         {after: 300 * time.Millisecond},
+		"another request, later":  {after: 3 * time.Second},
+		"copy of another request": {copies: 1, after: attemptTime + 10*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a passthrough.Attempts
+			a.Note(start, attemptOf(1, 0, c.copies))
+			if c.answered {
+				a.Answered(callerFlow(1, 0))
+			}
+			now := start.Add(c.after)
+			assert.Equal(t, a.Returns(now, callerFlow(2, 1)), false)
+			assert.Equal(t, a.Returns(now, callerFlow(1, 1)), c.want)
+			assert.Equal(t, a.Returns(now, callerFlow(1, 2)), false, "one attempt marks one packet")
+			a.Sweep(now.Add(time.Minute))
+		})
+	}
+}
--- a/pkg/passthrough/wave_test.go
+++ b/pkg/passthrough/wave_test.go
@@ -148,3 +148,122 @@
 		})
 	}
 }
+
+// overload replays callers that come faster than a backend server works and try again when nothing answers.
+type overload struct {
+	wave
+	attempts  passthrough.Attempts
+	objective time.Duration
+	served    map[passthrough.FlowID]bool
+	callers   map[passthrough.FlowID]int
+}
+
+// try lets a caller open a flow at the current time, and again when the attempt ends without an answer.
+func (o *overload) try(caller, n int) {
+	const tries, attemptTime = 3, 1400 * time.Millisecond
+	f := callerFlow(caller, n)
+	o.callers[f] = caller
+	began := o.now
+	for copies, age := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
+		o.at(began+age+o.trip, func() {
+			if o.served[f] {
+				return
+			}
+			a := attemptOf(caller, n, copies)
+			a.Objective = o.objective
+			a.Returning = copies == 0 && o.attempts.Returns(o.time(), f)
+			o.attempts.Note(o.time(), a)
+			if _, ok := o.gate.Open(o.time(), a).(passthrough.Deliver); ok {
+				o.serve(f)
+			}
+		})
+	}
+	o.at(began+attemptTime, func() {
+		if !o.served[f] && n+1 < tries {
+			o.try(caller, n+1)
+		}
+	})
+}
+
+// serve lets the backend server get the packet that opens a flow, and the request after the handshake.
+func (o *overload) serve(f passthrough.FlowID) {
+	if o.served[f] {
+		return
+	}
+	o.served[f] = true
+	o.attempts.Answered(f)
+	seg := func(flags passthrough.Flags, size int) passthrough.Segment {
+		return passthrough.NewSegment(f, flags, 1, 2, size)
+	}
+	o.gate.Answered(o.time(), seg(passthrough.FlagOpen|passthrough.FlagAck, 0), false)
+	o.at(o.now+2*o.trip, func() {
+		o.gate.Continue(o.time(), seg(passthrough.FlagAck, 100))
+		caller := o.callers[f]
+		o.queue = append(o.queue, caller)
+		o.workOn()
+	})
+}
+
+// workOn lets free slots work on the next requests.
+func (o *overload) workOn() {
+	for o.busy < o.slots && len(o.queue) > 0 {
+		caller := o.queue[0]
+		o.queue = o.queue[1:]
+		o.busy++
+		o.at(o.now+o.work, func() {
+			o.busy--
+			if o.done[caller] == 0 {
+				o.done[caller] = o.now + o.trip
+			}
+			o.finish(caller)
+			o.workOn()
+		})
+	}
+}
+
+// finish tells the gate of the answer to a caller and lets it deliver what it holds.
+func (o *overload) finish(caller int) {
+	for n := range 3 {
+		if f := callerFlow(caller, n); o.served[f] {
+			o.gate.Answered(o.time(), passthrough.NewSegment(f, passthrough.FlagAck, 1, 2, 500), false)
+		}
+	}
+	deliver, _ := o.gate.Due(o.time())
+	for _, a := range deliver {
+		o.serve(a.Segment.Flow())
+	}
+}
+
+// Guards against callers that come back, or have waited for too long, in the place of those that can be answered in
+// time. The load is twice what the backend server bears for 4 s; nine tenths of what it bears are answered in time.
+func TestOverloadWithRetries(t *testing.T) {
+	const (
+		capacity  = 77 // requests a second: 2 slots with 26 ms of work
+		length    = 4 * time.Second
+		objective = 150 * time.Millisecond
+	)
+	o := &overload{
+		wave: wave{
+			gate: newGate(2), slots: 2, work: 26 * time.Millisecond, trip: 4 * time.Millisecond,
+			first: make(map[int]time.Duration), done: make(map[int]time.Duration),
+		},
+		objective: objective, served: make(map[passthrough.FlowID]bool), callers: make(map[passthrough.FlowID]int),
+	}
+	for i := 0; ; i++ {
+		at := time.Duration(i) * time.Second / (2 * capacity)
+		if at >= length {
+			break
+		}
+		o.first[i] = at
+		o.at(at, func() { o.try(i, 0) })
+	}
+	o.run(10 * time.Second)
+	inTime := 0
+	for i, first := range o.first {
+		if d := o.done[i]; d > 0 && d-first <= objective {
+			inTime++
+		}
+	}
+	want := int(length.Seconds()) * capacity * 9 / 10
+	assert.Assert(t, inTime >= want, "%d callers answered within %s, want %d", inTime, objective, want)
+}
