--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -154,6 +155,10 @@
 	p.DisableShowVersionWithVersion()
 	p.ShowCompletion = false
 	all := attach(p)
+	if i := slices.Index(args, ""); i >= 0 { // The parser panics on an empty argument.
+		_, _ = fmt.Fprintf(e.errOut, "argument %d is empty\n", i+1)
+		return ExitBadInput
+	}
 	if err := p.ParseArgs(args); err != nil {
 		_, _ = fmt.Fprintln(e.errOut, err)
 		return ExitBadInput
