--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -94,6 +94,7 @@
 		agents:   func() float64 { return 1 },
 	})
 	a.catchUp.metrics = a.metrics
+	a.gate.OnAnswer(func(d time.Duration) { a.metrics.answers.Observe(d.Seconds()) })
 	a.SetSettle(cfg.Settle)
 	var err error
 	if a.outbound, err = listenUDP(cfg.Outbound); err != nil {
@@ -243,7 +244,7 @@
 func (a *Agent) admitWaiting(now time.Time) {
 	deliver, passOn := a.gate.Due(now)
 	for _, r := range deliver {
-		a.logAccepted(now, r.Segment, r.Origin)
+		a.logAccepted(now, r.Segment, r.Origin, r.Delay)
 		a.tellPlaced(now, r.Segment.Flow(), r.Origin, true)
 		a.deliver(r.Packet)
 	}
@@ -256,10 +257,11 @@
 	}
 }
 
-func (a *Agent) logAccepted(now time.Time, seg passthrough.Segment, origin netip.AddrPort) {
+func (a *Agent) logAccepted(now time.Time, seg passthrough.Segment, origin netip.AddrPort, waited time.Duration) {
+	a.metrics.waits.Observe(waited.Seconds())
 	load := a.gate.Load(now)
 	a.metrics.count(eventAccepted, reasonNone)
-	a.cfg.Logger.Info("flow accepted", "flow", seg.Flow().String(), "copies", seg.Copies(), "in_progress", load.InProgress, "slots", load.Slots, "origin", origin)
+	a.cfg.Logger.Info("flow accepted", "flow", seg.Flow().String(), "copies", seg.Copies(), "in_progress", load.InProgress, "slots", load.Slots, "waited_ms", waited.Milliseconds(), "origin", origin)
 }
 
 func (a *Agent) deliver(packet []byte) {
@@ -285,7 +287,7 @@
 	switch v := v.(type) {
 	case passthrough.Deliver:
 		if seg.Opens() {
-			a.logAccepted(now, seg, m.origin)
+			a.logAccepted(now, seg, m.origin, m.delay)
 		}
 		a.deliver(m.packet)
 	case passthrough.Hold:
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -33,8 +33,13 @@
 	events   *prometheus.CounterVec
 	packets  prometheus.Counter
 	fetches  *prometheus.CounterVec
+	answers  prometheus.Histogram
+	waits    prometheus.Histogram
 }
 
+// latencyBuckets are upper bounds in seconds, from a round trip within a zone to a caller's longest deadline.
+var latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10}
+
 // beliefs are read when the metrics are asked for.
 type beliefs struct {
 	revision func() float64
@@ -55,11 +60,17 @@
 			Name: "bramleymast_state_fetches_total", Help: "Calls for state to other processes.",
 		}, []string{"outcome"}),
 	}
+	m.answers = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "bramleymast_answer_seconds", Help: "Time from a request to the first packet of its answer.", Buckets: latencyBuckets,
+	})
+	m.waits = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "bramleymast_wait_seconds", Help: "Time that an opening packet waited within the system before it was delivered.", Buckets: latencyBuckets,
+	})
 	labels := prometheus.Labels{"role": role}
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels}, f)
 	}
-	m.registry.MustRegister(m.events, m.packets, m.fetches,
+	m.registry.MustRegister(m.events, m.packets, m.fetches, m.answers, m.waits,
 		gauge("bramleymast_operator_revision", "Store revision of the newest configuration or zone state.", b.revision),
 		gauge("bramleymast_flows", "Flows that the process remembers.", b.flows),
 		gauge("bramleymast_agents", "Agents that the process knows.", b.agents),
--- a/pkg/passthrough/gate.go
+++ b/pkg/passthrough/gate.go
@@ -85,6 +85,7 @@
 	coldLimit SlidingLimit
 	service   route.Service
 	started   time.Time
+	answered  func(d time.Duration)
 }
 
 // held is a flow whose opening packet the backend server got.
@@ -114,6 +115,9 @@
 	return &Gate{work: make(map[FlowID]request), slots: assumedSlots, started: started}
 }
 
+// OnAnswer calls f with the time from a request to the first packet of its answer; it must be set before use.
+func (g *Gate) OnAnswer(f func(d time.Duration)) { g.answered = f }
+
 // SetService sets what the configuration states of the backend server.
 func (g *Gate) SetService(s route.Service) {
 	g.mu.Lock()
@@ -377,6 +381,9 @@
 	if seg.Size() > 0 || seg.Has(FlagReset) || seg.Has(FlagFinish) {
 		if r, ok := g.work[f]; ok && r.working && !r.hangs {
 			g.outcomes.note(now, failed || seg.Size() == 0)
+			if g.answered != nil {
+				g.answered(now.Sub(r.since))
+			}
 		}
 		delete(g.work, f)
 	}
