feat: bound the probes of a balancer

Cause: probes grew with agents times balancers, also for agents without traffic. Change: at most 100 probes a second for each balancer, suspects first, then the agents without news for longest.

--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,8 @@
 const (
 	// suspectAfter is several round trips between zones; an agent that is silent longer gets no new flows.
 	suspectAfter = 150 * time.Millisecond
+	// probesPerSecond bounds what probes cost a balancer before many agents, of which most have no traffic from it.
+	probesPerSecond = 100
 	// isolatedAfter is how long no agent has answered a balancer that is cut off; it is longer than a restart of all
 	// agents' processes would need to answer a probe.
 	isolatedAfter = 400 * time.Millisecond
@@ -42,6 +45,9 @@
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
 	views map[string]*flow.View
+	// probeTokens is how many probes may be sent by probedAt.
+	probeTokens float64
+	probedAt    time.Time
 }
 
 // steered is what a balancer remembers of a flow.
@@ -263,10 +269,13 @@
 	return true
 }
 
-// Probes returns the agents that have to be asked for their load now.
+// Probes returns the agents that have to be asked for their load now: first those that have not answered, then those
+// of which there has been no news for the longest time, within the budget of probes.
 func (s *Steerer) Probes(now time.Time) []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.probeTokens = min(s.probeTokens+now.Sub(s.probedAt).Seconds()*probesPerSecond, probesPerSecond)
+	s.probedAt = now
 	var due []netip.AddrPort
 	for a, p := range s.peers {
 		interval := probeInterval
@@ -275,9 +284,23 @@
 		}
 		if now.Sub(p.sent) >= interval && now.Sub(p.reportedAt) >= interval {
 			due = append(due, a)
-			s.note(now, a)
 		}
 	}
+	slices.SortFunc(due, func(a, b netip.AddrPort) int {
+		p, q := s.peers[a], s.peers[b]
+		if p.waiting.IsZero() != q.waiting.IsZero() {
+			if q.waiting.IsZero() {
+				return -1
+			}
+			return 1
+		}
+		return p.sent.Compare(q.sent)
+	})
+	due = due[:min(len(due), int(s.probeTokens))]
+	s.probeTokens -= float64(len(due))
+	for _, a := range due {
+		s.note(now, a)
+	}
 	return due
 }
 
--- a/pkg/passthrough/steerer_test.go
+++ b/pkg/passthrough/steerer_test.go
@@ -199,3 +199,22 @@
 	assert.Assert(t, !s.Isolated(now))
 	assert.Assert(t, !passthrough.NewSteerer("zone-0").Isolated(now))
 }
+
+// Guards against probes that grow with the number of agents, and against agents that are never probed because of it.
+func TestSteererProbeBudget(t *testing.T) {
+	const agents, perSecond = 1000, 100
+	s := steerer(agents)
+	probed := make(map[netip.AddrPort]bool)
+	n := 0
+	now := start.Add(time.Minute)
+	for range 20 * 15 {
+		now = now.Add(50 * time.Millisecond)
+		for _, a := range s.Probes(now) {
+			n++
+			probed[a] = true
+			s.Heard(now, a, serviceID, passthrough.Load{Slots: 2, Opens: true})
+		}
+	}
+	assert.Assert(t, n <= 16*perSecond, "%d probes in 15 s", n)
+	assert.Equal(t, len(probed), agents)
+}
