--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -100,7 +100,7 @@
 	if a.outbound, err = listenUDP(cfg.Outbound); err != nil {
 		return nil, err
 	}
-	if a.link, err = newLink(cfg.Link); err != nil {
+	if a.link, err = newLink(cfg.Link, a.metrics); err != nil {
 		return nil, err
 	}
 	if a.http, err = newHTTPServer(cfg.HTTP); err != nil {
@@ -265,7 +265,7 @@
 }
 
 func (a *Agent) deliver(packet []byte) {
-	_, _ = a.outbound.WriteToUDPAddrPort(packet, a.cfg.Backend)
+	a.metrics.send(a.outbound, packet, a.cfg.Backend)
 }
 
 func (a *Agent) tellPlaced(now time.Time, f passthrough.FlowID, origin netip.AddrPort, delivered bool) {
@@ -345,7 +345,7 @@
 
 func (a *Agent) toCaller(packet []byte, f passthrough.FlowID) {
 	to := netip.AddrPortFrom(f.Caller().Addr(), a.cfg.CallerPort)
-	_, _ = a.outbound.WriteToUDPAddrPort(packet, to)
+	a.metrics.send(a.outbound, packet, to)
 }
 
 // onBackendPacket carries a packet of the backend server, or one that it gives back.
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -98,7 +98,7 @@
 	if b.packets, err = listenUDP(cfg.Packets); err != nil {
 		return nil, err
 	}
-	if b.link, err = newLink(cfg.Link); err != nil {
+	if b.link, err = newLink(cfg.Link, b.metrics); err != nil {
 		return nil, err
 	}
 	b.http, err = newHTTPServer(cfg.HTTP)
@@ -304,7 +304,7 @@
 		seq = 0
 	}
 	to := netip.AddrPortFrom(seg.Flow().Caller().Addr(), b.cfg.Packets.Port())
-	_, _ = b.packets.WriteToUDPAddrPort(b.cfg.Codec.AppendReset(buf[:0], seg.Flow(), seq), to)
+	b.metrics.send(b.packets, b.cfg.Codec.AppendReset(buf[:0], seg.Flow(), seq), to)
 }
 
 func (b *Balancer) open(now time.Time, a passthrough.Arrival, r route.Route, table *route.Table) {
--- a/internal/passthrough/link.go
+++ b/internal/passthrough/link.go
@@ -10,9 +10,10 @@
 
 // link is the UDP socket for datagrams between processes, with the TCP listener for their calls.
 type link struct {
-	conn  *net.UDPConn
-	calls net.Listener
-	self  netip.AddrPort
+	conn    *net.UDPConn
+	calls   net.Listener
+	self    netip.AddrPort
+	metrics *metrics
 }
 
 // receiveBuffer holds the datagrams of about a second while the process gets no processor time.
@@ -28,7 +29,7 @@
 	return conn, nil
 }
 
-func newLink(a netip.AddrPort) (*link, error) {
+func newLink(a netip.AddrPort, m *metrics) (*link, error) {
 	conn, err := listenUDP(a)
 	if err != nil {
 		return nil, err
@@ -37,13 +38,13 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "cannot listen on %s", a)
 	}
-	return &link{conn: conn, calls: calls, self: a}, nil
+	return &link{conn: conn, calls: calls, self: a, metrics: m}, nil
 }
 
-// send sends a message; a datagram that cannot be sent counts as lost, as any other datagram may be.
+// send sends a message.
 func (l *link) send(to netip.AddrPort, m message) {
 	var buf [maxMessage]byte
-	_, _ = l.conn.WriteToUDPAddrPort(m.append(buf[:0]), to)
+	l.metrics.send(l.conn, m.append(buf[:0]), to)
 }
 
 // readPackets reads datagrams until the context ends; handle must not keep the slice.
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -1,7 +1,9 @@
 package passthrough
 
 import (
+	"net"
 	"net/http"
+	"net/netip"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -33,6 +35,7 @@
 	events   *prometheus.CounterVec
 	packets  prometheus.Counter
 	fetches  *prometheus.CounterVec
+	unsent   prometheus.Counter
 	answers  prometheus.Histogram
 	waits    prometheus.Histogram
 }
@@ -60,6 +63,9 @@
 			Name: "bramleymast_state_fetches_total", Help: "Calls for state to other processes.",
 		}, []string{"outcome"}),
 	}
+	m.unsent = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "bramleymast_unsent_datagrams_total", Help: "Datagrams that the host did not take for sending; they count as lost.",
+	})
 	m.answers = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_answer_seconds", Help: "Time from a request to the first packet of its answer.", Buckets: latencyBuckets,
 	})
@@ -70,7 +76,7 @@
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels}, f)
 	}
-	m.registry.MustRegister(m.events, m.packets, m.fetches, m.answers, m.waits,
+	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.answers, m.waits,
 		gauge("bramleymast_operator_revision", "Store revision of the newest configuration or zone state.", b.revision),
 		gauge("bramleymast_flows", "Flows that the process remembers.", b.flows),
 		gauge("bramleymast_agents", "Agents that the process knows.", b.agents),
@@ -82,6 +88,14 @@
 	m.events.WithLabelValues(string(e), reason).Inc()
 }
 
+// send sends a datagram. One that cannot be sent is counted and otherwise lost, as any other datagram may be: its sender
+// sends it again.
+func (m *metrics) send(conn *net.UDPConn, b []byte, to netip.AddrPort) {
+	if _, err := conn.WriteToUDPAddrPort(b, to); err != nil {
+		m.unsent.Inc()
+	}
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
