fix: let no older view of the agents replace a newer one

Cause: the followers of the operator's keys and of the agents' entries each derive the views; one that read the board first could set its views last. Change: one derivation at a time. Packets that are dropped because they expired or have no agent are counted.

--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -61,16 +61,18 @@
 
 // Balancer is the process on an entry host.
 type Balancer struct {
-	// attempts tells callers that try again from those that have just come.
-	attempts   passthrough.Attempts
-	metrics    *metrics
 	cfg        BalancerConfig
 	blackboard blackboard
 	steerer    *passthrough.Steerer
-	link       *link
-	packets    *net.UDPConn
-	http       *httpServer
-	catchUp    *catchUp
+	// attempts tells callers that try again from those that have just come.
+	attempts passthrough.Attempts
+	metrics  *metrics
+	link     *link
+	packets  *net.UDPConn
+	http     *httpServer
+	catchUp  *catchUp
+
+	refreshing sync.Mutex // orders the views of several followers
 
 	earlyMu sync.Mutex
 	early   []earlyPacket
@@ -193,6 +195,8 @@
 
 // refresh derives the views of the services from the board.
 func (b *Balancer) refresh() {
+	b.refreshing.Lock()
+	defer b.refreshing.Unlock()
 	newest := make(map[netip.AddrPort]board.Record) // the platform uses addresses again
 	for _, r := range b.blackboard.board.Records(board.KindAgent) {
 		a, ok := r.Value.(board.Agent)
@@ -283,6 +287,7 @@
 	case seg.Opens():
 		a := passthrough.Arrival{Segment: seg, Delay: delay, Packet: packet}
 		if a.Expired() {
+			b.metrics.count(eventDropped, "expired")
 			return
 		}
 		b.open(now, a, r, table)
@@ -332,6 +337,7 @@
 		target, known = m.path.Next()
 	}
 	if !known {
+		b.metrics.count(eventDropped, "no_agent")
 		return
 	}
 	b.link.send(target, m)
