fix: reset no flow that was never open at the backend server

Change: a returned packet ends a flow only if the backend server has answered more than its opening packet; the gap is 2^24. TestGateReturnedDataOfFlowNeverOpen fails before.

--- a/pkg/passthrough/gate.go
+++ b/pkg/passthrough/gate.go
@@ -13,8 +13,8 @@
 	handshakeTime = 80 * time.Millisecond
 	// workTime bounds how long a request counts whose answer is not seen.
 	workTime = 2 * time.Second
-	// maxSequenceGap is more bytes than a backend server sends on one flow.
-	maxSequenceGap = 1 << 28
+	// maxSequenceGap is more bytes than a backend server sends on one flow; a random number is within it once in 256.
+	maxSequenceGap = 1 << 24
 	// maxOwners is how many backend servers may have answered the copies of one opening packet.
 	maxOwners = 2
 	// maxBusyHops bounds how often a packet is passed on because backend servers are busy. When all are, a second
@@ -94,6 +94,7 @@
 	accepted bool // the backend server has answered the opening packet
 	adopted  bool // the flow was open before the agent started, so its first sequence number is not known
 	probed   bool // the packet was delivered to find out whether the backend server holds the flow
+	opened   bool // the backend server has answered more than the opening packet, so the flow is open there
 	foreign  bool // the backend server does not hold the flow
 }
 
@@ -371,8 +372,9 @@
 			return held{isn: seg.Seq(), accepted: true}
 		}
 		if !known || h.probed {
-			return held{adopted: true, accepted: true}
+			return held{adopted: true, accepted: true, opened: true}
 		}
+		h.opened = true
 		return h
 	})
 	g.mu.Lock()
@@ -404,7 +406,7 @@
 	case seg.Opens():
 		g.flows.Delete(f)
 		return PassOn{ReasonReturned}
-	case known && h.owns(seg):
+	case known && h.opened && h.owns(seg):
 		g.flows.Delete(f)
 		return Refuse{ReasonReturned}
 	}
--- a/pkg/passthrough/gate_test.go
+++ b/pkg/passthrough/gate_test.go
@@ -184,9 +184,19 @@
 	g = newGate(2)
 	g.Open(start, arrival(1, 0))
 	g.Answered(start, accepting(1, 5000), false)
+	g.Answered(start, answer(1), false)
 	assert.Equal(t, g.Returned(start, data(1, 5001)), passthrough.Verdict(passthrough.Refuse{Reason: passthrough.ReasonReturned}))
 }
 
+// Guards against a reset of a flow that is open at another backend server, whose sequence numbers happen to be near:
+// the soak's seed 47.
+func TestGateReturnedDataOfFlowNeverOpen(t *testing.T) {
+	g := newGate(2)
+	g.Open(start, arrival(1, 0))
+	g.Answered(start, accepting(1, 5000), false)
+	assert.Equal(t, g.Returned(start, data(1, 9000)), passthrough.Verdict(passthrough.Unknown{}))
+}
+
 // Guards against more requests in progress than a backend server queues, and against waiting while another agent is free.
 func TestGateBusy(t *testing.T) {
 	g := newGate(2)
