fix: pass on packets of other agents' flows at an agent whose zone is out

The opening packet of a new flow goes to an agent that serves; the packets after it, before the flow is established, go by the ranking to the agent in the zone, which is closed already and dropped them. Traced with a line for each forwarded packet: 34311 opened at orders-1, continued at orders-2, 'closed drop' until the read gave up after 2.5 s. Ruled out: the fabric's readiness, cold backend servers, the zone state (the balancer had it within 1 ms of waking). Change: a closed agent drops packets of its own flows only and passes others on, as an agent that drains does. TestClosedAgentPassesOnFlowsOfOthers fails before.

--- a/internal/agent/steering.go
+++ b/internal/agent/steering.go
@@ -77,10 +77,11 @@
 
 // decide returns what happens to a packet.
 func (s *steering) decide(now time.Time, d *wire.Datagram, at situation) verdict {
+	owned := s.tag.owns(d.Payload)
 	if at.closed {
-		return verdict{action: actionDrop, reason: errZoneOut}
+		return s.decideClosed(d, at.view, owned)
 	}
-	if s.tag.owns(d.Payload) {
+	if owned {
 		s.flows.adopt(now, d.Caller, originOf(d))
 		return verdict{action: actionDeliver}
 	}
@@ -94,6 +95,17 @@
 	return s.decideOpening(now, d, at, first)
 }
 
+// decideClosed drops the packets of the agent's own flows, which have ended with the grace of its zone. Others may come
+// from a balancer that has heard of the zone late, and go on to the agents that serve.
+func (s *steering) decideClosed(d *wire.Datagram, v *flow.View, owned bool) verdict {
+	if !owned {
+		if next := s.pass(d, v, d.Opening); next.action == actionPass {
+			return next
+		}
+	}
+	return verdict{action: actionDrop, reason: errZoneOut}
+}
+
 // decideOpening decides on an opening packet of an unknown flow.
 func (s *steering) decideOpening(now time.Time, d *wire.Datagram, at situation, first uint64) verdict {
 	if d.Settled {
--- a/internal/agent/steering_test.go
+++ b/internal/agent/steering_test.go
@@ -143,6 +143,20 @@
 	assert.Equal(t, got, flow.ShortID(0), "accepted over the connection limit")
 }
 
+// Guards against flows of other agents that get no packets because a balancer, which has heard late that a zone is
+// out, takes an agent there for one that may hold them.
+func TestClosedAgentPassesOnFlowsOfOthers(t *testing.T) {
+	c := newCluster(3)
+	closed := c.view.Members()[0].Short()
+	c.set(closed, func(s *situation) { s.opens, s.closed = false, true })
+	for i := range 50 {
+		owner, _ := c.send(testStart, closed, callerNo(i+1), initial(byte(i)))
+		assert.Assert(t, owner != closed && owner != 0, "opening packet %d", i)
+		got, _ := c.send(testStart, closed, callerNo(i+1), short(c.agents[owner]))
+		assert.Equal(t, got, owner, "continuing packet %d", i)
+	}
+}
+
 // Guards against a flow that is dropped although the agent that received it has the only room.
 func TestFlowComesBackToTheAgentWithRoom(t *testing.T) {
 	c := newCluster(3)
