feat: serve again before the store is back after a restart of balancers or of all processes

The backend servers live on with their open flows. Ruled out: start-up time (processes start in 50 ms), heartbeats (54 of 55 agents have one within 0.5 s), keeping state on hosts (there is none to keep it on). Change: an agent that the store does not list, or that no balancer has sent anything to for 700 ms, announces itself to the seeds of its settings with the operator's revision that it knows; a balancer that lacks it asks the agent. Agents without a configuration note the service addresses from which their backend servers send, and announce these observed routes; balancers without one send by them until the store answers, are not ready meanwhile, keep the other packets, and send nothing to an address that two services serve. A cold backend server takes no flow by an observed route, because its rate is not known. Starting balancers ask the seeds every 100 ms instead of 200.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -38,6 +38,8 @@
 	Heartbeats netip.AddrPort
 	// HeartbeatHandler returns the handler of the heartbeats.
 	HeartbeatHandler func(s BackendSink) http.Handler
+	// Seeds are link addresses of other processes, which are told of the agent while the store is away.
+	Seeds []netip.AddrPort
 	// Settle is how long a stopping agent still carries packets.
 	Settle time.Duration
 	// ReadyPath is the path of the platform's readiness call.
@@ -65,6 +67,7 @@
 	http       *httpServer
 	heartbeats *httpServer
 	registrar  *registrar
+	announcer  announcer
 	catchUp    *catchUp
 	metrics    *metrics
 	backend    backendState
@@ -103,6 +106,11 @@
 	if a.link, err = newLink(cfg.Link, a.metrics); err != nil {
 		return nil, err
 	}
+	a.announcer = announcer{
+		id: cfg.ID, entry: a.registrar.entry, seeds: cfg.Seeds, link: a.link, observed: &a.blackboard.observed,
+		news: make(chan struct{}, 1), listed: a.registrar.listed, draining: a.registrar.draining,
+		revision: a.blackboard.operatorRevision, started: time.Now(),
+	}
 	if a.http, err = newHTTPServer(cfg.HTTP); err != nil {
 		return nil, err
 	}
@@ -136,6 +144,7 @@
 	g.Go(a.catchUp.run)
 	g.Go(func(ctx context.Context) error { return servePeers(ctx, a.link.calls, &a.blackboard) })
 	g.Go(a.registrar.run)
+	g.Go(func(ctx context.Context) error { return a.announcer.run(ctx, a.registrar.due) })
 	g.Go(a.http.run)
 	g.Go(a.heartbeats.run)
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.link.conn, a.onMessage) })
@@ -175,11 +184,13 @@
 	now := time.Now()
 	switch m := m.(type) {
 	case *forward:
+		a.announcer.hear(now)
 		a.catchUp.heard(m.origin, m.revision)
 		a.onForward(now, m)
 	case *owner:
 		a.gate.Own(now, m.flow, m.agent, m.isn)
 	case *probe:
+		a.announcer.hear(now)
 		a.catchUp.heard(m.origin, m.revision)
 		a.report(now, m.origin)
 	}
@@ -220,7 +231,7 @@
 		a.passOn(now, seg, m, passthrough.ReasonOtherService)
 		return
 	}
-	arrival := passthrough.Arrival{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, Returning: m.returning, Packet: m.packet}
+	arrival := passthrough.Arrival{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, Returning: m.returning, Provisional: m.revision == 0, Packet: m.packet}
 	v := a.gate.Open(now, arrival)
 	switch v.(type) {
 	case passthrough.Deliver:
@@ -361,6 +372,7 @@
 		a.onReturned(now, seg, packet)
 		return
 	}
+	a.observe(seg)
 	if a.gate.Answered(now, seg, a.cfg.Codec.Failed(packet)) {
 		r, _ := a.returning.Get(now, seg.Flow())
 		for _, d := range r.directory.All() {
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -74,9 +74,10 @@
 
 	refreshing sync.Mutex // orders the views of several followers
 
-	earlyMu sync.Mutex
-	early   []earlyPacket
-	started atomic.Bool
+	replaying sync.Mutex // held while early packets are sent
+	earlyMu   sync.Mutex
+	early     []earlyPacket
+	started   atomic.Bool
 
 	loaded   atomic.Int32 // how many of the two prefixes have been listed
 	leaving  atomic.Bool
@@ -139,10 +140,13 @@
 	if err != nil {
 		return err
 	}
-	ready := make(chan struct{})
+	ready, listed := make(chan struct{}), make(chan struct{})
 	start := once(func() { close(ready) })
+	var lists atomic.Int32
 	loaded := func() {
-		if b.loaded.Add(1) >= prefixes {
+		b.loaded.Add(1)
+		if lists.Add(1) >= prefixes {
+			close(listed)
 			start()
 		}
 	}
@@ -152,10 +156,10 @@
 	g.Go(agents.run)
 	g.Go(b.catchUp.run)
 	g.Go(func(ctx context.Context) error {
-		return b.catchUp.start(ctx, b.cfg.Seeds, ready, func() {
+		return b.catchUp.start(ctx, b.cfg.Seeds, listed, once(func() {
 			b.loaded.Add(prefixes)
 			start()
-		})
+		}))
 	})
 	g.Go(func(ctx context.Context) error { return servePeers(ctx, b.link.calls, &b.blackboard) })
 	g.Go(b.http.run)
@@ -236,11 +240,54 @@
 // receive takes a packet of a caller. Until the balancer knows where to send packets, they wait with the time at
 // which they came: a socket's buffer would not tell the callers that have given up from those that have just come.
 func (b *Balancer) receive(_ netip.AddrPort, packet []byte) {
-	if b.started.Load() || !b.keepEarly(packet) {
+	if b.started.Load() || !b.sendObserved(packet, 0) && !b.keepEarly(packet) {
 		b.onPacket(packet, 0)
 	}
 }
 
+// sendObserved sends a packet on by an observed route, and reports whether there is one with an agent.
+func (b *Balancer) sendObserved(packet []byte, delay time.Duration) bool {
+	seg, err := b.cfg.Codec.Decode(packet, true)
+	if err != nil {
+		return false // It is counted when the balancer serves.
+	}
+	service, ok := b.blackboard.observed.Service(seg.Flow().Address())
+	if !ok {
+		return false
+	}
+	r := route.Route{Service: service}
+	if !seg.Opens() {
+		b.proceed(time.Now(), seg, r, packet)
+		return true
+	}
+	a := passthrough.Arrival{Segment: seg, Delay: delay, Packet: packet}
+	return a.Expired() || b.open(time.Now(), a, r)
+}
+
+// replayObserved sends the early packets for which a route has been observed; the others stay.
+func (b *Balancer) replayObserved() {
+	b.replaying.Lock()
+	defer b.replaying.Unlock()
+	b.earlyMu.Lock()
+	early := b.early
+	b.early = nil
+	b.earlyMu.Unlock()
+	now := time.Now()
+	var kept []earlyPacket
+	for _, e := range slices.Backward(early) {
+		if !b.sendObserved(e.packet, now.Sub(e.at)) {
+			kept = append(kept, e)
+		}
+	}
+	slices.Reverse(kept)
+	if sent := len(early) - len(kept); sent > 0 {
+		b.cfg.Logger.Info("serving by observed routes", "early_packets", sent, "kept", len(kept))
+	}
+	b.earlyMu.Lock()
+	defer b.earlyMu.Unlock()
+	b.early = append(kept, b.early...)
+}
+
 // keepEarly keeps a packet unless the balancer has begun to serve.
 func (b *Balancer) keepEarly(packet []byte) bool {
 	b.earlyMu.Lock()
@@ -257,6 +304,8 @@
 
 // replay sends the early packets, the newest first.
 func (b *Balancer) replay() {
+	b.replaying.Lock()
+	defer b.replaying.Unlock()
 	b.earlyMu.Lock()
 	b.started.Store(true)
 	early := b.early
@@ -290,7 +339,9 @@
 			b.metrics.count(eventDropped, "expired")
 			return
 		}
-		b.open(now, a, r, table)
+		if !b.open(now, a, r) {
+			b.refuse(seg, "no_agent", table)
+		}
 	default:
 		b.proceed(now, seg, r, packet)
 	}
@@ -312,12 +363,12 @@
 	b.metrics.send(b.packets, b.cfg.Codec.AppendReset(buf[:0], seg.Flow(), seq), to)
 }
 
-func (b *Balancer) open(now time.Time, a passthrough.Arrival, r route.Route, table *route.Table) {
+// open sends a packet that opens a flow to an agent, and reports whether there is one.
+func (b *Balancer) open(now time.Time, a passthrough.Arrival, r route.Route) bool {
 	seg := a.Segment
 	o, ok := b.steerer.Open(now, seg, r.Service)
 	if !ok {
-		b.refuse(seg, "no_agent", table)
-		return
+		return false
 	}
 	a.Returning = seg.Copies() == 0 && b.attempts.Returns(now, seg.Flow())
 	b.attempts.Note(now, a)
@@ -326,7 +377,8 @@
 		path: o.Alternatives, directory: o.Directory, delay: a.Delay, objective: r.TargetLatency, returning: a.Returning, packet: a.Packet,
 	})
 	b.metrics.count(eventPlaced, reasonNone)
-	b.cfg.Logger.Info("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Copies(), "returning", a.Returning, "revision", table.Revision())
+	b.cfg.Logger.Info("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Copies(), "returning", a.Returning, "revision", b.blackboard.Table().Revision())
+	return true
 }
 
 func (b *Balancer) proceed(now time.Time, seg passthrough.Segment, r route.Route, packet []byte) {
@@ -381,6 +433,11 @@
 	case *report:
 		b.heard(now, m.agent, m.service, m.load)
 		b.catchUp.heard(m.agent, m.revision)
+	case *announce:
+		if b.blackboard.announced(m) {
+			b.refresh()
+		}
+		b.catchUp.heard(m.agent, m.revision)
 	}
 }
 
@@ -403,6 +460,9 @@
 			return nil
 		case <-t.C:
 		}
+		if !b.started.Load() && len(b.blackboard.observed.Routes()) > 0 {
+			b.replayObserved()
+		}
 		now := time.Now()
 		for _, a := range b.steerer.Probes(now) {
 			b.link.send(a, &probe{origin: b.link.self, revision: b.blackboard.operatorRevision()})
--- a/internal/passthrough/blackboard.go
+++ b/internal/passthrough/blackboard.go
@@ -12,6 +12,7 @@
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/contract"
 	"github.com/bramleymast/bramleymast/pkg/flow"
+	"github.com/bramleymast/bramleymast/pkg/passthrough"
 	"github.com/bramleymast/bramleymast/pkg/route"
 	"github.com/bramleymast/bramleymast/pkg/store"
 )
@@ -29,6 +30,8 @@
 	config []byte
 	// previous is the table before the newest one, which open flows may still follow.
 	previous *route.Table
+	// observed are the routes that are known before the first configuration.
+	observed passthrough.Observed
 	// changed is called after entries were taken.
 	changed func()
 }
@@ -43,6 +46,11 @@
 	return b.previous
 }
 
+// complete reports whether a balancer can serve: it knows the configuration and an agent.
+func (b *blackboard) complete() bool {
+	return b.Table() != nil && len(b.board.Records(board.KindAgent)) > 0
+}
+
 // operatorRevision returns the highest store revision of what operators have written.
 func (b *blackboard) operatorRevision() uint64 {
 	return max(b.table.Load().Revision(), b.board.ZoneRevision())
@@ -120,16 +128,21 @@
 		b.logger.Warn("agent entry skipped", "key", e.Key, "revision", e.Revision, "error", err)
 		return
 	}
+	if e.Revision == 0 { // An announcement that another process has heard.
+		v.Verdict = board.Suspect
+	}
 	b.mergeAgent(board.Record{ID: id, Version: v, Value: a})
 }
 
-func (b *blackboard) mergeAgent(r board.Record) {
+// mergeAgent takes an agent's state and reports whether it is newer than the known one.
+func (b *blackboard) mergeAgent(r board.Record) bool {
 	taken, err := b.board.Merge(r)
 	a, ok := r.Value.(board.Agent)
 	if err != nil || !taken || !ok {
-		return // An older state, since the kind always fits.
+		return false // An older state, since the kind always fits.
 	}
 	b.logger.Info("agent state", "agent", r.ID.Key, "service", a.Service, "zone", a.Zone, "address", a.Data, "phase", a.Phase.String(), "listed", r.Version.Verdict == board.Alive, "revision", r.Version.Seq)
+	return true
 }
 
 // dropUnheard drops the agents without an entry that heard does not report.
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
 
@@ -35,9 +36,10 @@
 	kindOwner
 	kindProbe
 	kindReport
+	kindAnnounce
 )
 
-// message is a datagram between processes: forward, placed, owner, probe or report.
+// message is a datagram between processes: forward, placed, owner, probe, report or announce.
 type message interface {
 	append(b []byte) []byte
 }
@@ -96,6 +98,18 @@
 	load     passthrough.Load
 }
 
+// announce tells a seed of an agent that the store does not list.
+type announce struct {
+	agent netip.AddrPort
+	// revision is the operator's revision that the agent knows.
+	revision uint64
+	id       string
+	service  string
+	zone     string
+	// addresses are the service addresses that the agent's backend server has been observed to serve.
+	addresses []netip.AddrPort
+}
+
 func appendAddress(b []byte, a netip.AddrPort) []byte {
 	var ip [4]byte
 	if a.IsValid() {
@@ -179,6 +193,29 @@
 	return appendLoad(b, m.load)
 }
 
+func (m *announce) append(b []byte) []byte {
+	b = header(b, kindAnnounce)
+	b = appendAddress(b, m.agent)
+	b = binary.BigEndian.AppendUint64(b, m.revision)
+	for _, text := range []string{m.id, m.service, m.zone} {
+		b = appendText(b, text)
+	}
+	b = append(b, byte(min(len(m.addresses), math.MaxUint8)))
+	for _, a := range m.addresses[:min(len(m.addresses), math.MaxUint8)] {
+		b = appendAddress(b, a)
+	}
+	return b
+}
+
+// maxText bounds a text in a datagram in bytes.
+const maxText = 255
+
+// appendText appends a text of at most maxText bytes with its length; a longer one is cut.
+func appendText(b []byte, text string) []byte {
+	text = text[:min(len(text), maxText)]
+	return append(append(b, byte(len(text))), text...)
+}
+
 // reader reads the fields of a datagram in order and remembers whether it was too short.
 type reader struct {
 	rest  []byte
@@ -206,6 +243,20 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b)), binary.BigEndian.Uint16(b[4:]))
 }
 
+func (r *reader) text() string { return string(r.take(int(r.take(1)[0]))) }
+
+func (r *reader) addresses() []netip.AddrPort {
+	n := r.take(1)[0]
+	if n == 0 {
+		return nil
+	}
+	all := make([]netip.AddrPort, 0, n)
+	for range n {
+		all = append(all, r.address())
+	}
+	return all
+}
+
 func (r *reader) path() passthrough.Path {
 	var p passthrough.Path
 	for range r.take(1)[0] {
@@ -256,6 +307,8 @@
 		return &probe{origin: r.address(), revision: r.uint64()}
 	case kindReport:
 		return &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
+	case kindAnnounce:
+		return &announce{agent: r.address(), revision: r.uint64(), id: r.text(), service: r.text(), zone: r.text(), addresses: r.addresses()}
 	}
 	return nil
 }
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -35,7 +35,7 @@
 
 func drawMessage(t *rapid.T) message {
 	f := passthrough.NewFlowID(drawAddress(t, "caller"), drawAddress(t, "service"))
-	switch rapid.IntRange(1, 5).Draw(t, "kind") {
+	switch rapid.IntRange(1, 6).Draw(t, "kind") {
 	case 1:
 		return &forward{
 			origin: drawAddress(t, "origin"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")),
@@ -52,13 +52,19 @@
 		return &owner{flow: f, agent: drawAddress(t, "agent"), isn: rapid.Uint32().Draw(t, "isn")}
 	case 4:
 		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision")}
+	case 5:
+		m := &announce{agent: drawAddress(t, "agent"), revision: rapid.Uint64().Draw(t, "revision"), id: rapid.StringN(0, -1, maxText).Draw(t, "id"), service: rapid.StringN(0, -1, maxText).Draw(t, "name"), zone: rapid.StringN(0, -1, maxText).Draw(t, "zone")}
+		for range rapid.IntRange(0, maxAnnouncedAddresses).Draw(t, "addresses") {
+			m.addresses = append(m.addresses, drawAddress(t, "address"))
+		}
+		return m
 	default:
 		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t)}
 	}
 }
 
 var cmpMessages = cmp.Options{
-	cmp.AllowUnexported(forward{}, placed{}, owner{}, probe{}, report{}),
+	cmp.AllowUnexported(forward{}, placed{}, owner{}, probe{}, report{}, announce{}),
 	cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
 	cmp.Comparer(func(a, b passthrough.Path) bool { return a == b }),
 	cmp.Comparer(func(a, b passthrough.FlowID) bool { return a == b }),
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/passthrough"
 	"github.com/bramleymast/bramleymast/pkg/store"
 )
 
@@ -20,9 +21,11 @@
 	// fetchInterval bounds how often a process asks others for what it lacks.
 	fetchInterval = 100 * time.Millisecond
 	// seedDelay is how long a process that starts waits for the store before it asks other processes.
-	seedDelay = 150 * time.Millisecond
+	seedDelay = 100 * time.Millisecond
 	// seedInterval is the pause between two rounds of asking.
-	seedInterval = 200 * time.Millisecond
+	seedInterval = 100 * time.Millisecond
+	// seedUpdateInterval is the pause once the process serves without the store.
+	seedUpdateInterval = 500 * time.Millisecond
 )
 
 // EntryState is an entry of the store as a process knows it.
@@ -40,7 +43,11 @@
 }
 
 // StateReply holds entries of the store.
-type StateReply struct{ Entries []EntryState }
+type StateReply struct {
+	Entries []EntryState
+	// Observed are the routes that the process has heard of while it has no configuration.
+	Observed []passthrough.ObservedRoute
+}
 
 // peerService answers the calls of other processes.
 type peerService struct{ blackboard *blackboard }
@@ -48,6 +55,9 @@
 // State returns the entries that the process knows.
 func (s *peerService) State(args StateArgs, reply *StateReply) error {
 	reply.Entries = s.blackboard.entries(args.Agents)
+	if s.blackboard.Table() == nil {
+		reply.Observed = s.blackboard.observed.Routes()
+	}
 	return nil
 }
 
@@ -76,13 +86,13 @@
 	}
 }
 
-// fetchState asks a process for its entries.
-func fetchState(ctx context.Context, from netip.AddrPort, agents bool) ([]EntryState, error) {
+// fetchState asks a process for what it knows.
+func fetchState(ctx context.Context, from netip.AddrPort, agents bool) (StateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", from.String())
 	if err != nil {
-		return nil, errors.Annotatef(err, "cannot reach %s", from)
+		return StateReply{}, errors.Annotatef(err, "cannot reach %s", from)
 	}
 	deadline, _ := ctx.Deadline()
 	_ = conn.SetDeadline(deadline)
@@ -90,9 +100,9 @@
 	defer func() { _ = client.Close() }() // The answer is complete, or the error is reported already.
 	var reply StateReply
 	if err := client.Call(peerName+".State", StateArgs{Agents: agents}, &reply); err != nil {
-		return nil, errors.Annotatef(err, "cannot ask %s", from)
+		return StateReply{}, errors.Annotatef(err, "cannot ask %s", from)
 	}
-	return reply.Entries, nil
+	return reply, nil
 }
 
 // catchUp asks other processes for entries that the store does not deliver to this process.
@@ -133,53 +143,56 @@
 }
 
 func (c *catchUp) fetch(ctx context.Context, from netip.AddrPort) bool {
-	entries, err := fetchState(ctx, from, c.agents)
+	reply, err := fetchState(ctx, from, c.agents)
 	if err != nil {
 		c.metrics.fetches.WithLabelValues("failed").Inc()
 		c.logger.Warn("state not fetched", "from", from, "error", err)
 		return false
 	}
 	c.metrics.fetches.WithLabelValues("done").Inc()
-	c.logger.Info("state fetched", "from", from, "entries", len(entries))
-	for _, e := range entries {
+	c.logger.Info("state fetched", "from", from, "entries", len(reply.Entries), "observed", len(reply.Observed))
+	for _, r := range reply.Observed {
+		c.blackboard.noteObserved(r, from)
+	}
+	for _, e := range reply.Entries {
 		c.blackboard.apply(store.Entry{Key: e.Key, Value: e.Value, Revision: store.Revision(e.Revision), Deleted: e.Deleted})
 	}
 	c.blackboard.changed()
-	return len(entries) > 0
+	return len(reply.Entries) > 0
 }
 
-// start asks the seeds while the store does not answer; loaded ends when the process knows enough. A process that
-// follows agents asks one seed in any case, for agents whose entries have lapsed.
-func (c *catchUp) start(ctx context.Context, seeds []netip.AddrPort, loaded <-chan struct{}, done func()) error {
-	for delay := seedDelay; ; delay = seedInterval {
+// start asks the seeds while the store does not answer; listed ends when the store has told all. It calls known when
+// the process can serve by what others know, and goes on for what they hear later. Once the store has answered, it asks
+// one seed for agents whose entries have lapsed.
+func (c *catchUp) start(ctx context.Context, seeds []netip.AddrPort, listed <-chan struct{}, known func()) error {
+	for delay := seedDelay; ; {
 		t := time.NewTimer(delay)
 		select {
 		case <-ctx.Done():
 			t.Stop()
 			return nil
-		case <-loaded:
+		case <-listed:
 			t.Stop()
-			if c.agents {
-				c.fetchAny(ctx, seeds)
-			}
+			c.fetchAny(ctx, seeds)
 			return nil
 		case <-t.C:
 		}
-		if c.fetchAny(ctx, seeds) && c.blackboard.Table() != nil {
-			done()
-			return nil
+		c.fetchAny(ctx, seeds)
+		delay = seedInterval
+		if c.blackboard.complete() {
+			known()
+			delay = seedUpdateInterval
 		}
 	}
 }
 
-// fetchAny fetches from the first seed that answers.
-func (c *catchUp) fetchAny(ctx context.Context, seeds []netip.AddrPort) bool {
+// fetchAny fetches from the first seed that knows something.
+func (c *catchUp) fetchAny(ctx context.Context, seeds []netip.AddrPort) {
 	for _, s := range seeds {
 		if c.fetch(ctx, s) {
-			return true
+			return
 		}
 	}
-	return false
 }
 
 // entries returns what the process knows of the operator's entries and, if asked, of the agents'.
--- a/internal/passthrough/registrar.go
+++ b/internal/passthrough/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -34,6 +35,8 @@
 	entry agentEntry
 	dirty bool
 
+	written atomic.Bool // the store has taken an entry
+
 	calls    sync.Mutex // held during a call, and guards the fields below
 	lease    store.LeaseID
 	revision store.Revision
@@ -142,6 +145,7 @@
 		return err
 	}
 	r.revision = revision
+	r.written.Store(true)
 	r.logger.Info("entry written", "key", r.key, "revision", revision, "draining", entry.Draining)
 	return nil
 }
@@ -155,6 +159,16 @@
 	return r.store.Swap(ctx, r.key, value, old.Revision, r.lease)
 }
 
+// draining reports whether the entry says that the agent takes no more flows.
+func (r *registrar) draining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entry.Draining
+}
+
+// listed reports whether the store has taken an entry of this process.
+func (r *registrar) listed() bool { return r.written.Load() }
+
 // remove deletes the entry of an agent that stops; what is left ends with the lease.
 func (r *registrar) remove(ctx context.Context) {
 	r.calls.Lock()
--- a/pkg/passthrough/gate.go
+++ b/pkg/passthrough/gate.go
@@ -230,6 +230,8 @@
 		return PassOn{ReasonZoneOut}
 	case !g.presence.allows(now):
 		return PassOn{ReasonAbsent}
+	case a.Provisional && now.Before(g.coldUntil):
+		return PassOn{ReasonCold} // How much it bears is not known without a configuration.
 	}
 	limit := g.limit()
 	if a.late() {
--- a/pkg/passthrough/gate_test.go
+++ b/pkg/passthrough/gate_test.go
@@ -262,3 +262,21 @@
 		})
 	}
 }
+
+// Guards against new flows at a cold backend server while nobody knows how much it bears.
+func TestGateProvisionalCold(t *testing.T) {
+	g := passthrough.NewGate(start)
+	g.SetBackend(start, 2, false, time.Second)
+	for _, c := range []struct {
+		after       time.Duration
+		provisional bool
+		want        passthrough.Verdict
+	}{
+		{0, true, passthrough.PassOn{Reason: passthrough.ReasonCold}},
+		{0, false, passthrough.Deliver{}},
+		{2 * time.Second, true, passthrough.Deliver{}},
+	} {
+		a := passthrough.Arrival{Segment: opening(int(c.after)+1, 0), Provisional: c.provisional}
+		assert.Equal(t, g.Open(start.Add(c.after), a), c.want)
+	}
+}
--- a/pkg/passthrough/waiting.go
+++ b/pkg/passthrough/waiting.go
@@ -23,7 +23,9 @@
 	Objective time.Duration
 	// Returning means that an earlier attempt of the caller got no answer.
 	Returning bool
-	Packet    []byte
+	// Provisional means that the balancer has no configuration and acts on an observed route.
+	Provisional bool
+	Packet      []byte
 }
 
 // waited returns how long the caller has waited at least.
