feat: tell all balancers of callers that are about to try again

Cause: callers whose attempt got no answer come back after 1.4 s from another port, so mostly through another balancer, which takes them for callers that have just come. Change: an agent tells the balancers that it hears of the attempts that have waited for a second, five times a second; a balancer expects a caller between 1.37 and 1.44 s after its first packet (1.38 to 1.48 before).

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -71,6 +71,7 @@
 	catchUp    *catchUp
 	metrics    *metrics
 	backend    backendState
+	balancers  heardBalancers
 	returning  passthrough.Table[returnPath] // what is needed to pass on a packet that the backend server gives back
 
 	leaving  atomic.Bool
@@ -184,13 +185,13 @@
 	now := time.Now()
 	switch m := m.(type) {
 	case *forward:
-		a.announcer.hear(now)
+		a.hear(now, m.origin)
 		a.catchUp.heard(m.origin, m.revision)
 		a.onForward(now, m)
 	case *owner:
 		a.gate.Own(now, m.flow, m.agent, m.isn)
 	case *probe:
-		a.announcer.hear(now)
+		a.hear(now, m.origin)
 		a.catchUp.heard(m.origin, m.revision)
 		a.report(now, m.origin)
 	}
@@ -400,12 +401,18 @@
 func (a *Agent) admit(ctx context.Context) error {
 	t := time.NewTicker(admitInterval)
 	defer t.Stop()
+	var told time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			a.admitWaiting(time.Now())
+		}
+		now := time.Now()
+		a.admitWaiting(now)
+		if now.Sub(told) >= tellInterval {
+			told = now
+			a.tellUnanswered(now)
 		}
 	}
 }
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -433,6 +433,10 @@
 	case *report:
 		b.heard(now, m.agent, m.service, m.load)
 		b.catchUp.heard(m.agent, m.revision)
+	case *unanswered:
+		for _, attempt := range m.attempts {
+			b.attempts.NoteUnanswered(now, attempt)
+		}
 	case *announce:
 		if b.blackboard.announced(m) {
 			b.refresh()
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -37,9 +37,10 @@
 	kindProbe
 	kindReport
 	kindAnnounce
+	kindUnanswered
 )
 
-// message is a datagram between processes: forward, placed, owner, probe, report or announce.
+// message is a datagram between processes: forward, placed, owner, probe, report, announce or unanswered.
 type message interface {
 	append(b []byte) []byte
 }
@@ -110,6 +111,14 @@
 	addresses []netip.AddrPort
 }
 
+// unanswered tells balancers of callers that are about to try again.
+type unanswered struct {
+	attempts []passthrough.UnansweredAttempt
+}
+
+// maxUnanswered bounds the attempts in one message.
+const maxUnanswered = 128
+
 func appendAddress(b []byte, a netip.AddrPort) []byte {
 	var ip [4]byte
 	if a.IsValid() {
@@ -207,6 +216,17 @@
 	return b
 }
 
+func (m *unanswered) append(b []byte) []byte {
+	b = header(b, kindUnanswered)
+	attempts := m.attempts[:min(len(m.attempts), maxUnanswered)]
+	b = append(b, byte(len(attempts)))
+	for _, a := range attempts {
+		b = a.Flow.Append(b)
+		b = appendMilliseconds(b, a.Age)
+	}
+	return b
+}
+
 // maxText bounds a text in a datagram in bytes.
 const maxText = 255
 
@@ -257,6 +277,19 @@
 	return all
 }
 
+func (r *reader) unanswered() []passthrough.UnansweredAttempt {
+	n := r.take(1)[0]
+	if n == 0 {
+		return nil
+	}
+	all := make([]passthrough.UnansweredAttempt, 0, n)
+	for range n {
+		f := passthrough.DecodeFlowID(r.take(passthrough.FlowIDSize))
+		all = append(all, passthrough.UnansweredAttempt{Flow: f, Age: r.milliseconds()})
+	}
+	return all
+}
+
 func (r *reader) path() passthrough.Path {
 	var p passthrough.Path
 	for range r.take(1)[0] {
@@ -309,6 +342,8 @@
 		return &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
 	case kindAnnounce:
 		return &announce{agent: r.address(), revision: r.uint64(), id: r.text(), service: r.text(), zone: r.text(), addresses: r.addresses()}
+	case kindUnanswered:
+		return &unanswered{attempts: r.unanswered()}
 	}
 	return nil
 }
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -35,7 +35,7 @@
 
 func drawMessage(t *rapid.T) message {
 	f := passthrough.NewFlowID(drawAddress(t, "caller"), drawAddress(t, "service"))
-	switch rapid.IntRange(1, 6).Draw(t, "kind") {
+	switch rapid.IntRange(1, 7).Draw(t, "kind") {
 	case 1:
 		return &forward{
 			origin: drawAddress(t, "origin"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")),
@@ -58,13 +58,19 @@
 			m.addresses = append(m.addresses, drawAddress(t, "address"))
 		}
 		return m
+	case 6:
+		m := &unanswered{}
+		for range rapid.IntRange(0, maxUnanswered).Draw(t, "attempts") {
+			m.attempts = append(m.attempts, passthrough.UnansweredAttempt{Flow: f, Age: time.Duration(rapid.Uint16().Draw(t, "age")) * time.Millisecond})
+		}
+		return m
 	default:
 		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t)}
 	}
 }
 
 var cmpMessages = cmp.Options{
-	cmp.AllowUnexported(forward{}, placed{}, owner{}, probe{}, report{}, announce{}),
+	cmp.AllowUnexported(forward{}, placed{}, owner{}, probe{}, report{}, announce{}, unanswered{}),
 	cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
 	cmp.Comparer(func(a, b passthrough.Path) bool { return a == b }),
 	cmp.Comparer(func(a, b passthrough.FlowID) bool { return a == b }),
--- a/pkg/passthrough/attempts.go
+++ b/pkg/passthrough/attempts.go
@@ -8,12 +8,20 @@
 const (
 	// returnEarly and returnLate bound when a caller opens the next flow after the start of an attempt that got no
 	// answer: it gives up after attemptTime and tries again at once.
-	returnEarly = attemptTime - 20*time.Millisecond
-	returnLate  = attemptTime + 80*time.Millisecond
+	// The margins hold the delays of links and of a message from an agent.
+	returnEarly = attemptTime - 30*time.Millisecond
+	returnLate  = attemptTime + 40*time.Millisecond
 	// maxAttempts bounds what is remembered of one caller's address.
 	maxAttempts = 64
 )
 
+// UnansweredAttempt is an attempt that waits at an agent.
+type UnansweredAttempt struct {
+	Flow FlowID
+	// Age is the time since the caller sent its first packet.
+	Age time.Duration
+}
+
 // Attempts remembers the unanswered attempts of callers, so that a caller that tries again is told from one that has
 // just come; the zero value is empty. It is safe for concurrent use.
 //
@@ -32,10 +40,16 @@
 }
 
 // Note remembers the attempt of an opening packet, until Answered is called for its flow.
-func (t *Attempts) Note(now time.Time, a Arrival) {
+func (t *Attempts) Note(now time.Time, a Arrival) { t.note(a.Segment.Flow(), now.Add(-a.waited())) }
+
+// NoteUnanswered remembers an attempt of which an agent has told. The caller may come back through any balancer.
+func (t *Attempts) NoteUnanswered(now time.Time, a UnansweredAttempt) {
+	t.note(a.Flow, now.Add(-a.Age))
+}
+
+func (t *Attempts) note(f FlowID, began time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	f := a.Segment.Flow()
 	list := t.callers[f.caller]
 	for _, known := range list {
 		if known.flow == f {
@@ -48,7 +62,7 @@
 	if len(list) >= maxAttempts {
 		list = list[1:]
 	}
-	t.callers[f.caller] = append(list, attempt{flow: f, began: now.Add(-a.waited())})
+	t.callers[f.caller] = append(list, attempt{flow: f, began: began})
 }
 
 // Answered forgets the attempt of a flow that a backend server gets.
--- a/pkg/passthrough/attempts_test.go
+++ b/pkg/passthrough/attempts_test.go
@@ -52,3 +52,24 @@
 		})
 	}
 }
+
+// Guards against a caller that comes back through another balancer than the first time and looks as if it had just come,
+// and against telling of callers that still send copies, more than once, or after an answer.
+func TestUnansweredAttempts(t *testing.T) {
+	g := newGate(2)
+	for i := range 7 {
+		g.Open(start, attemptOf(i, 0, 0))
+	}
+	told := start.Add(1100 * time.Millisecond)
+	assert.Equal(t, len(g.Unanswered(start.Add(900*time.Millisecond))), 0)
+	unanswered := g.Unanswered(told)
+	assert.Equal(t, len(unanswered), 1)
+	assert.Equal(t, unanswered[0].Flow, callerFlow(6, 0))
+	assert.Equal(t, len(g.Unanswered(told)), 0)
+
+	var other passthrough.Attempts
+	arrived := told.Add(10 * time.Millisecond)
+	other.NoteUnanswered(arrived, unanswered[0])
+	assert.Equal(t, other.Returns(start.Add(1405*time.Millisecond), callerFlow(5, 1)), false)
+	assert.Equal(t, other.Returns(start.Add(1405*time.Millisecond), callerFlow(6, 1)), true)
+}
--- a/pkg/passthrough/gate.go
+++ b/pkg/passthrough/gate.go
@@ -279,6 +279,13 @@
 	}
 }
 
+// Unanswered returns the attempts that still wait and of which balancers have to be told.
+func (g *Gate) Unanswered(now time.Time) []UnansweredAttempt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.waiting.unanswered(now)
+}
+
 // PassedOn notes to which agent the packet that opens a flow was sent.
 func (g *Gate) PassedOn(now time.Time, f FlowID, agent netip.AddrPort) {
 	g.flows.Delete(f)
--- a/pkg/passthrough/waiting.go
+++ b/pkg/passthrough/waiting.go
@@ -75,6 +75,8 @@
 	began time.Time
 	// pushed is when the packet came into the line.
 	pushed time.Time
+	// told means that the balancers have been told of the attempt.
+	told bool
 }
 
 // leave returns the arrival with the time in the line added to its delay.
@@ -139,6 +141,23 @@
 	w.arrivals = kept
 }
 
+// tellAge is the age of an attempt of which balancers are told: no copy of its opening packet comes any more, and
+// balancers hear of it before the caller tries again.
+const tellAge = time.Second
+
+// unanswered returns the attempts that have reached tellAge since the last call.
+func (w *waitingLine) unanswered(now time.Time) []UnansweredAttempt {
+	var all []UnansweredAttempt
+	for i := range w.arrivals {
+		a := &w.arrivals[i]
+		if age := now.Sub(a.began); !a.told && age >= tellAge && age < attemptTime {
+			a.told = true
+			all = append(all, UnansweredAttempt{Flow: a.Segment.Flow(), Age: age})
+		}
+	}
+	return all
+}
+
 // takeAll removes all packets whose callers still wait.
 func (w *waitingLine) takeAll(now time.Time) []Arrival {
 	w.expire(now)
--- a/pkg/passthrough/wave_test.go
+++ b/pkg/passthrough/wave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"testing"
 	"time"
 
@@ -152,7 +153,8 @@
 // overload replays callers that come faster than a backend server works and try again when nothing answers.
 type overload struct {
 	wave
-	attempts  passthrough.Attempts
+	// balancers get the tries of a caller in turn.
+	balancers []passthrough.Attempts
 	objective time.Duration
 	served    map[passthrough.FlowID]bool
 	callers   map[passthrough.FlowID]int
@@ -164,6 +166,7 @@
 	f := callerFlow(caller, n)
 	o.callers[f] = caller
 	began := o.now
+	attempts := o.attempts(f)
 	for copies, age := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		o.at(began+age+o.trip, func() {
 			if o.served[f] {
@@ -171,8 +174,8 @@
 			}
 			a := attemptOf(caller, n, copies)
 			a.Objective = o.objective
-			a.Returning = copies == 0 && o.attempts.Returns(o.time(), f)
-			o.attempts.Note(o.time(), a)
+			a.Returning = copies == 0 && attempts.Returns(o.time(), f)
+			attempts.Note(o.time(), a)
 			if _, ok := o.gate.Open(o.time(), a).(passthrough.Deliver); ok {
 				o.serve(f)
 			}
@@ -185,13 +188,30 @@
 	})
 }
 
+// attempts returns what the balancer of a flow remembers.
+func (o *overload) attempts(f passthrough.FlowID) *passthrough.Attempts {
+	return &o.balancers[(o.callers[f]+int(f.Caller().Port()))%len(o.balancers)]
+}
+
+// tell tells all balancers what the gate has not answered.
+func (o *overload) tell(interval time.Duration) {
+	for _, a := range o.gate.Unanswered(o.time()) {
+		for i := range o.balancers {
+			o.balancers[i].NoteUnanswered(o.time(), a)
+		}
+	}
+	if o.now < 8*time.Second {
+		o.at(o.now+interval, func() { o.tell(interval) })
+	}
+}
+
 // serve lets the backend server get the packet that opens a flow, and the request after the handshake.
 func (o *overload) serve(f passthrough.FlowID) {
 	if o.served[f] {
 		return
 	}
 	o.served[f] = true
-	o.attempts.Answered(f)
+	o.attempts(f).Answered(f)
 	seg := func(flags passthrough.Flags, size int) passthrough.Segment {
 		return passthrough.NewSegment(f, flags, 1, 2, size)
 	}
@@ -237,6 +257,13 @@
 // Guards against callers that come back, or have waited for too long, in the place of those that can be answered in
 // time. The load is twice what the backend server bears for 4 s; nine tenths of what it bears are answered in time.
 func TestOverloadWithRetries(t *testing.T) {
+	for _, balancers := range []int{1, 5} {
+		t.Run(fmt.Sprintf("balancers %d", balancers), func(t *testing.T) { testOverloadWithRetries(t, balancers) })
+	}
+}
+
+func testOverloadWithRetries(t *testing.T, balancers int) {
+	t.Helper()
 	const (
 		capacity  = 77 // requests a second: 2 slots with 26 ms of work
 		length    = 4 * time.Second
@@ -247,7 +274,7 @@
 			gate: newGate(2), slots: 2, work: 26 * time.Millisecond, trip: 4 * time.Millisecond,
 			first: make(map[int]time.Duration), done: make(map[int]time.Duration),
 		},
-		objective: objective, served: make(map[passthrough.FlowID]bool), callers: make(map[passthrough.FlowID]int),
+		balancers: make([]passthrough.Attempts, balancers), objective: objective, served: make(map[passthrough.FlowID]bool), callers: make(map[passthrough.FlowID]int),
 	}
 	for i := 0; ; i++ {
 		at := time.Duration(i) * time.Second / (2 * capacity)
@@ -257,6 +284,7 @@
 		o.first[i] = at
 		o.at(at, func() { o.try(i, 0) })
 	}
+	o.tell(200 * time.Millisecond)
 	o.run(10 * time.Second)
 	inTime := 0
 	for i, first := range o.first {
