fix: let an agent that was dropped announce itself again

Cause: an agent that the store has never listed is dropped after 3 s of silence, as after a freeze, and leaves a tombstone that its next announcements do not override; until the store lists it no balancer uses it. Change: such an agent is forgotten instead. An agent logs when it begins to announce itself, and why.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -108,7 +108,7 @@
 		return nil, err
 	}
 	a.announcer = announcer{
-		id: cfg.ID, entry: a.registrar.entry, seeds: cfg.Seeds, link: a.link, observed: &a.blackboard.observed,
+		id: cfg.ID, entry: a.registrar.entry, seeds: cfg.Seeds, link: a.link, observed: &a.blackboard.observed, logger: cfg.Logger,
 		news: make(chan struct{}, 1), listed: a.registrar.listed, draining: a.registrar.draining,
 		revision: a.blackboard.operatorRevision, started: time.Now(),
 	}
--- a/internal/passthrough/announcer.go
+++ b/internal/passthrough/announcer.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 )
@@ -13,10 +15,10 @@
 const (
 	// announceDelay lets the store take the entry first, which needs two calls of some milliseconds.
 	announceDelay = 50 * time.Millisecond
-	// announceInterval is the pause between two announcements.
+	// announceInterval is the pause between two announcements; callers wait for at least three times as long.
 	announceInterval = 400 * time.Millisecond
-	// unprobedTime is how long an agent has heard no balancer when none knows it; a balancer sends something to each
-	// agent that it knows within probeInterval of the Steerer, which is 500 ms.
+	// unprobedTime is how long an agent hears no balancer when none knows it; a balancer sends each agent that it
+	// knows a flow or a probe every 500 ms.
 	unprobedTime = 700 * time.Millisecond
 	// announceTime is how long an agent goes on announcing itself, so that balancers hear of it that start later than
 	// the first one.
@@ -33,6 +35,7 @@
 	seeds    []netip.AddrPort
 	link     *link
 	observed *passthrough.Observed
+	logger   hclog.Logger
 	// news has a value when a route has been observed since the last announcement.
 	news chan struct{}
 	// listed reports whether the store has the agent's entry, and draining whether the agent takes no more flows.
@@ -62,7 +65,11 @@
 	var until time.Time
 	for wait(ctx, announceDelay); ctx.Err() == nil; n.pause(ctx) {
 		now := time.Now()
-		if !n.listed() || n.unprobed(now) {
+		listed, unprobed := n.listed(), n.unprobed(now)
+		if !listed || unprobed {
+			if now.After(until) {
+				n.logger.Warn("announcing to the seeds", "listed", listed, "no_balancer_heard", unprobed, "revision", n.revision(), "seeds", len(n.seeds))
+			}
 			until = now.Add(announceTime)
 		}
 		if now.Before(until) && !n.draining() {
--- a/internal/passthrough/blackboard.go
+++ b/internal/passthrough/blackboard.go
@@ -171,8 +171,14 @@
 	b.changed()
 }
 
-// drop marks an agent as gone at the version at which it was seen last; any later entry overrides it.
+// drop marks an agent as gone at the version at which it was seen last; any later entry overrides it. One that the store
+// has never listed is forgotten, so that it can announce itself again.
 func (b *blackboard) drop(r board.Record, a board.Agent, reason string) {
+	if r.Version.Seq == 0 {
+		b.board.Forget(r.ID)
+		b.logger.Info("agent dropped", "agent", r.ID.Key, "address", a.Data, "reason", reason, "revision", 0)
+		return
+	}
 	a.Phase = board.PhaseLeft
 	r.Version.Verdict, r.Value = board.Dead, a
 	if _, err := b.board.Merge(r); err != nil {
--- a/internal/passthrough/unanswered.go
+++ b/internal/passthrough/unanswered.go
@@ -13,7 +13,7 @@
 	tellInterval = 200 * time.Millisecond
 	// balancerLife is how long an agent remembers a balancer that it does not hear; each balancer probes it more often.
 	balancerLife = 3 * time.Second
-	// maxBalancers bounds how many balancers an agent tells, which is those of an availability zone and more today.
+	// maxBalancers bounds how many balancers an agent tells; the fleets of today have fewer.
 	maxBalancers = 64
 )
 
