fix: write all buffered log lines at the end of a process

Cause: Run wrote one last batch of 32 KiB when its context ended; the rest of the buffers was lost without being counted. Change: Run writes batches until the buffers are empty.

--- a/internal/boundedlog/boundedlog.go
+++ b/internal/boundedlog/boundedlog.go
@@ -69,7 +69,7 @@
 	return w.dropped[0].Load(), w.dropped[1].Load()
 }
 
-// Run writes lines until the context ends, and then writes one last batch of buffered lines.
+// Run writes lines until the context ends, and then writes the lines that are buffered.
 func (w *Writer) Run(ctx context.Context) error {
 	defer w.closeDone.Do(func() { close(w.done) })
 	var reported [2]uint64
@@ -78,7 +78,9 @@
 		var batch []byte
 		select {
 		case <-ctx.Done():
-			w.flush(w.collect(nil))
+			for batch := w.collect(nil); len(batch) > 0; batch = w.collect(nil) {
+				w.flush(batch)
+			}
 			return nil
 		case line := <-w.important:
 			batch = w.collect(line)
