fix: apply a request's deadline in the sample backend server to the first byte only

Cause: the sample backend server cut off a held download at its deadline, which covers the first byte of a response only. Change: downloads have no deadline after their first block; reads and writes keep theirs.

--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -122,3 +122,23 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.DeepEqual(t, s.Counts().Executed, map[string]int{"o1": 1})
 }
+
+// Guards against a download that is cut off because the deadline, which covers its first byte only, has passed.
+func TestDownloadContinuesAfterDeadline(t *testing.T) {
+	s := start(t, backend.Config{Kind: backend.KindBundles, Slots: 1, ColdSlots: 1})
+	s.HoldResponses(1)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.URL()+"/downloads/5?bytes=100000", http.NoBody)
+	assert.NilError(t, err)
+	const deadline = time.Millisecond
+	r.Header.Set("Bramleymast-Deadline-Ms", "1")
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	waitFor(t, "the download to be held", func() bool { return s.Counts().Held == 1 })
+	time.Sleep(20 * deadline)
+	s.ReleaseResponses()
+	v := content.NewVerifier(5)
+	_, err = io.Copy(v, resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, v.Matched(), int64(100000))
+}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -168,9 +168,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.Handle("GET /downloads/{seed}", s.withSlot(s.serveDownload))
-	mux.Handle("GET "+s.cfg.Kind.ReadPath("{id}"), s.withSlot(s.serveRead))
+	mux.Handle("GET "+s.cfg.Kind.ReadPath("{id}"), s.withSlot(withDeadline(s.serveRead)))
 	if s.cfg.Kind.Writes() {
-		mux.Handle("POST "+s.cfg.Kind.WritePath(), s.withSlot(s.serveWrite))
+		mux.Handle("POST "+s.cfg.Kind.WritePath(), s.withSlot(withDeadline(s.serveWrite)))
 	}
 	return mux
 }
@@ -208,8 +208,11 @@
 	}
 }
 
-// withSlot wraps a handler: it acquires a slot, applies the deadline and copies the request id into the response.
-func (s *Server) withSlot(h func(w http.ResponseWriter, r *http.Request, serviceTime time.Duration) error) http.Handler {
+// handler serves a request that has a slot.
+type handler func(w http.ResponseWriter, r *http.Request, serviceTime time.Duration) error
+
+// withSlot wraps a handler: it acquires a slot and copies the request id into the response.
+func (s *Server) withSlot(h handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(HeaderServer, s.cfg.ID)
 		if id := r.Header.Get(headerRequestID); id != "" {
@@ -225,10 +228,7 @@
 		if cold {
 			serviceTime *= coldSlowdown
 		}
-		ctx, cancel := withDeadline(r)
-		defer cancel()
-		err := h(w, r.WithContext(ctx), serviceTime)
-		s.limiter.release(time.Now(), s.finish(w, r, err))
+		s.limiter.release(time.Now(), s.finish(w, r, h(w, r, serviceTime)))
 	})
 }
 
@@ -249,13 +249,17 @@
 	}
 }
 
-// withDeadline returns the context of a request, with the timeout from its header if it has a valid one.
-func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
-	ms, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
-	if err != nil || ms <= 0 {
-		return context.WithCancel(r.Context())
+// withDeadline wraps a handler that answers at once: it applies the timeout from the request's header if that is valid.
+func withDeadline(h handler) handler {
+	return func(w http.ResponseWriter, r *http.Request, serviceTime time.Duration) error {
+		ms, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+		if err != nil || ms <= 0 {
+			return h(w, r, serviceTime)
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+		defer cancel()
+		return h(w, r.WithContext(ctx), serviceTime)
 	}
-	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
 // Answer is the JSON body of the response to a read or a write.
@@ -301,8 +305,8 @@
 	return errors.Trace(json.NewEncoder(w).Encode(a))
 }
 
-// serveDownload sends the content of a seed. As in the contract, the deadline covers the first byte only, so
-// sendContent does not check it between blocks; only a held download ends at its deadline.
+// serveDownload sends the content of a seed. As in the contract, the deadline covers the first byte only, which is sent
+// at once.
 func (s *Server) serveDownload(w http.ResponseWriter, r *http.Request, _ time.Duration) error {
 	seed, err := strconv.ParseUint(r.PathValue("seed"), 10, 64)
 	if err != nil {
