fix: serve without the store only with agents of all routed services

Cause: a balancer that starts while the store is away served as soon as it knew one agent. Services whose agents announce themselves later, every 400 ms, had none yet, and their new flows were refused (no_agent). Ruled out: the search for owners, since the refusal came first. Change: a balancer waits until each routed service has an agent, for at most a second.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -79,11 +79,16 @@
 	drainPeriod atomic.Int64  // as time.Duration
 }
 
-// returnPath is where a packet came from and which agents it may visit if the backend server rejects it.
+// returnPath is where the last packet of a flow came from and which agents it may visit if the backend server rejects
+// it.
 type returnPath struct {
 	origin    netip.AddrPort
 	path      passthrough.Path
 	directory passthrough.Path
+	// searched means that the packet was sent to all agents, so it needs no further path.
+	searched bool
+	// registeredAt is when the agents of the directory were last notified of the owner.
+	registeredAt time.Time
 }
 
 // NewAgent returns an agent with its sockets bound.
@@ -189,6 +194,10 @@
 		a.onBalancerMessage(now, m.origin)
 		a.fetcher.onRevision(m.origin, m.revision)
 		a.onForward(now, m)
+	case *search:
+		a.onBalancerMessage(now, m.origin)
+		a.fetcher.onRevision(m.origin, m.revision)
+		a.onSearch(now, m)
 	case *owner:
 		a.admitter.SetOwner(now, m.flow, m.agent, m.isn)
 	case *probe:
@@ -213,16 +222,9 @@
 		a.onOpening(now, seg, m)
 		return
 	}
-	d := a.admitter.OnEstablishedPacket(now, seg)
+	d := a.admitter.OnEstablishedPacket(now, seg, m.likelyOwner)
 	if _, ok := d.(passthrough.Deliver); ok {
-		a.logRequest(seg, m.packet)
-		a.returnPaths.Update(now, seg.Flow(), func(p returnPath, _ bool) returnPath {
-			p.origin, p.path = m.origin, m.path
-			return p
-		})
-		if m.hops > 0 {
-			a.notifyPlaced(now, seg.Flow(), m.origin, true)
-		}
+		a.onOwnedPacket(now, seg, m)
 	}
 	a.execute(now, seg, m, d)
 }
@@ -312,22 +314,13 @@
 	case passthrough.Forward:
 		if m.hops < maxHops {
 			m.hops++
+			m.likelyOwner = true
 			a.link.send(d.Owner, m)
 		}
 	case passthrough.Refuse:
 		a.refuse(seg, d.Reason)
 	case passthrough.UnknownFlow:
-		next, ok := m.path.Next()
-		for ok && next == a.link.self {
-			next, ok = m.path.Next()
-		}
-		if !ok || m.hops >= maxHops {
-			a.metrics.count(eventDropped, "unknown_flow")
-			a.cfg.Logger.Warn("packet dropped", "flow", seg.Flow().String(), "reason", "unknown_flow", "hops", m.hops, "origin", m.origin)
-			return
-		}
-		m.hops++
-		a.link.send(next, m)
+		a.onUnknownFlow(seg, m)
 	}
 }
 
@@ -379,11 +372,7 @@
 	a.observeRoute(seg)
 	if a.admitter.OnServerPacket(now, seg, a.cfg.Codec.IsErrorResponse(packet)) {
 		r, _ := a.returnPaths.Get(now, seg.Flow())
-		for _, d := range r.directory.All() {
-			if d != a.link.self {
-				a.link.send(d, &owner{flow: seg.Flow(), agent: a.link.self, isn: seg.Seq()})
-			}
-		}
+		a.register(now, seg.Flow(), r.directory)
 	}
 	a.sendToCaller(packet, seg.Flow())
 	a.deliverQueued(now)
@@ -392,7 +381,7 @@
 func (a *Agent) onRejected(now time.Time, seg passthrough.Segment, packet []byte) {
 	a.cfg.Codec.ClearRejected(packet)
 	r, _ := a.returnPaths.Get(now, seg.Flow())
-	m := &forward{origin: r.origin, service: a.service, revision: a.state.operatorRevision(), hops: 1, path: r.path, directory: r.directory, packet: packet}
+	m := &forward{origin: r.origin, service: a.service, revision: a.state.operatorRevision(), hops: 1, path: r.path, directory: r.directory, searched: r.searched, packet: packet}
 	d := a.admitter.OnRejected(now, seg)
 	a.metrics.count(eventRejected, string(passthrough.ReasonRejected))
 	a.cfg.Logger.Warn("packet returned by backend server", "flow", seg.Flow().String(), "opens", seg.IsOpening(), "size", seg.Size())
--- a/internal/passthrough/backend.go
+++ b/internal/passthrough/backend.go
@@ -44,6 +44,10 @@
 // earlier start time, since the clock may have been set back between the two.
 const runTimeout = 3 * time.Second
 
+// maxFirstSeq is the highest sequence number of the first heartbeat that an agent receives from a backend server that
+// has started with it; earlier heartbeats may have found no listener.
+const maxFirstSeq = 3
+
 // update stores a heartbeat if it is newer than the stored one or the run of the stored one has timed out.
 func (s *backendState) update(now time.Time, b BackendHeartbeat) (old BackendHeartbeat, updated bool) {
 	s.mu.Lock()
@@ -93,6 +97,9 @@
 		a.cfg.Logger.Info("heartbeat skipped", "backend", b.ID, "reason", "older", "seq", b.Seq, "started", b.Started)
 		return true
 	}
+	if old.ID == "" && b.Seq <= maxFirstSeq {
+		a.admitter.SetNoPreExisting()
+	}
 	a.admitter.SetBackendState(now, b.Slots, b.Draining || a.leaving.Load(), b.ColdRemaining)
 	a.registrar.setDraining(b.Draining || a.leaving.Load())
 	a.registrar.onBackendSeen()
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -386,8 +386,9 @@
 
 func (b *Balancer) forwardEstablished(now time.Time, seg passthrough.Segment, r route.Route, packet []byte) {
 	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.state.operatorRevision(), packet: packet}
-	m.path = b.ownerPath(seg.Flow(), r)
+	m.path, m.directory = b.ownerPath(seg.Flow(), r)
 	target, known := b.steerer.Owner(now, seg.Flow())
+	m.likelyOwner = known
 	if !known {
 		target, known = m.path.Next()
 	}
@@ -398,25 +399,74 @@
 	b.link.send(target, m)
 }
 
-// ownerPath returns the agents that may own a flow. They include the agents of the previous service of the route, which
-// may still own open flows.
-func (b *Balancer) ownerPath(f passthrough.FlowID, r route.Route) passthrough.Path {
-	p := b.steerer.OwnerCandidates(f, r.Service)
-	old, ok := b.state.previousTable().Route(f.Address())
-	if !ok || old.Service == r.Service {
-		return p
+// ownerPath returns the agents that may have a record of the owner of a flow, and the directory of the flow. The path
+// includes the agents of the previous service of the route, which may still own open flows.
+func (b *Balancer) ownerPath(f passthrough.FlowID, r route.Route) (path, directory passthrough.Path) {
+	path, directory = b.steerer.OwnerCandidates(f, r.Service)
+	service, ok := b.previousService(f, r)
+	if !ok {
+		return path, directory
 	}
-	other := b.steerer.OwnerCandidates(f, old.Service)
+	other, _ := b.steerer.OwnerCandidates(f, service)
 	var both passthrough.Path
-	for both.Len() < passthrough.MaxPath && (p.Len() > 0 || other.Len() > 0) {
-		if a, ok := p.Next(); ok {
+	for both.Len() < passthrough.MaxPath && (path.Len() > 0 || other.Len() > 0) {
+		if a, ok := path.Next(); ok {
 			both.Add(a)
 		}
 		if a, ok := other.Next(); ok {
 			both.Add(a)
 		}
 	}
-	return both
+	return both, directory
+}
+
+// previousService returns the service of a flow's address before the last change of the configuration, or false if the
+// service is the same.
+func (b *Balancer) previousService(f passthrough.FlowID, r route.Route) (string, bool) {
+	old, ok := b.state.previousTable().Route(f.Address())
+	return old.Service, ok && old.Service != r.Service
+}
+
+// onUnowned searches all agents for the owner of a flow, because no agent on the path of its packet has a record of it.
+func (b *Balancer) onUnowned(now time.Time, m *unowned) {
+	seg, err := b.cfg.Codec.Decode(m.packet, true)
+	if err != nil || seg.IsOpening() {
+		b.metrics.count(eventDropped, "malformed")
+		b.cfg.Logger.Warn("packet dropped", "reason", "malformed", "agent", m.agent, "error", err)
+		return
+	}
+	f := seg.Flow()
+	r, ok := b.route(f.Address())
+	if !ok {
+		b.metrics.count(eventDropped, "no_route")
+		return
+	}
+	services := []string{r.Service}
+	if old, ok := b.previousService(f, r); ok {
+		services = append(services, old)
+	}
+	groups := b.steerer.Search(now, f, services...)
+	if len(groups) == 0 {
+		b.metrics.count(eventDropped, "unknown_flow")
+		return
+	}
+	_, directory := b.steerer.OwnerCandidates(f, r.Service)
+	agents := 0
+	for _, g := range groups {
+		agents += len(g)
+		b.link.send(g[0], &search{origin: b.link.self, revision: b.state.operatorRevision(), directory: directory, agents: g[1:], packet: m.packet})
+	}
+	b.metrics.count(eventSearched, reasonNone)
+	b.cfg.Logger.Info("owner searched", "flow", f.String(), "agents", agents, "groups", len(groups), "hops", m.hops, "last", m.agent)
+}
+
+// route returns the route of a service address: the configured one or, without a configuration, the observed one.
+func (b *Balancer) route(address netip.AddrPort) (route.Route, bool) {
+	if t := b.state.Table(); t != nil {
+		return t.Route(address)
+	}
+	service, ok := b.state.observed.Service(address)
+	return route.Route{Service: service}, ok
 }
 
 func (b *Balancer) onMessage(_ netip.AddrPort, data []byte) {
@@ -440,6 +490,8 @@
 		for _, attempt := range m.attempts {
 			b.attempts.AddUnanswered(now, attempt)
 		}
+	case *unowned:
+		b.onUnowned(now, m)
 	case *announce:
 		if b.state.applyAnnouncement(m) {
 			b.refresh()
--- a/internal/passthrough/local_state.go
+++ b/internal/passthrough/local_state.go
@@ -46,9 +46,40 @@
 	return s.previous
 }
 
-// canServe reports whether a balancer can serve: it has a configuration and at least one agent.
-func (s *localState) canServe() bool {
-	return s.Table() != nil && len(s.board.Records(board.KindAgent)) > 0
+// completeness is how much of the state that a balancer needs is there.
+type completeness int
+
+// Degrees of completeness.
+const (
+	// insufficient means that the configuration or all agents are missing.
+	insufficient completeness = iota
+	// partial means that a service of a route has no agent.
+	partial
+	// complete means that each service of a route has an agent.
+	complete
+)
+
+// completeness returns how much of the state of a balancer is there.
+func (s *localState) completeness() completeness {
+	t := s.Table()
+	if t == nil {
+		return insufficient
+	}
+	services := make(map[string]bool)
+	for _, r := range s.board.Records(board.KindAgent) {
+		if a, ok := r.Value.(board.Agent); ok {
+			services[a.Service] = true
+		}
+	}
+	if len(services) == 0 {
+		return insufficient
+	}
+	for _, service := range t.RoutedServices() {
+		if !services[service] {
+			return partial
+		}
+	}
+	return complete
 }
 
 // operatorRevision returns the highest store revision of the operator's entries.
--- a/internal/passthrough/local_state_test.go
+++ b/internal/passthrough/local_state_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/route"
 	"github.com/bramleymast/bramleymast/pkg/store"
 )
 
@@ -34,3 +35,24 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, a.Phase, board.PhaseDraining)
 }
+
+// Guards against a balancer that starts without the store, serves with the first agents that it receives, and refuses
+// the flows of a service whose agents have not announced themselves yet.
+func TestCompletenessCountsServices(t *testing.T) {
+	s := localState{logger: hclog.NewNullLogger(), changed: func() {}}
+	s.layout = Layout{ConfigKey: "config", DecodeConfig: func([]byte, store.Revision) (*route.Table, error) {
+		return route.NewTable(7, 1, 0, map[netip.AddrPort]route.Route{
+			netip.MustParseAddrPort("198.18.0.1:80"):  {Service: "pages"},
+			netip.MustParseAddrPort("198.18.0.1:443"): {Service: "orders"},
+		}, nil), nil
+	}}
+	announceAgent := func(service, address string) {
+		s.applyAnnouncement(&announce{agent: netip.MustParseAddrPort(address), id: "agent-" + address, service: service})
+	}
+	announceAgent("orders", "10.1.0.1:7720")
+	assert.Equal(t, s.completeness(), insufficient)
+	s.apply(store.Entry{Key: "config", Revision: 7})
+	assert.Equal(t, s.completeness(), partial)
+	announceAgent("pages", "10.1.0.2:7720")
+	assert.Equal(t, s.completeness(), complete)
+}
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -40,9 +40,12 @@
 	kindReport
 	kindAnnounce
 	kindUnanswered
+	kindUnowned
+	kindSearch
 )
 
-// message is a datagram between processes: forward, placed, owner, probe, report, announce or unanswered.
+// message is a datagram between processes: forward, placed, owner, probe, report, announce, unanswered, unowned or
+// search.
 type message interface {
 	append(b []byte) []byte
 }
@@ -62,6 +65,10 @@
 	objective time.Duration
 	// isRetry means that an earlier attempt of the caller was not answered.
 	isRetry bool
+	// likelyOwner means that the sender has a record that the receiver owns the flow.
+	likelyOwner bool
+	// searched means that the packet was sent to all agents. It is not encoded.
+	searched bool
 	// path lists the agents to visit next, directory those that keep a record of the owner.
 	path      passthrough.Path
 	directory passthrough.Path
@@ -118,6 +125,24 @@
 	attempts []passthrough.UnansweredAttempt
 }
 
+// unowned returns a packet to its balancer because no agent on its path has a record of the flow's owner.
+type unowned struct {
+	agent  netip.AddrPort
+	hops   uint8
+	packet []byte
+}
+
+// search carries a packet of a flow without a known owner to several agents; only the owner delivers it.
+type search struct {
+	// origin is the balancer that is notified of the flow's owner.
+	origin    netip.AddrPort
+	revision  uint64
+	directory passthrough.Path
+	// agents are the agents to which the receiver passes the message on.
+	agents []netip.AddrPort
+	packet []byte
+}
+
 // maxUnanswered limits the attempts in one message.
 const maxUnanswered = 128
 
@@ -168,12 +193,29 @@
 	b = append(b, m.hops)
 	b = appendMilliseconds(b, m.delay)
 	b = appendMilliseconds(b, m.objective)
-	b = appendFlag(b, m.isRetry)
+	b = append(b, m.flags())
 	b = appendPath(b, &m.path)
 	b = appendPath(b, &m.directory)
 	return append(b, m.packet...)
 }
 
+// Bits of the flags of a forward message.
+const (
+	forwardIsRetry     = 1
+	forwardLikelyOwner = 2
+)
+
+func (m *forward) flags() byte {
+	var flags byte
+	if m.isRetry {
+		flags |= forwardIsRetry
+	}
+	if m.likelyOwner {
+		flags |= forwardLikelyOwner
+	}
+	return flags
+}
+
 func (m *placed) append(b []byte) []byte {
 	b = header(b, kindPlaced)
 	b = m.flow.Append(b)
@@ -211,11 +253,7 @@
 	for _, text := range []string{m.id, m.service, m.zone} {
 		b = appendText(b, text)
 	}
-	b = append(b, byte(min(len(m.addresses), math.MaxUint8)))
-	for _, a := range m.addresses[:min(len(m.addresses), math.MaxUint8)] {
-		b = appendAddress(b, a)
-	}
-	return b
+	return appendAddresses(b, m.addresses)
 }
 
 func (m *unanswered) append(b []byte) []byte {
@@ -229,6 +267,31 @@
 	return b
 }
 
+func (m *unowned) append(b []byte) []byte {
+	b = header(b, kindUnowned)
+	b = appendAddress(b, m.agent)
+	return append(append(b, m.hops), m.packet...)
+}
+
+func (m *search) append(b []byte) []byte {
+	b = header(b, kindSearch)
+	b = appendAddress(b, m.origin)
+	b = binary.BigEndian.AppendUint64(b, m.revision)
+	b = appendPath(b, &m.directory)
+	b = appendAddresses(b, m.agents)
+	return append(b, m.packet...)
+}
+
+// appendAddresses appends a list of at most 255 addresses; the rest is left out.
+func appendAddresses(b []byte, all []netip.AddrPort) []byte {
+	all = all[:min(len(all), math.MaxUint8)]
+	b = append(b, byte(len(all)))
+	for _, a := range all {
+		b = appendAddress(b, a)
+	}
+	return b
+}
+
 // maxText limits a string in a datagram, in bytes.
 const maxText = 255
 
@@ -328,7 +391,8 @@
 	case kindForward:
 		m := &forward{origin: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), hops: r.next(1)[0]}
 		m.delay, m.objective = r.milliseconds(), r.milliseconds()
-		m.isRetry = r.next(1)[0] == 1
+		flags := r.next(1)[0]
+		m.isRetry, m.likelyOwner = flags&forwardIsRetry != 0, flags&forwardLikelyOwner != 0
 		m.path, m.directory = r.path(), r.path()
 		m.packet = r.rest
 		return m
@@ -346,6 +410,14 @@
 		return &announce{agent: r.address(), revision: r.uint64(), id: r.text(), service: r.text(), zone: r.text(), addresses: r.addresses()}
 	case kindUnanswered:
 		return &unanswered{attempts: r.unanswered()}
+	case kindUnowned:
+		m := &unowned{agent: r.address(), hops: r.next(1)[0]}
+		m.packet = r.rest
+		return m
+	case kindSearch:
+		m := &search{origin: r.address(), revision: r.uint64(), directory: r.path(), agents: r.addresses()}
+		m.packet = r.rest
+		return m
 	}
 	return nil
 }
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -23,6 +23,9 @@
 	eventRefused  flowEvent = "refused"
 	eventRejected flowEvent = "returned"
 	eventDropped  flowEvent = "dropped"
+	// eventReturned counts packets that an agent sent back to their balancer, eventSearched searches for an owner.
+	eventReturned flowEvent = "sent_back"
+	eventSearched flowEvent = "searched"
 )
 
 // reasonNone is the reason label of events without a reason.
--- /dev/null
+++ b/internal/passthrough/ownership.go
@@ -0,0 +1,101 @@
+package passthrough
+
+import (
+	"time"
+
+	"github.com/bramleymast/bramleymast/pkg/passthrough"
+)
+
+// renewalsPerIdleTimeout is how often an owner renews the record of a flow in its directory within the time after which
+// an unused record is removed.
+const renewalsPerIdleTimeout = 3
+
+// onOwnedPacket records where a packet of a flow at this agent came from. It notifies the balancer of the owner if the
+// packet came by way of other agents, and renews the record in the directory.
+//
+// Each packet carries the directory of its balancer's current view. So the record moves when agents join or leave, and
+// it does not expire in a flow whose packets all go straight to the owner.
+func (a *Agent) onOwnedPacket(now time.Time, seg passthrough.Segment, m *forward) {
+	f := seg.Flow()
+	a.logRequest(seg, m.packet)
+	var old returnPath
+	a.returnPaths.Update(now, f, func(p returnPath, _ bool) returnPath {
+		old = p
+		p.origin, p.path, p.searched = m.origin, m.path, m.searched
+		return p
+	})
+	if m.hops > 0 {
+		a.notifyPlaced(now, f, m.origin, true)
+	}
+	if m.directory.Len() > 0 && (old.directory != m.directory || now.Sub(old.registeredAt) > a.state.idleTimeout()/renewalsPerIdleTimeout) {
+		a.register(now, f, m.directory)
+	}
+}
+
+// register notifies the agents of a directory that this agent owns a flow. It does nothing for a flow that the backend
+// server has not accepted yet; see onBackendPacket.
+func (a *Agent) register(now time.Time, f passthrough.FlowID, directory passthrough.Path) {
+	isn, ok := a.admitter.InitialSequence(now, f)
+	if !ok {
+		return
+	}
+	for _, d := range directory.All() {
+		if d != a.link.self {
+			a.link.send(d, &owner{flow: f, agent: a.link.self, isn: isn})
+		}
+	}
+	a.returnPaths.Update(now, f, func(p returnPath, _ bool) returnPath {
+		p.directory, p.registeredAt = directory, now
+		return p
+	})
+}
+
+// onUnknownFlow sends a packet of an unknown flow to the next agent of its path, or back to its balancer, which searches
+// all agents.
+func (a *Agent) onUnknownFlow(seg passthrough.Segment, m *forward) {
+	if m.searched {
+		return
+	}
+	next, ok := m.path.Next()
+	for ok && next == a.link.self {
+		next, ok = m.path.Next()
+	}
+	if ok && m.hops < maxHops {
+		m.hops++
+		m.likelyOwner = false
+		a.link.send(next, m)
+		return
+	}
+	if m.origin.Port() == 0 {
+		a.metrics.count(eventDropped, "unknown_flow")
+		a.cfg.Logger.Warn("packet dropped", "flow", seg.Flow().String(), "reason", "unknown_flow", "hops", m.hops)
+		return
+	}
+	a.metrics.count(eventReturned, "unknown_flow")
+	a.cfg.Logger.Info("packet sent back to the balancer", "flow", seg.Flow().String(), "reason", "unknown_flow", "hops", m.hops, "origin", m.origin)
+	a.link.send(m.origin, &unowned{agent: a.link.self, hops: m.hops, packet: m.packet})
+}
+
+// onSearch passes a search on to the other agents of its group and delivers the packet if this agent owns the flow.
+func (a *Agent) onSearch(now time.Time, m *search) {
+	others := m.agents
+	m.agents = nil
+	for _, other := range others {
+		if other != a.link.self {
+			a.link.send(other, m)
+		}
+	}
+	seg, err := a.cfg.Codec.Decode(m.packet, true)
+	if err != nil || seg.IsOpening() {
+		a.metrics.count(eventDropped, "malformed")
+		a.cfg.Logger.Warn("search dropped", "origin", m.origin, "error", err)
+		return
+	}
+	if _, ok := a.admitter.OnEstablishedPacket(now, seg, true).(passthrough.Deliver); !ok {
+		return
+	}
+	owned := &forward{origin: m.origin, revision: m.revision, hops: 1, directory: m.directory, searched: true, packet: m.packet}
+	a.onOwnedPacket(now, seg, owned)
+	a.cfg.Logger.Info("searched packet delivered", "flow", seg.Flow().String(), "origin", m.origin)
+	a.deliver(m.packet)
+}
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -22,6 +22,9 @@
 	fetchInterval = 100 * time.Millisecond
 	// seedDelay is how long a starting process waits for the store before it queries the seeds.
 	seedDelay = 100 * time.Millisecond
+	// partialStateTimeout is how long a starting process without the store waits for agents of all services. Agents
+	// announce themselves to the seeds every 400 ms.
+	partialStateTimeout = time.Second
 	// seedInterval is the interval between queries of the seeds.
 	seedInterval = 100 * time.Millisecond
 	// seedUpdateInterval is the interval between queries of the seeds once the process serves without the store.
@@ -165,6 +168,7 @@
 // calls ready when the fetched state suffices to serve, and continues to fetch updates. Once the store has answered, it
 // fetches from one seed again for agents whose entries have expired.
 func (f *stateFetcher) fetchFromSeeds(ctx context.Context, seeds []netip.AddrPort, listed <-chan struct{}, ready func()) error {
+	var partialSince time.Time
 	for delay := seedDelay; ; {
 		t := time.NewTimer(delay)
 		select {
@@ -179,7 +183,11 @@
 		}
 		f.fetchAny(ctx, seeds)
 		delay = seedInterval
-		if f.state.canServe() {
+		c := f.state.completeness()
+		if c != insufficient && partialSince.IsZero() {
+			partialSince = time.Now()
+		}
+		if c == complete || c == partial && time.Since(partialSince) >= partialStateTimeout {
 			ready()
 			delay = seedUpdateInterval
 		}
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleymast/bramleymast/pkg/route"
@@ -26,6 +27,9 @@
 	// startupPeriod is how long after its start an agent delivers packets of unknown flows to its backend server, to
 	// find out whether they are pre-existing flows.
 	startupPeriod = 20 * time.Second
+	// preExistingMargin is how far before an acknowledgement the initial sequence number of a pre-existing flow is
+	// assumed, so that later packets and reordered ones count as packets of the same backend server.
+	preExistingMargin = maxSequenceGap / 2
 )
 
 // Reason is why a packet was not delivered to the backend server. Its text is the value of the reason label of a
@@ -78,18 +82,20 @@
 	nextAgents Table[netip.AddrPort]
 	owners     Table[[maxOwners]owner]
 
-	mu            sync.Mutex
-	pending       map[FlowID]pendingRequest
-	queue         waitQueue
-	reachability  reachability
-	failureRate   failureRate
-	slots         int
-	draining      bool
-	zoneOut       bool
-	coldUntil     time.Time
-	coldLimit     SlidingWindowLimiter
-	limits        route.ServiceLimits
-	started       time.Time
+	mu           sync.Mutex
+	pending      map[FlowID]pendingRequest
+	queue        waitQueue
+	reachability reachability
+	failureRate  failureRate
+	slots        int
+	draining     bool
+	zoneOut      bool
+	coldUntil    time.Time
+	coldLimit    SlidingWindowLimiter
+	limits       route.ServiceLimits
+	started      time.Time
+	// noPreExisting means that the backend server started after the agent.
+	noPreExisting atomic.Bool
 	observeAnswer func(d time.Duration)
 }
 
@@ -151,6 +157,10 @@
 	ad.reachability.onSeen(now)
 }
 
+// SetNoPreExisting records that the backend server started after the agent, so it holds no flow that the agent has no
+// record of.
+func (ad *Admitter) SetNoPreExisting() { ad.noPreExisting.Store(true) }
+
 // SetDraining makes the agent stop accepting flows.
 func (ad *Admitter) SetDraining() {
 	ad.mu.Lock()
@@ -302,8 +312,11 @@
 	delete(ad.pending, f)
 }
 
-// OnEstablishedPacket decides on a packet of a flow that is already open.
-func (ad *Admitter) OnEstablishedPacket(now time.Time, seg Segment) Decision {
+// OnEstablishedPacket decides on a packet of a flow that is already open. likelyOwner means that the sender has a record
+// that this agent owns the flow, or that the packet goes to all agents. Only then does an agent that has just started
+// deliver a packet of an unknown flow: on its way from agent to agent, the packet would reach many backend servers that
+// do not hold the flow before its own.
+func (ad *Admitter) OnEstablishedPacket(now time.Time, seg Segment, likelyOwner bool) Decision {
 	f := seg.Flow()
 	lf, known := ad.flows.Get(now, f)
 	if known && lf.ownsPacket(seg) {
@@ -318,7 +331,7 @@
 			return Forward{a}
 		}
 	}
-	if !known && now.Sub(ad.started) < startupPeriod {
+	if !known && likelyOwner && !ad.noPreExisting.Load() && now.Sub(ad.started) < startupPeriod {
 		ad.flows.Put(now, f, localFlow{probed: true})
 		return Deliver{}
 	}
@@ -379,6 +392,13 @@
 	})
 }
 
+// InitialSequence returns the backend server's initial sequence number of a flow that this agent owns, or false if the
+// agent does not own the flow. For a pre-existing flow it is a lower bound.
+func (ad *Admitter) InitialSequence(now time.Time, f FlowID) (uint32, bool) {
+	lf, ok := ad.flows.Get(now, f)
+	return lf.isn, ok && lf.accepted && !lf.notHeld
+}
+
 // OnServerPacket records a packet of the backend server and reports whether it accepts a new flow. failed means that
 // the packet starts the response to a failed request.
 func (ad *Admitter) OnServerPacket(now time.Time, seg Segment, failed bool) (accepted bool) {
@@ -389,7 +409,7 @@
 			return localFlow{isn: seg.Seq(), accepted: true}
 		}
 		if !known || lf.probed {
-			return localFlow{preExisting: true, accepted: true, established: true}
+			return localFlow{isn: seg.Seq() - preExistingMargin, preExisting: true, accepted: true, established: true}
 		}
 		lf.established = true
 		return lf
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -26,6 +26,9 @@
 	reportTTL = time.Second
 	// directorySize is how many agents keep a record of the owner of a flow.
 	directorySize = 2
+	// maxCandidates is how many agents a packet of a flow without a known owner visits: the directory, and those that
+	// were the directory before agents joined. After these, all agents are searched.
+	maxCandidates = 4
 	// maxAlternatives is how many further agents an opening packet may visit.
 	maxAlternatives = 3
 	// retransmissionPeriod is longer than a caller retransmits an opening packet; a later packet opens a new flow.
@@ -37,10 +40,12 @@
 // Steerer decides which agent a balancer sends a caller's packet to. It is safe for concurrent use.
 //
 // New flows go to the agent with the shortest expected wait, and later packets to the owner of the flow. A packet of a
-// flow without a known owner visits the directory agents of the flow and then the other agents of the service.
+// flow without a known owner visits the directory agents of the flow; if these have no record, it is sent to all agents
+// of the service.
 type Steerer struct {
-	zone  string
-	flows Table[flowOwner]
+	zone     string
+	flows    Table[flowOwner]
+	searches searchLimiter
 
 	mu     sync.Mutex
 	agents map[netip.AddrPort]*agentState
@@ -128,16 +133,23 @@
 		s.agents[o.Target].unreported++
 		s.flows.Put(now, seg.Flow(), flowOwner{agent: o.Target, openedAt: now})
 	}
+	o.Directory = topRanked(v, hash, directorySize)
+	return o, true
+}
+
+// topRanked returns the n highest-ranked agents of a view that may own flows.
+func topRanked(v *flow.View, hash uint64, n int) Path {
+	var p Path
 	var visited flow.Visited
-	for range directorySize {
+	for p.Len() < n {
 		m := v.TopRanked(hash, false, visited)
 		if m == nil {
 			break
 		}
 		visited.Add(m.ShortID())
-		o.Directory.Add(m.DataAddress())
+		p.Add(m.DataAddress())
 	}
-	return o, true
+	return p
 }
 
 // usable reports whether an agent accepts new flows and is not suspect.
@@ -223,23 +235,20 @@
 	return owner.agent, ok
 }
 
-// OwnerCandidates returns the agents of a service that may own a flow or have a record of its owner, in the order in
-// which a packet visits them.
-func (s *Steerer) OwnerCandidates(f FlowID, service string) Path {
+// OwnerCandidates returns the agents of a service that may have a record of the owner of a flow, in the order in which a
+// packet visits them, and the directory of the flow.
+func (s *Steerer) OwnerCandidates(f FlowID, service string) (candidates, directory Path) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var p Path
 	v, ok := s.views[service]
 	if !ok {
-		return p
+		return candidates, directory
 	}
-	var visited flow.Visited
-	for hash := f.Hash(); ; {
-		m := v.TopRanked(hash, false, visited)
-		if m == nil || !visited.Add(m.ShortID()) || !p.Add(m.DataAddress()) {
-			return p
-		}
+	candidates = topRanked(v, f.Hash(), maxCandidates)
+	for _, a := range candidates.All()[:min(directorySize, candidates.Len())] {
+		directory.Add(a)
 	}
+	return candidates, directory
 }
 
 // SetOwner records the owner of a flow.
@@ -335,4 +344,5 @@
 // Sweep removes flows without packets for longer than idle.
 func (s *Steerer) Sweep(now time.Time, idle time.Duration) {
 	s.flows.Sweep(now, func(_ flowOwner, unused time.Duration) bool { return unused > idle })
+	s.searches.sweep(now)
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -2,7 +2,9 @@
 package route
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -78,6 +80,15 @@
 // Len returns the number of routes.
 func (t *Table) Len() int { return len(t.routes) }
 
+// RoutedServices returns the customer services that have a route, in order.
+func (t *Table) RoutedServices() []string {
+	services := make(map[string]bool)
+	for _, r := range t.routes {
+		services[r.Service] = true
+	}
+	return slices.Sorted(maps.Keys(services))
+}
+
 // ServiceLimits returns the limits of a customer service.
 func (t *Table) ServiceLimits(name string) (ServiceLimits, bool) {
 	if t == nil {
