--- a/pkg/passthrough/steerer_test.go
+++ b/pkg/passthrough/steerer_test.go
@@ -135,8 +135,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 300).Draw(t, "agents")
 		s := steerer(n)
-		var delegates []netip.AddrPort
-		for i := range 2 {
+		delegates := make([]netip.AddrPort, 0, 2)
+		for i := range cap(delegates) {
 			visited := make(map[netip.AddrPort]int)
 			groups := s.Search(start.Add(time.Duration(i)*time.Second), flowOf(1), service)
 			for _, g := range groups {
