fix: return from reading datagrams only after the socket is closed

Cause: the goroutine that closes the socket drops the last reference after the reader has returned, so an agent that is started again on the same address could not bind it: 'bind: address already in use' once in TestLongFlowsAfterRestartOfAll. Change: the reader waits until the close has returned.

--- a/internal/passthrough/link.go
+++ b/internal/passthrough/link.go
@@ -46,10 +46,19 @@
 	l.metrics.send(l.conn, m.append(buf[:0]), to)
 }
 
-// readPackets reads datagrams until the context ends. handle must not retain the slice.
+// readPackets reads datagrams until the context ends, and returns after the socket is closed. handle must not retain the
+// slice.
 func readPackets(ctx context.Context, conn *net.UDPConn, handle func(from netip.AddrPort, b []byte)) error {
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = conn.Close()
+	})
+	defer func() {
+		if !stop() {
+			<-closed // A reader returns before the address can be used again.
+		}
+	}()
 	buf := make([]byte, maxMessage)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
