fix: reset flows that no backend server holds, and do not use agents again that have left

Cause 1: after all power was lost, backend servers had lost their flows. Change 1: agents deny a searched flow when their records cover all flows of their backend server, or when the backend server has rejected its packet. A balancer resets the flow once the agents of all services have denied it, and only if it has listed the agents up to the newest one that others know (the revision at which its entry was created, carried by probes). Silence is no denial. A search visits the agents of all services, because a route may have led to another one. Cause 2: a balancer keeps an agent whose entry is gone while it answers, and passed it on to balancers that start as one that the store lists. Change 2: such agents are passed on as unlisted, and candidates that do not answer are left out of a packet's path.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -77,6 +77,9 @@
 	leaving     atomic.Bool
 	draining    chan struct{} // closed when the graceful shutdown starts
 	drainPeriod atomic.Int64  // as time.Duration
+	// newestAgent is the highest revision that a balancer has sent at which the entry of an agent was created. It is
+	// passed on, so that a balancer finds out that it does not know an agent yet.
+	newestAgent maxRevision
 }
 
 // returnPath is where the last packet of a flow came from and which agents it may visit if the backend server rejects
@@ -203,6 +206,7 @@
 	case *probe:
 		a.onBalancerMessage(now, m.origin)
 		a.fetcher.onRevision(m.origin, m.revision)
+		a.newestAgent.add(m.newestAgent)
 		a.sendReport(now, m.origin)
 	}
 }
--- a/internal/passthrough/backend.go
+++ b/internal/passthrough/backend.go
@@ -44,9 +44,21 @@
 // earlier start time, since the clock may have been set back between the two.
 const runTimeout = 3 * time.Second
 
-// maxFirstSeq is the highest sequence number of the first heartbeat that an agent receives from a backend server that
-// has started with it; earlier heartbeats may have found no listener.
-const maxFirstSeq = 3
+const (
+	// maxFirstSeq is the highest sequence number of a heartbeat that counts as one of the first of a backend server;
+	// those before it may have found no listener yet.
+	maxFirstSeq = 3
+	// minRestartTime is shorter than an agent takes to restart, receive a heartbeat and accept a flow.
+	minRestartTime = 200 * time.Millisecond
+)
+
+// startedWithAgent reports whether the first heartbeat that an agent receives shows that no earlier process of the agent
+// can have delivered flows to this run of the backend server. Both clocks are those of the same host; a step of it
+// between the two starts could make a run look younger, but not its sequence number.
+func (b BackendHeartbeat) startedWithAgent(now, agentStarted time.Time) bool {
+	age := now.Sub(b.Started)
+	return b.Seq <= maxFirstSeq && age >= 0 && age-now.Sub(agentStarted) <= minRestartTime
+}
 
 // update stores a heartbeat if it is newer than the stored one or the run of the stored one has timed out.
 func (s *backendState) update(now time.Time, b BackendHeartbeat) (old BackendHeartbeat, updated bool) {
@@ -97,7 +109,7 @@
 		a.cfg.Logger.Info("heartbeat skipped", "backend", b.ID, "reason", "older", "seq", b.Seq, "started", b.Started)
 		return true
 	}
-	if old.ID == "" && b.Seq <= maxFirstSeq {
+	if old.ID == "" && b.startedWithAgent(now, a.announcer.started) {
 		a.admitter.SetNoPreExisting()
 	}
 	a.admitter.SetBackendState(now, b.Slots, b.Draining || a.leaving.Load(), b.ColdRemaining)
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -74,6 +74,7 @@
 	packets  *net.UDPConn
 	http     *httpServer
 	fetcher  *stateFetcher
+	agents   *follower // follows the entries of the agents
 
 	refreshing sync.Mutex // serializes updates of the views by several followers
 
@@ -99,6 +100,7 @@
 		agents:   func() float64 { return float64(len(b.state.board.Records(board.KindAgent))) },
 	})
 	b.fetcher.metrics = b.metrics
+	b.agents = &follower{store: cfg.WatchStore, prefix: agentsPrefix, pause: agentsWatchPause, logger: cfg.Logger, apply: b.state.applyAgent, changed: b.refresh}
 	b.SetDrainPeriod(cfg.DrainPeriod)
 	var err error
 	if b.packets, err = listenUDP(cfg.Packets); err != nil {
@@ -154,9 +156,9 @@
 		}
 	}
 	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.OperatorPrefix, logger: b.cfg.Logger, apply: b.state.applyOperator, changed: b.refresh, loaded: once(loaded)}
-	agents := &follower{store: b.cfg.WatchStore, prefix: agentsPrefix, pause: agentsWatchPause, logger: b.cfg.Logger, apply: b.state.applyAgent, changed: b.refresh, loaded: once(loaded)}
+	b.agents.loaded = once(loaded)
 	g.Go(operator.run)
-	g.Go(agents.run)
+	g.Go(b.agents.run)
 	g.Go(b.fetcher.run)
 	g.Go(func(ctx context.Context) error {
 		return b.fetcher.fetchFromSeeds(ctx, b.cfg.Seeds, listed, once(func() {
@@ -386,7 +388,7 @@
 
 func (b *Balancer) forwardEstablished(now time.Time, seg passthrough.Segment, r route.Route, packet []byte) {
 	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.state.operatorRevision(), packet: packet}
-	m.path, m.directory = b.ownerPath(seg.Flow(), r)
+	m.path, m.directory = b.ownerPath(now, seg.Flow(), r)
 	target, known := b.steerer.Owner(now, seg.Flow())
 	m.likelyOwner = known
 	if !known {
@@ -401,13 +403,13 @@
 
 // ownerPath returns the agents that may have a record of the owner of a flow, and the directory of the flow. The path
 // includes the agents of the previous service of the route, which may still own open flows.
-func (b *Balancer) ownerPath(f passthrough.FlowID, r route.Route) (path, directory passthrough.Path) {
-	path, directory = b.steerer.OwnerCandidates(f, r.Service)
+func (b *Balancer) ownerPath(now time.Time, f passthrough.FlowID, r route.Route) (path, directory passthrough.Path) {
+	path, directory = b.steerer.OwnerCandidates(now, f, r.Service)
 	service, ok := b.previousService(f, r)
 	if !ok {
 		return path, directory
 	}
-	other, _ := b.steerer.OwnerCandidates(f, service)
+	other, _ := b.steerer.OwnerCandidates(now, f, service)
 	var both passthrough.Path
 	for both.Len() < passthrough.MaxPath && (path.Len() > 0 || other.Len() > 0) {
 		if a, ok := path.Next(); ok {
@@ -427,48 +429,6 @@
 	return old.Service, ok && old.Service != r.Service
 }
 
-// onUnowned searches all agents for the owner of a flow, because no agent on the path of its packet has a record of it.
-func (b *Balancer) onUnowned(now time.Time, m *unowned) {
-	seg, err := b.cfg.Codec.Decode(m.packet, true)
-	if err != nil || seg.IsOpening() {
-		b.metrics.count(eventDropped, "malformed")
-		b.cfg.Logger.Warn("packet dropped", "reason", "malformed", "agent", m.agent, "error", err)
-		return
-	}
-	f := seg.Flow()
-	r, ok := b.route(f.Address())
-	if !ok {
-		b.metrics.count(eventDropped, "no_route")
-		return
-	}
-	services := []string{r.Service}
-	if old, ok := b.previousService(f, r); ok {
-		services = append(services, old)
-	}
-	groups := b.steerer.Search(now, f, services...)
-	if len(groups) == 0 {
-		b.metrics.count(eventDropped, "unknown_flow")
-		return
-	}
-	_, directory := b.steerer.OwnerCandidates(f, r.Service)
-	agents := 0
-	for _, g := range groups {
-		agents += len(g)
-		b.link.send(g[0], &search{origin: b.link.self, revision: b.state.operatorRevision(), directory: directory, agents: g[1:], packet: m.packet})
-	}
-	b.metrics.count(eventSearched, reasonNone)
-	b.cfg.Logger.Info("owner searched", "flow", f.String(), "agents", agents, "groups", len(groups), "hops", m.hops, "last", m.agent)
-}
-
-// route returns the route of a service address: the configured one or, without a configuration, the observed one.
-func (b *Balancer) route(address netip.AddrPort) (route.Route, bool) {
-	if t := b.state.Table(); t != nil {
-		return t.Route(address)
-	}
-	service, ok := b.state.observed.Service(address)
-	return route.Route{Service: service}, ok
-}
-
 func (b *Balancer) onMessage(_ netip.AddrPort, data []byte) {
 	m, err := decodeMessage(data)
 	if err != nil {
@@ -492,6 +452,8 @@
 		}
 	case *unowned:
 		b.onUnowned(now, m)
+	case *denied:
+		b.onDenied(now, m)
 	case *announce:
 		if b.state.applyAnnouncement(m) {
 			b.refresh()
@@ -523,8 +485,12 @@
 			b.replayObserved()
 		}
 		now := time.Now()
-		for _, a := range b.steerer.DueProbes(now) {
-			b.link.send(a, &probe{origin: b.link.self, revision: b.state.operatorRevision()})
+		due := b.steerer.DueProbes(now)
+		if len(due) > 0 {
+			p := &probe{origin: b.link.self, revision: b.state.operatorRevision(), newestAgent: b.state.newestAgent.get()}
+			for _, a := range due {
+				b.link.send(a, p)
+			}
 		}
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -36,6 +37,8 @@
 	changed func()
 	// loaded is called after each complete list.
 	loaded func()
+	// at is the store revision up to which all changes have been applied.
+	at atomic.Uint64
 
 	// keys are the keys of the entries that exist in the store.
 	keys map[string]bool
@@ -80,6 +83,12 @@
 	return nil
 }
 
+// covers reports whether the prefix has been listed and all changes up to a store revision have been applied.
+func (f *follower) covers(revision uint64) bool {
+	at := f.at.Load()
+	return at > 0 && at >= revision
+}
+
 func (f *follower) list(ctx context.Context) (store.Revision, error) {
 	page, err := f.store.List(ctx, f.prefix)
 	if err != nil {
@@ -95,6 +104,7 @@
 		f.applyEntry(store.Entry{Key: key, Revision: page.Revision, Deleted: true})
 	}
 	f.changed()
+	f.at.Store(uint64(page.Revision))
 	f.loaded()
 	return page.Revision, nil
 }
@@ -107,6 +117,7 @@
 	for _, e := range page.Entries {
 		f.applyEntry(e)
 	}
+	f.at.Store(uint64(max(at, page.Revision)))
 	if len(page.Entries) > 0 {
 		f.changed()
 		wait(ctx, f.pause)
--- a/internal/passthrough/follower_test.go
+++ b/internal/passthrough/follower_test.go
@@ -61,6 +61,23 @@
 	})
 }
 
+// Guards against a balancer that takes its agents for all that there are, although it has not listed them yet or another
+// one was created since.
+func TestFollowerCovers(t *testing.T) {
+	s := newFakeStore()
+	f := &follower{store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, apply: func(store.Entry) {}, keys: make(map[string]bool)}
+	assert.Assert(t, !f.covers(0), "before the first list")
+	s.put(store.Entry{Key: "a"})
+	at, err := f.list(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, f.covers(uint64(at)))
+	s.put(store.Entry{Key: "b"})
+	assert.Assert(t, !f.covers(uint64(at)+1))
+	_, err = f.watch(t.Context(), at)
+	assert.NilError(t, err)
+	assert.Assert(t, f.covers(uint64(at)+1))
+}
+
 // Guards against a process that does not serve soon after the store's return, and against too many calls while the
 // store is unavailable.
 func TestFollowerRetries(t *testing.T) {
--- a/internal/passthrough/local_state.go
+++ b/internal/passthrough/local_state.go
@@ -34,8 +34,24 @@
 	observed passthrough.ObservedRoutes
 	// changed is called after entries were applied.
 	changed func()
+	// newestAgent is the highest store revision at which the entry of an agent was created.
+	newestAgent maxRevision
 }
 
+// maxRevision holds the highest revision that it was given; the zero value is ready to use.
+type maxRevision struct{ v atomic.Uint64 }
+
+func (m *maxRevision) add(revision uint64) {
+	for {
+		old := m.v.Load()
+		if revision <= old || m.v.CompareAndSwap(old, revision) {
+			return
+		}
+	}
+}
+
+func (m *maxRevision) get() uint64 { return m.v.Load() }
+
 // Table returns the current configuration, or nil if there is none yet.
 func (s *localState) Table() *route.Table { return s.table.Load() }
 
@@ -154,15 +170,27 @@
 		}
 		return
 	}
+	s.newestAgent.add(uint64(e.Created))
+	s.decodeAndMerge(e, board.Record{ID: id, Version: v})
+}
+
+// applyUnlistedAgent applies the state of an agent that another process keeps although the store does not list it. It is
+// kept here under the same condition, that it answers: otherwise an agent that has left would be used again by each
+// balancer that starts later.
+func (s *localState) applyUnlistedAgent(e store.Entry) {
+	id := board.ID{Kind: board.KindAgent, Key: strings.TrimPrefix(e.Key, agentsPrefix)}
+	s.decodeAndMerge(e, board.Record{ID: id, Version: board.Version{Seq: uint64(e.Revision), Liveness: board.Suspect}})
+}
+
+// decodeAndMerge merges the record of an agent with the value of its entry.
+func (s *localState) decodeAndMerge(e store.Entry, r board.Record) {
 	a, err := decodeAgent(e.Value)
 	if err != nil {
 		s.logger.Warn("agent entry skipped", "key", e.Key, "revision", e.Revision, "error", err)
 		return
 	}
-	if e.Revision == 0 { // An announcement that another process received.
-		v.Liveness = board.Suspect
-	}
-	s.mergeAgent(board.Record{ID: id, Version: v, Value: a})
+	r.Value = a
+	s.mergeAgent(r)
 }
 
 // mergeAgent merges an agent's state and reports whether it is newer than the current one.
--- a/internal/passthrough/local_state_test.go
+++ b/internal/passthrough/local_state_test.go
@@ -36,6 +36,28 @@
 	assert.Equal(t, a.Phase, board.PhaseDraining)
 }
 
+// Guards against an agent that has left and is in use again at a balancer that starts later: another balancer, which
+// keeps it while it waits for an answer, passed it on like an agent that the store lists.
+func TestAgentThatLeftIsNotUsedAgain(t *testing.T) {
+	const id = "agent-1"
+	entry := agentEntry{Service: "orders", Zone: "a", Address: netip.MustParseAddrPort("10.1.0.1:7720"), Draining: true}
+	running := localState{logger: hclog.NewNullLogger(), changed: func() {}}
+	running.apply(store.Entry{Key: agentsPrefix + id, Value: entry.encode(), Revision: 7})
+	running.apply(store.Entry{Key: agentsPrefix + id, Revision: 8, Deleted: true})
+
+	started := localState{logger: hclog.NewNullLogger(), changed: func() {}}
+	fetcher := stateFetcher{state: &started, agents: true, logger: hclog.NewNullLogger()}
+	fetcher.applyReply(StateReply{Entries: running.entries(true)}, netip.AddrPort{})
+	r, ok := started.board.Get(board.ID{Kind: board.KindAgent, Key: id})
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Version.Liveness, board.Suspect)
+	started.dropUnresponsive(func(netip.AddrPort) bool { return false })
+	r, _ = started.board.Get(board.ID{Kind: board.KindAgent, Key: id})
+	a, ok := r.Value.(board.Agent)
+	assert.Assert(t, ok)
+	assert.Equal(t, a.Phase, board.PhaseLeft)
+}
+
 // Guards against a balancer that starts without the store, serves with the first agents that it receives, and refuses
 // the flows of a service whose agents have not announced themselves yet.
 func TestCompletenessCountsServices(t *testing.T) {
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -42,10 +42,11 @@
 	kindUnanswered
 	kindUnowned
 	kindSearch
+	kindDenied
 )
 
-// message is a datagram between processes: forward, placed, owner, probe, report, announce, unanswered, unowned or
-// search.
+// message is a datagram between processes: forward, placed, owner, probe, report, announce, unanswered, unowned, search
+// or denied.
 type message interface {
 	append(b []byte) []byte
 }
@@ -97,6 +98,8 @@
 type probe struct {
 	origin   netip.AddrPort
 	revision uint64
+	// newestAgent is the highest store revision at which an agent entry in the balancer's state was created.
+	newestAgent uint64
 }
 
 // report notifies a balancer of the load of an agent.
@@ -135,14 +138,26 @@
 // search carries a packet of a flow without a known owner to several agents; only the owner delivers it.
 type search struct {
 	// origin is the balancer that is notified of the flow's owner.
-	origin    netip.AddrPort
-	revision  uint64
+	origin   netip.AddrPort
+	revision uint64
+	// services are those that the flow's route leads to, or led to before the last change.
+	services  []flow.ServiceID
 	directory passthrough.Path
 	// agents are the agents to which the receiver passes the message on.
 	agents []netip.AddrPort
 	packet []byte
 }
 
+// denied notifies a balancer that the agent's backend server does not hold a flow that was searched for.
+type denied struct {
+	flow  passthrough.FlowID
+	agent netip.AddrPort
+	// ack is the acknowledged sequence number of the searched packet.
+	ack uint32
+	// newestAgent is the highest one that the agent has received from a balancer; see probe.
+	newestAgent uint64
+}
+
 // maxUnanswered limits the attempts in one message.
 const maxUnanswered = 128
 
@@ -235,7 +250,8 @@
 func (m *probe) append(b []byte) []byte {
 	b = header(b, kindProbe)
 	b = appendAddress(b, m.origin)
-	return binary.BigEndian.AppendUint64(b, m.revision)
+	b = binary.BigEndian.AppendUint64(b, m.revision)
+	return binary.BigEndian.AppendUint64(b, m.newestAgent)
 }
 
 func (m *report) append(b []byte) []byte {
@@ -277,11 +293,23 @@
 	b = header(b, kindSearch)
 	b = appendAddress(b, m.origin)
 	b = binary.BigEndian.AppendUint64(b, m.revision)
+	b = append(b, byte(len(m.services)))
+	for _, s := range m.services {
+		b = binary.BigEndian.AppendUint64(b, uint64(s))
+	}
 	b = appendPath(b, &m.directory)
 	b = appendAddresses(b, m.agents)
 	return append(b, m.packet...)
 }
 
+func (m *denied) append(b []byte) []byte {
+	b = header(b, kindDenied)
+	b = m.flow.Append(b)
+	b = appendAddress(b, m.agent)
+	b = binary.BigEndian.AppendUint32(b, m.ack)
+	return binary.BigEndian.AppendUint64(b, m.newestAgent)
+}
+
 // appendAddresses appends a list of at most 255 addresses; the rest is left out.
 func appendAddresses(b []byte, all []netip.AddrPort) []byte {
 	all = all[:min(len(all), math.MaxUint8)]
@@ -319,6 +347,14 @@
 
 func (r *reader) uint64() uint64 { return binary.BigEndian.Uint64(r.next(8)) }
 
+func (r *reader) services() []flow.ServiceID {
+	all := make([]flow.ServiceID, r.next(1)[0])
+	for i := range all {
+		all[i] = flow.ServiceID(r.uint64())
+	}
+	return all
+}
+
 func (r *reader) milliseconds() time.Duration {
 	return time.Duration(binary.BigEndian.Uint16(r.next(2))) * time.Millisecond
 }
@@ -403,7 +439,7 @@
 		m.isn = binary.BigEndian.Uint32(r.next(4))
 		return m
 	case kindProbe:
-		return &probe{origin: r.address(), revision: r.uint64()}
+		return &probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64()}
 	case kindReport:
 		return &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
 	case kindAnnounce:
@@ -415,9 +451,14 @@
 		m.packet = r.rest
 		return m
 	case kindSearch:
-		m := &search{origin: r.address(), revision: r.uint64(), directory: r.path(), agents: r.addresses()}
+		m := &search{origin: r.address(), revision: r.uint64(), services: r.services(), directory: r.path(), agents: r.addresses()}
 		m.packet = r.rest
 		return m
+	case kindDenied:
+		m := &denied{flow: passthrough.DecodeFlowID(r.next(passthrough.FlowIDSize)), agent: r.address()}
+		m.ack = binary.BigEndian.Uint32(r.next(4))
+		m.newestAgent = r.uint64()
+		return m
 	}
 	return nil
 }
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -35,15 +35,15 @@
 
 func drawMessage(t *rapid.T) message {
 	f := passthrough.NewFlowID(drawAddress(t, "caller"), drawAddress(t, "service"))
-	switch rapid.IntRange(1, 7).Draw(t, "kind") {
+	switch rapid.IntRange(1, 10).Draw(t, "kind") {
 	case 1:
 		return &forward{
 			origin: drawAddress(t, "origin"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")),
 			revision: rapid.Uint64().Draw(t, "revision"), hops: rapid.Byte().Draw(t, "hops"),
 			delay:     time.Duration(rapid.Uint16().Draw(t, "delay")) * time.Millisecond,
 			objective: time.Duration(rapid.Uint16().Draw(t, "objective")) * time.Millisecond,
-			isRetry:   rapid.Bool().Draw(t, "is retry"),
-			path:      drawPath(t, "path"), directory: drawPath(t, "directory"),
+			isRetry:   rapid.Bool().Draw(t, "is retry"), likelyOwner: rapid.Bool().Draw(t, "likely owner"),
+			path: drawPath(t, "path"), directory: drawPath(t, "directory"),
 			packet: rapid.SliceOfN(rapid.Byte(), 1, 1231).Draw(t, "packet"),
 		}
 	case 2:
@@ -51,7 +51,7 @@
 	case 3:
 		return &owner{flow: f, agent: drawAddress(t, "agent"), isn: rapid.Uint32().Draw(t, "isn")}
 	case 4:
-		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision")}
+		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision"), newestAgent: rapid.Uint64().Draw(t, "agents revision")}
 	case 5:
 		m := &announce{agent: drawAddress(t, "agent"), revision: rapid.Uint64().Draw(t, "revision"), id: rapid.StringN(0, -1, maxText).Draw(t, "id"), service: rapid.StringN(0, -1, maxText).Draw(t, "name"), zone: rapid.StringN(0, -1, maxText).Draw(t, "zone")}
 		for range rapid.IntRange(0, maxAnnouncedAddresses).Draw(t, "addresses") {
@@ -64,13 +64,27 @@
 			m.attempts = append(m.attempts, passthrough.UnansweredAttempt{Flow: f, Age: time.Duration(rapid.Uint16().Draw(t, "age")) * time.Millisecond})
 		}
 		return m
+	case 7:
+		return &unowned{agent: drawAddress(t, "agent"), hops: rapid.Byte().Draw(t, "hops"), packet: rapid.SliceOfN(rapid.Byte(), 1, 1231).Draw(t, "packet")}
+	case 8:
+		m := &search{
+			origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision"), directory: drawPath(t, "directory"),
+			services: []flow.ServiceID{flow.ServiceID(rapid.Uint64().Draw(t, "service")), flow.ServiceID(rapid.Uint64().Draw(t, "previous service"))},
+			packet:   rapid.SliceOfN(rapid.Byte(), 1, 1231).Draw(t, "packet"),
+		}
+		for range rapid.IntRange(0, passthrough.MaxSearchGroup).Draw(t, "agents") {
+			m.agents = append(m.agents, drawAddress(t, "searched agent"))
+		}
+		return m
+	case 9:
+		return &denied{flow: f, agent: drawAddress(t, "agent"), ack: rapid.Uint32().Draw(t, "ack"), newestAgent: rapid.Uint64().Draw(t, "agents revision")}
 	default:
 		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t)}
 	}
 }
 
 var cmpMessages = cmp.Options{
-	cmp.AllowUnexported(forward{}, placed{}, owner{}, probe{}, report{}, announce{}, unanswered{}),
+	cmp.AllowUnexported(forward{}, placed{}, owner{}, probe{}, report{}, announce{}, unanswered{}, unowned{}, search{}, denied{}),
 	cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
 	cmp.Comparer(func(a, b passthrough.Path) bool { return a == b }),
 	cmp.Comparer(func(a, b passthrough.FlowID) bool { return a == b }),
@@ -94,7 +108,9 @@
 		}
 		for n := range min(len(b), 40) {
 			if short, err := decodeMessage(b[:n]); err == nil {
-				if _, ok := short.(*forward); !ok {
+				switch short.(type) {
+				case *forward, *unowned, *search: // These end with a packet, which its codec checks.
+				default:
 					t.Fatalf("the first %d of %d bytes are decoded as %T", n, len(b), short)
 				}
 			}
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -26,6 +26,8 @@
 	// eventReturned counts packets that an agent sent back to their balancer, eventSearched searches for an owner.
 	eventReturned flowEvent = "sent_back"
 	eventSearched flowEvent = "searched"
+	// eventDenied counts searched flows that an agent's backend server does not hold.
+	eventDenied flowEvent = "denied"
 )
 
 // reasonNone is the reason label of events without a reason.
--- /dev/null
+++ b/internal/passthrough/owner_search.go
@@ -0,0 +1,73 @@
+package passthrough
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bramleymast/bramleymast/pkg/flow"
+	"github.com/bramleymast/bramleymast/pkg/passthrough"
+	"github.com/bramleymast/bramleymast/pkg/route"
+)
+
+// onUnowned searches all agents for the owner of a flow, because no agent on the path of its packet has a record of it.
+func (b *Balancer) onUnowned(now time.Time, m *unowned) {
+	seg, err := b.cfg.Codec.Decode(m.packet, true)
+	if err != nil || seg.IsOpening() {
+		b.metrics.count(eventDropped, "malformed")
+		b.cfg.Logger.Warn("packet dropped", "reason", "malformed", "agent", m.agent, "error", err)
+		return
+	}
+	f := seg.Flow()
+	r, ok := b.route(f.Address())
+	if !ok {
+		b.metrics.count(eventDropped, "no_route")
+		return
+	}
+	services := []string{r.Service}
+	if old, ok := b.previousService(f, r); ok {
+		services = append(services, old)
+	}
+	ids := make([]flow.ServiceID, 0, len(services))
+	for _, s := range services {
+		ids = append(ids, flow.ServiceIDOf(s))
+	}
+	groups := b.steerer.Search(now, f, services...)
+	if len(groups) == 0 {
+		b.metrics.count(eventDropped, "unknown_flow")
+		return
+	}
+	_, directory := b.steerer.OwnerCandidates(now, f, r.Service)
+	agents := 0
+	for _, g := range groups {
+		agents += len(g)
+		b.link.send(g[0], &search{origin: b.link.self, revision: b.state.operatorRevision(), services: ids, directory: directory, agents: g[1:], packet: m.packet})
+	}
+	b.metrics.count(eventSearched, reasonNone)
+	b.cfg.Logger.Info("owner searched", "flow", f.String(), "agents", agents, "groups", len(groups), "hops", m.hops, "last", m.agent)
+}
+
+// onDenied resets a flow at its caller once the agents of all services have denied it: its backend server has stopped or
+// restarted, and the caller would wait until its deadline. Silence of an agent is no denial.
+//
+// A balancer that has not listed the agents, or not up to the newest one that others know, does not reset flows, because
+// an agent that it does not know may own them.
+func (b *Balancer) onDenied(now time.Time, m *denied) {
+	if !b.steerer.Deny(now, m.flow, m.agent) {
+		return
+	}
+	if !b.agents.covers(m.newestAgent) {
+		b.metrics.count(eventDropped, "agents_outdated")
+		b.cfg.Logger.Warn("flow not reset", "flow", m.flow.String(), "reason", "agents_outdated", "newest_agent", m.newestAgent)
+		return
+	}
+	b.refuse(passthrough.NewSegment(m.flow, passthrough.FlagAck, 0, m.ack, 0), "no_owner", b.state.Table())
+}
+
+// route returns the route of a service address: the configured one or, without a configuration, the observed one.
+func (b *Balancer) route(address netip.AddrPort) (route.Route, bool) {
+	if t := b.state.Table(); t != nil {
+		return t.Route(address)
+	}
+	service, ok := b.state.observed.Service(address)
+	return route.Route{Service: service}, ok
+}
--- a/internal/passthrough/ownership.go
+++ b/internal/passthrough/ownership.go
@@ -1,6 +1,8 @@
 package passthrough
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
@@ -54,6 +56,7 @@
 // all agents.
 func (a *Agent) onUnknownFlow(seg passthrough.Segment, m *forward) {
 	if m.searched {
+		a.deny(seg, m.origin) // The backend server has rejected the packet.
 		return
 	}
 	next, ok := m.path.Next()
@@ -91,11 +94,18 @@
 		a.cfg.Logger.Warn("search dropped", "origin", m.origin, "error", err)
 		return
 	}
-	if _, ok := a.admitter.OnEstablishedPacket(now, seg, true).(passthrough.Deliver); !ok {
-		return
+	switch a.admitter.OnSearchedPacket(now, seg, slices.Contains(m.services, a.service)).(type) {
+	case passthrough.Deliver:
+		a.onOwnedPacket(now, seg, &forward{origin: m.origin, revision: m.revision, hops: 1, directory: m.directory, searched: true, packet: m.packet})
+		a.cfg.Logger.Info("searched packet delivered", "flow", seg.Flow().String(), "origin", m.origin)
+		a.deliver(m.packet)
+	case passthrough.Deny:
+		a.deny(seg, m.origin)
 	}
-	owned := &forward{origin: m.origin, revision: m.revision, hops: 1, directory: m.directory, searched: true, packet: m.packet}
-	a.onOwnedPacket(now, seg, owned)
-	a.cfg.Logger.Info("searched packet delivered", "flow", seg.Flow().String(), "origin", m.origin)
-	a.deliver(m.packet)
+}
+
+// deny notifies a balancer that the backend server does not hold a flow.
+func (a *Agent) deny(seg passthrough.Segment, balancer netip.AddrPort) {
+	a.metrics.count(eventDenied, reasonNone)
+	a.link.send(balancer, &denied{flow: seg.Flow(), agent: a.link.self, ack: seg.Ack(), newestAgent: a.newestAgent.get()})
 }
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -37,6 +37,8 @@
 	Value    []byte
 	Revision uint64
 	Deleted  bool
+	// Unlisted means that the store no longer has the entry, or never had it, and the agent is kept while it answers.
+	Unlisted bool
 }
 
 // StateArgs requests the store entries in the local state of a process. Types of net/rpc must be exported.
@@ -154,14 +156,24 @@
 	}
 	f.metrics.fetches.WithLabelValues("done").Inc()
 	f.logger.Info("state fetched", "from", from, "entries", len(reply.Entries), "observed", len(reply.Observed))
+	f.applyReply(reply, from)
+	return len(reply.Entries) > 0
+}
+
+// applyReply applies the state that another process has returned.
+func (f *stateFetcher) applyReply(reply StateReply, from netip.AddrPort) {
 	for _, r := range reply.Observed {
 		f.state.addObservedRoute(r, from)
 	}
 	for _, e := range reply.Entries {
-		f.state.apply(store.Entry{Key: e.Key, Value: e.Value, Revision: store.Revision(e.Revision), Deleted: e.Deleted})
+		entry := store.Entry{Key: e.Key, Value: e.Value, Revision: store.Revision(e.Revision), Deleted: e.Deleted}
+		if e.Unlisted {
+			f.state.applyUnlistedAgent(entry)
+		} else {
+			f.state.apply(entry)
+		}
 	}
 	f.state.changed()
-	return len(reply.Entries) > 0
 }
 
 // fetchFromSeeds fetches from the seeds until listed is closed, which means that the store has returned all entries. It
@@ -225,7 +237,7 @@
 			continue
 		}
 		e := agentEntry{Service: a.Service, Zone: a.Zone, Address: a.DataAddress, Draining: a.Phase == board.PhaseDraining}
-		all = append(all, EntryState{Key: agentsPrefix + r.ID.Key, Value: e.encode(), Revision: r.Version.Seq, Deleted: a.Phase == board.PhaseLeft})
+		all = append(all, EntryState{Key: agentsPrefix + r.ID.Key, Value: e.encode(), Revision: r.Version.Seq, Deleted: a.Phase == board.PhaseLeft, Unlisted: r.Version.Liveness == board.Suspect})
 	}
 	return all
 }
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -24,9 +24,9 @@
 	// maxBusyHops limits how often a packet is passed on because backend servers are busy. When all are busy, another
 	// hop gains nothing and costs time at every agent.
 	maxBusyHops = 1
-	// startupPeriod is how long after its start an agent delivers packets of unknown flows to its backend server, to
-	// find out whether they are pre-existing flows.
-	startupPeriod = 20 * time.Second
+	// flowTTL is how long flows may live, and how long records of flows are kept at least. For as long after its start,
+	// an agent delivers packets of unknown flows to its backend server, to find out whether they are pre-existing flows.
+	flowTTL = time.Minute
 	// preExistingMargin is how far before an acknowledgement the initial sequence number of a pre-existing flow is
 	// assumed, so that later packets and reordered ones count as packets of the same backend server.
 	preExistingMargin = maxSequenceGap / 2
@@ -48,7 +48,7 @@
 	ReasonOtherService Reason = "other_service"
 )
 
-// Decision is what an agent does with a packet: Deliver, PassOn, Queued, Refuse, Forward or UnknownFlow.
+// Decision is what an agent does with a packet: Deliver, PassOn, Queued, Refuse, Forward, UnknownFlow or Deny.
 type Decision interface{ decision() }
 
 // Deliver means that the packet goes to the backend server.
@@ -69,12 +69,16 @@
 // UnknownFlow means that the agent has no record of the flow's owner.
 type UnknownFlow struct{}
 
+// Deny means that the backend server certainly does not hold the flow.
+type Deny struct{}
+
 func (Deliver) decision()     {}
 func (PassOn) decision()      {}
 func (Queued) decision()      {}
 func (Refuse) decision()      {}
 func (Forward) decision()     {}
 func (UnknownFlow) decision() {}
+func (Deny) decision()        {}
 
 // Admitter decides which packets an agent delivers to its backend server. It is safe for concurrent use.
 type Admitter struct {
@@ -313,9 +317,8 @@
 }
 
 // OnEstablishedPacket decides on a packet of a flow that is already open. likelyOwner means that the sender has a record
-// that this agent owns the flow, or that the packet goes to all agents. Only then does an agent that has just started
-// deliver a packet of an unknown flow: on its way from agent to agent, the packet would reach many backend servers that
-// do not hold the flow before its own.
+// that this agent owns the flow. Only then does an agent that has just started deliver a packet of an unknown flow: on
+// its way from agent to agent, the packet would reach many backend servers that do not hold the flow before its own.
 func (ad *Admitter) OnEstablishedPacket(now time.Time, seg Segment, likelyOwner bool) Decision {
 	f := seg.Flow()
 	lf, known := ad.flows.Get(now, f)
@@ -331,13 +334,43 @@
 			return Forward{a}
 		}
 	}
-	if !known && likelyOwner && !ad.noPreExisting.Load() && now.Sub(ad.started) < startupPeriod {
+	if !known && likelyOwner && ad.mayHoldUnknown(now) {
 		ad.flows.Put(now, f, localFlow{probed: true})
 		return Deliver{}
 	}
 	return UnknownFlow{}
 }
 
+// OnSearchedPacket decides on a packet of an open flow that is sent to all agents: Deliver, Deny or, if it is not certain
+// whether the backend server holds the flow, UnknownFlow. sameService means that the flow's route leads to the service
+// of this agent, or did before the last change; no other packet is delivered to find out whether the backend server
+// holds the flow.
+func (ad *Admitter) OnSearchedPacket(now time.Time, seg Segment, sameService bool) Decision {
+	f := seg.Flow()
+	lf, known := ad.flows.Get(now, f)
+	switch {
+	case known && lf.ownsPacket(seg):
+		ad.recordRequest(now, seg)
+		return Deliver{}
+	case known && (lf.notHeld || lf.accepted):
+		return Deny{}
+	case known:
+		return UnknownFlow{} // The answer of the backend server to an earlier packet is not known yet.
+	case !ad.mayHoldUnknown(now):
+		return Deny{}
+	case !sameService:
+		return UnknownFlow{}
+	}
+	ad.flows.Put(now, f, localFlow{probed: true})
+	return Deliver{}
+}
+
+// mayHoldUnknown reports whether the backend server may hold flows that the agent has no record of, which were opened
+// before the agent started.
+func (ad *Admitter) mayHoldUnknown(now time.Time) bool {
+	return !ad.noPreExisting.Load() && now.Sub(ad.started) < flowTTL
+}
+
 // recordRequest updates the pending request of a flow when a caller's packet that carries data or a reset is delivered.
 func (ad *Admitter) recordRequest(now time.Time, seg Segment) {
 	ends := seg.Has(FlagReset)
@@ -453,7 +486,8 @@
 
 // Sweep removes flows without packets for longer than idle.
 func (ad *Admitter) Sweep(now time.Time, idle time.Duration) {
-	ad.flows.Sweep(now, func(_ localFlow, unused time.Duration) bool { return unused > idle })
+	// A missing record means that the backend server does not hold the flow, so it is kept for as long as flows live.
+	ad.flows.Sweep(now, func(_ localFlow, unused time.Duration) bool { return unused > max(idle, flowTTL) })
 	ad.nextAgents.Sweep(now, func(_ netip.AddrPort, unused time.Duration) bool { return unused > idle })
 	ad.owners.Sweep(now, func(_ [maxOwners]owner, unused time.Duration) bool { return unused > idle })
 }
--- a/pkg/passthrough/search.go
+++ b/pkg/passthrough/search.go
@@ -1,7 +1,9 @@
 package passthrough
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,6 +15,8 @@
 	// searchVisitsPerSecond limits how many agents a balancer visits in searches, which bounds their cost after a loss
 	// of all records.
 	searchVisitsPerSecond = 20_000
+	// maxSearchedAgents is the number of agents up to which a search includes the agents of all services.
+	maxSearchedAgents = 1024
 	// MaxSearchGroup is the maximum number of agents in a search group, which fit into one datagram beside a packet.
 	MaxSearchGroup = 48
 )
@@ -21,11 +25,16 @@
 // that the entry host sends it once for each group.
 type SearchGroup []netip.AddrPort
 
-// Search returns the agents of the services, in groups, to which a packet of a flow without a known owner is sent. It
-// returns nil if the flow was searched for within searchInterval or the rate limit is reached: the caller retransmits.
+// Search returns the agents, in groups, to which a packet of a flow without a known owner is sent. These are the agents
+// of all services, since a route may have led to another service when the flow opened, or only those of the given
+// services if there are very many. It returns nil if the flow was searched for within searchInterval or the rate limit
+// is reached: the caller retransmits.
 func (s *Steerer) Search(now time.Time, f FlowID, services ...string) []SearchGroup {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.searchesAllServices() {
+		services = slices.Sorted(maps.Keys(s.views))
+	}
 	var responsive, others []netip.AddrPort
 	for _, service := range services {
 		v, ok := s.views[service]
@@ -48,6 +57,27 @@
 	return searchGroups(responsive, others, int(f.Hash()%MaxSearchGroup)+n)
 }
 
+func (s *Steerer) searchesAllServices() bool { return len(s.agents) <= maxSearchedAgents }
+
+// Deny records that the backend server of an agent does not hold a flow. It reports true once all agents of all services
+// have denied it: then no backend server in the current views holds the flow. The flow is forgotten then, so that later
+// packets of it start another search.
+func (s *Steerer) Deny(now time.Time, f FlowID, agent netip.AddrPort) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	denied := s.searches.deny(now, f, agent)
+	if len(denied) < len(s.agents) || len(s.agents) == 0 || !s.searchesAllServices() {
+		return false
+	}
+	for a := range s.agents {
+		if !denied[a] {
+			return false
+		}
+	}
+	s.searches.flows.Delete(f)
+	return true
+}
+
 // searchGroups distributes agents over groups. Each group starts with a responsive agent if there are enough, and
 // rotation varies which ones these are, since one that has just stopped would lose its group in each search.
 func searchGroups(responsive, others []netip.AddrPort, rotation int) []SearchGroup {
@@ -79,10 +109,12 @@
 	at     time.Time
 }
 
-// flowSearch counts the searches for one flow.
+// flowSearch is the state of the searches for one flow.
 type flowSearch struct {
 	last  time.Time
 	count int
+	// denied holds the agents whose backend servers do not hold the flow.
+	denied map[netip.AddrPort]bool
 }
 
 // allow reports whether a search that visits the given number of agents may start, and returns how many searches for the
@@ -92,10 +124,31 @@
 	if visits == 0 || known && now.Sub(old.last) < searchInterval || !l.takeVisits(now, visits) {
 		return 0, false
 	}
-	l.flows.Put(now, f, flowSearch{last: now, count: old.count + 1})
+	l.flows.Update(now, f, func(v flowSearch, _ bool) flowSearch {
+		v.last, v.count = now, old.count+1
+		return v
+	})
 	return old.count, true
 }
 
+// deny records an agent that denies a flow that was searched for, and returns all of them. The caller must hold the lock
+// of the steerer while it uses the result.
+func (l *searchLimiter) deny(now time.Time, f FlowID, agent netip.AddrPort) map[netip.AddrPort]bool {
+	if _, ok := l.flows.Get(now, f); !ok {
+		return nil
+	}
+	var denied map[netip.AddrPort]bool
+	l.flows.Update(now, f, func(v flowSearch, _ bool) flowSearch {
+		if v.denied == nil {
+			v.denied = make(map[netip.AddrPort]bool)
+		}
+		v.denied[agent] = true
+		denied = v.denied
+		return v
+	})
+	return denied
+}
+
 func (l *searchLimiter) takeVisits(now time.Time, n int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -109,7 +162,7 @@
 }
 
 // flowSearchTTL is how long a balancer remembers a search; callers give up within it.
-const flowSearchTTL = 5 * time.Second
+const flowSearchTTL = 3 * time.Second
 
 func (l *searchLimiter) sweep(now time.Time) {
 	l.flows.Sweep(now, func(_ flowSearch, unused time.Duration) bool { return unused > flowSearchTTL })
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -29,6 +29,8 @@
 	// maxCandidates is how many agents a packet of a flow without a known owner visits: the directory, and those that
 	// were the directory before agents joined. After these, all agents are searched.
 	maxCandidates = 4
+	// maxSuspects is how many higher-ranked agents that do not answer may be left out of the candidates.
+	maxSuspects = MaxPath - maxCandidates
 	// maxAlternatives is how many further agents an opening packet may visit.
 	maxAlternatives = 3
 	// retransmissionPeriod is longer than a caller retransmits an opening packet; a later packet opens a new flow.
@@ -129,11 +131,12 @@
 		return Placement{}, false
 	}
 	s.recordSent(now, o.Target)
+	s.searches.flows.Delete(seg.Flow()) // Denials of an earlier flow with the same endpoints do not count.
 	if !retransmitted {
 		s.agents[o.Target].unreported++
 		s.flows.Put(now, seg.Flow(), flowOwner{agent: o.Target, openedAt: now})
 	}
-	o.Directory = topRanked(v, hash, directorySize)
+	_, o.Directory = s.candidates(now, v, hash)
 	return o, true
 }
 
@@ -236,23 +239,46 @@
 }
 
 // OwnerCandidates returns the agents of a service that may have a record of the owner of a flow, in the order in which a
-// packet visits them, and the directory of the flow.
-func (s *Steerer) OwnerCandidates(f FlowID, service string) (candidates, directory Path) {
+// packet visits them, and the directory of the flow. An agent that does not answer would end the packet's path, so it is
+// left out unless all are silent.
+func (s *Steerer) OwnerCandidates(now time.Time, f FlowID, service string) (candidates, directory Path) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v, ok := s.views[service]
 	if !ok {
 		return candidates, directory
 	}
-	candidates = topRanked(v, f.Hash(), maxCandidates)
+	return s.candidates(now, v, f.Hash())
+}
+
+func (s *Steerer) candidates(now time.Time, v *flow.View, hash uint64) (candidates, directory Path) {
+	candidates = s.responsive(now, topRanked(v, hash, maxCandidates+maxSuspects))
 	for _, a := range candidates.All()[:min(directorySize, candidates.Len())] {
 		directory.Add(a)
 	}
 	return candidates, directory
 }
 
+// responsive returns the first maxCandidates agents that are not suspect, or the first ones if all are.
+func (s *Steerer) responsive(now time.Time, ranked Path) Path {
+	var usable, first Path
+	for _, a := range ranked.All() {
+		if first.Len() < maxCandidates {
+			first.Add(a)
+		}
+		if st, ok := s.agents[a]; ok && !st.suspect(now) && usable.Len() < maxCandidates {
+			usable.Add(a)
+		}
+	}
+	if usable.Len() == 0 {
+		return first
+	}
+	return usable
+}
+
 // SetOwner records the owner of a flow.
 func (s *Steerer) SetOwner(now time.Time, f FlowID, agent netip.AddrPort) {
+	s.searches.flows.Delete(f)
 	s.flows.Update(now, f, func(v flowOwner, known bool) flowOwner {
 		if !known {
 			v.openedAt = now
--- a/pkg/passthrough/steerer_test.go
+++ b/pkg/passthrough/steerer_test.go
@@ -124,11 +124,30 @@
 // agents.
 func TestSteererQueriesDirectoryFirst(t *testing.T) {
 	o, _ := steerer(12).Place(start, openingSegment(1, 0), service)
-	p, directory := steerer(12).OwnerCandidates(flowOf(1), service)
+	p, directory := steerer(12).OwnerCandidates(start, flowOf(1), service)
 	assert.DeepEqual(t, p.All()[:2], o.Directory.All(), cmpAddrPort)
 	assert.DeepEqual(t, directory.All(), o.Directory.All(), cmpAddrPort)
 }
 
+// Guards against a packet that ends at a directory agent that has stopped, although the next agents know the owner.
+func TestSteererSkipsSilentCandidates(t *testing.T) {
+	s := steerer(12)
+	before, _ := s.OwnerCandidates(start, flowOf(1), service)
+	silent := before.All()[0]
+	s.DueProbes(start.Add(time.Second))
+	now := start.Add(2 * time.Second)
+	for i := range 12 {
+		if address(i) != silent {
+			s.SetLoad(now, address(i), serviceID, passthrough.Load{Slots: 2, AcceptsFlows: true})
+		}
+	}
+	after, directory := s.OwnerCandidates(now, flowOf(1), service)
+	assert.DeepEqual(t, after.All()[:3], before.All()[1:], cmpAddrPort)
+	assert.DeepEqual(t, directory.All(), before.All()[1:3], cmpAddrPort)
+	none, _ := s.OwnerCandidates(now.Add(time.Hour), flowOf(1), service)
+	assert.Equal(t, none.Len(), 4)
+}
+
 // Guards against an owner that is not found because the search leaves out agents, and against searches whose datagrams
 // are too large or that all depend on the same agents.
 func TestSteererSearchesAllAgents(t *testing.T) {
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -39,7 +39,9 @@
 	Key      string
 	Value    []byte
 	Revision Revision
-	Deleted  bool
+	// Created is the revision at which the key was created; 0 if it is not known.
+	Created Revision
+	Deleted bool
 }
 
 // Page holds the entries of a prefix, or those that have changed, and the revision of the store.
