feat: reset the open flows of a backend server that has ended after its announcement

Cause: a draining backend server closes a flow after its next response. Flows that are idle stay open until it ends, and the next request on them was lost; an unsafe one is not sent again. Ruled out: a reset at the announcement, since the last packets are on their way.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -74,6 +74,8 @@
 	balancers   recentBalancers
 	returnPaths passthrough.Table[returnPath] // to pass on packets that the backend server rejects
 
+	// departure has a value when the backend server has announced that it stops.
+	departure   chan struct{}
 	leaving     atomic.Bool
 	draining    chan struct{} // closed when the graceful shutdown starts
 	drainPeriod atomic.Int64  // as time.Duration
@@ -96,7 +98,7 @@
 
 // NewAgent returns an agent with its sockets bound.
 func NewAgent(cfg AgentConfig) (*Agent, error) {
-	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), admitter: passthrough.NewAdmitter(time.Now()), draining: make(chan struct{})}
+	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), admitter: passthrough.NewAdmitter(time.Now()), departure: make(chan struct{}, 1), draining: make(chan struct{})}
 	a.state = localState{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
 	a.fetcher = newStateFetcher(&a.state, false, cfg.Logger)
 	a.registrar = newRegistrar(cfg.Store, cfg.ID, agentEntry{Service: cfg.Service, Zone: cfg.Zone, Address: cfg.Link}, cfg.Logger)
@@ -161,6 +163,7 @@
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.outbound, a.onBackendPacket) })
 	g.Go(a.sweep)
 	g.Go(a.runQueue)
+	g.Go(a.awaitDepartures)
 	g.Go(func(ctx context.Context) error {
 		select {
 		case <-ctx.Done():
--- a/internal/passthrough/backend.go
+++ b/internal/passthrough/backend.go
@@ -129,4 +129,8 @@
 	a.cfg.Logger.Info("backend server leaves", "backend", id)
 	a.admitter.SetDraining()
 	a.registrar.setDraining(true)
+	select {
+	case a.departure <- struct{}{}:
+	default: // The agent already waits for the end of the backend server.
+	}
 }
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -30,6 +30,9 @@
 	eventDenied flowEvent = "denied"
 )
 
+// reasonBackendEnded is the reason for the reset of a flow whose backend server has ended.
+const reasonBackendEnded = "backend_ended"
+
 // reasonNone is the reason label of events without a reason.
 const reasonNone = ""
 
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -100,17 +100,20 @@
 	started      time.Time
 	// noPreExisting means that the backend server started after the agent.
 	noPreExisting atomic.Bool
+	backendGone   atomic.Bool // the process of the backend server has ended
 	observeAnswer func(d time.Duration)
 }
 
 // localFlow is an agent's record of a flow that has had packets to or from its backend server.
 type localFlow struct {
 	isn         uint32
-	accepted    bool // the backend server answered the opening packet
-	preExisting bool // opened before the agent started, so its initial sequence number is not known
-	probed      bool // a packet was delivered to find out whether the backend server has the flow
-	established bool // the backend server sent more than the answer to the opening packet
-	notHeld     bool // the flow is unknown to the backend server
+	accepted    bool   // the backend server answered the opening packet
+	preExisting bool   // opened before the agent started, so its initial sequence number is not known
+	probed      bool   // a packet was delivered to find out whether the backend server has the flow
+	established bool   // the backend server sent more than the answer to the opening packet
+	notHeld     bool   // the flow is unknown to the backend server
+	ended       bool   // the backend server has sent the end of its data or a reset
+	nextSeq     uint32 // the sequence number after the last packet of the backend server
 }
 
 // owner is an agent that reported that its backend server has a flow.
@@ -157,6 +160,7 @@
 		ad.slots = slots
 	}
 	ad.draining = draining
+	ad.backendGone.Store(false)
 	ad.coldUntil = now.Add(cold)
 	ad.reachability.onSeen(now)
 }
@@ -323,8 +327,7 @@
 	f := seg.Flow()
 	lf, known := ad.flows.Get(now, f)
 	if known && lf.ownsPacket(seg) {
-		ad.recordRequest(now, seg)
-		return Deliver{}
+		return ad.deliverOwned(now, seg)
 	}
 	if a, ok := ad.nextAgents.Get(now, f); ok {
 		return Forward{a}
@@ -349,9 +352,10 @@
 	f := seg.Flow()
 	lf, known := ad.flows.Get(now, f)
 	switch {
+	case ad.backendGone.Load():
+		return Deny{}
 	case known && lf.ownsPacket(seg):
-		ad.recordRequest(now, seg)
-		return Deliver{}
+		return ad.deliverOwned(now, seg)
 	case known && (lf.notHeld || lf.accepted):
 		return Deny{}
 	case known:
@@ -365,6 +369,36 @@
 	return Deliver{}
 }
 
+// deliverOwned decides on a packet of a flow that the agent owns.
+func (ad *Admitter) deliverOwned(now time.Time, seg Segment) Decision {
+	if ad.backendGone.Load() {
+		return Refuse{ReasonAbsent}
+	}
+	ad.recordRequest(now, seg)
+	return Deliver{}
+}
+
+// OpenFlow is a flow that was open when its backend server ended.
+type OpenFlow struct {
+	Flow FlowID
+	// Seq is the next sequence number of the backend server, which a reset needs.
+	Seq uint32
+}
+
+// SetBackendGone records that the process of the backend server has ended, and returns the flows that were open there and
+// had a packet within the idle timeout. Their callers would notice the end only at their next deadline. A heartbeat of
+// another run ends this state.
+func (ad *Admitter) SetBackendGone(now time.Time, idle time.Duration) []OpenFlow {
+	ad.backendGone.Store(true)
+	var open []OpenFlow
+	ad.flows.Each(now, func(f FlowID, lf localFlow, unused time.Duration) {
+		if lf.accepted && !lf.ended && !lf.notHeld && unused <= idle {
+			open = append(open, OpenFlow{Flow: f, Seq: lf.nextSeq})
+		}
+	})
+	return open
+}
+
 // mayHoldUnknown reports whether the backend server may hold flows that the agent has no record of, which were opened
 // before the agent started.
 func (ad *Admitter) mayHoldUnknown(now time.Time) bool {
@@ -437,14 +471,17 @@
 func (ad *Admitter) OnServerPacket(now time.Time, seg Segment, failed bool) (accepted bool) {
 	f := seg.Flow()
 	ad.flows.Update(now, f, func(lf localFlow, known bool) localFlow {
-		if seg.Has(FlagOpen | FlagAck) {
+		switch {
+		case seg.Has(FlagOpen | FlagAck):
 			accepted = !lf.accepted
-			return localFlow{isn: seg.Seq(), accepted: true}
-		}
-		if !known || lf.probed {
-			return localFlow{isn: seg.Seq() - preExistingMargin, preExisting: true, accepted: true, established: true}
+			lf = localFlow{isn: seg.Seq(), accepted: true}
+		case !known || lf.probed:
+			lf = localFlow{isn: seg.Seq() - preExistingMargin, preExisting: true, accepted: true, established: true}
+		default:
+			lf.established = true
 		}
-		lf.established = true
+		lf.nextSeq = seg.Seq() + uint32(seg.Size()) //nolint:gosec // a packet is shorter than 64 KiB
+		lf.ended = lf.ended || seg.Has(FlagFinish) || seg.Has(FlagReset)
 		return lf
 	})
 	ad.mu.Lock()
--- a/pkg/passthrough/admitter_test.go
+++ b/pkg/passthrough/admitter_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -115,6 +116,54 @@
 	})
 }
 
+// Guards against callers that lose the next request on a flow that was open when its backend server ended, and against
+// resets of flows that have ended or that the next run of the backend server accepts.
+func TestAdmitterBackendGone(t *testing.T) {
+	ad := newAdmitter(4)
+	for i := 1; i <= 3; i++ {
+		ad.OnOpeningPacket(start, openingPacket(i, 0))
+		ad.OnServerPacket(start, acceptSegment(i, 5000), false)
+	}
+	ad.OnServerPacket(start, passthrough.NewSegment(flowOf(2), passthrough.FlagAck|passthrough.FlagFinish, 5001, 2, 0), false)
+	now := start.Add(time.Second)
+	ad.OnServerPacket(now, passthrough.NewSegment(flowOf(1), passthrough.FlagAck, 5001, 2, 300), false)
+	open := ad.SetBackendGone(now, 500*time.Millisecond)
+	assert.DeepEqual(t, open, []passthrough.OpenFlow{{Flow: flowOf(1), Seq: 5301}}, cmp.Comparer(func(a, b passthrough.FlowID) bool { return a == b }))
+	assert.Equal(t, ad.OnEstablishedPacket(now, requestSegment(1, 5301), true), passthrough.Decision(passthrough.Refuse{Reason: passthrough.ReasonAbsent}))
+	assert.Equal(t, ad.OnSearchedPacket(now, requestSegment(1, 5301), true), passthrough.Decision(passthrough.Deny{}))
+	ad.SetBackendState(now, 4, false, 0)
+	assert.Equal(t, ad.OnOpeningPacket(now, openingPacket(4, 0)), passthrough.Decision(passthrough.Deliver{}))
+	ad.OnServerPacket(now, acceptSegment(4, 9000), false)
+	assert.Equal(t, ad.OnEstablishedPacket(now, requestSegment(4, 9001), true), passthrough.Decision(passthrough.Deliver{}))
+}
+
+// Guards against a denial of a flow that the backend server may hold, which could break the flow, and against packets
+// at a backend server of another service.
+func TestAdmitterSearchedPacket(t *testing.T) {
+	early, late := start.Add(time.Second), start.Add(2*time.Minute)
+	restarted := func() *passthrough.Admitter { return passthrough.NewAdmitter(start) }
+	deny, uncertain, deliver := passthrough.Decision(passthrough.Deny{}), passthrough.Decision(passthrough.UnknownFlow{}), passthrough.Decision(passthrough.Deliver{})
+
+	ad := restarted()
+	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), false), uncertain, "another service")
+	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), true), deliver, "a trial")
+	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), true), uncertain, "the trial is not answered")
+	ad.OnRejected(early, requestSegment(1, 77))
+	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), true), deny, "the backend server rejected the trial")
+	assert.Equal(t, ad.OnSearchedPacket(late, requestSegment(2, 77), true), deny, "a flow cannot be as old as the agent")
+
+	ad = restarted()
+	ad.SetNoPreExisting()
+	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), false), deny, "the backend server started with the agent")
+	ad.SetBackendState(early, 2, false, 0)
+	ad.OnOpeningPacket(early, openingPacket(1, 0))
+	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), true), uncertain, "the opening packet is not answered")
+	ad.OnServerPacket(early, acceptSegment(1, 76), false)
+	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), true), deliver)
+	ad.Sweep(early.Add(50*time.Second), time.Second)
+	assert.Equal(t, ad.OnSearchedPacket(early.Add(50*time.Second), requestSegment(1, 77), true), deliver, "a flow may be idle for longer than the timeout")
+}
+
 // Guards against an agent without a backend server that gets all flows because it reports no load.
 func TestAdmitterAbsentBackend(t *testing.T) {
 	ad := passthrough.NewAdmitter(start)
--- a/pkg/passthrough/table.go
+++ b/pkg/passthrough/table.go
@@ -93,6 +93,18 @@
 	}
 }
 
+// Each calls visit for each flow; idle is the time since the flow's last use. visit must not use the table.
+func (t *Table[V]) Each(now time.Time, visit func(f FlowID, v V, idle time.Duration)) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for f, e := range s.entries {
+			visit(f, e.value, now.Sub(e.used))
+		}
+		s.mu.Unlock()
+	}
+}
+
 // Len returns the number of flows.
 func (t *Table[V]) Len() int {
 	n := 0
