feat: pace a balancer's store calls by the number of balancers

Cause: each balancer watched the configuration for 2.5 s at a time and the agents with a pause of 1 s, whatever the size of the fleet. Change: agents report how many balancers they receive messages from. Above 16 balancers, watches of the configuration wait longer, up to 15 s, so that as many begin in a second; the first one that receives a change passes it on by messages. Above 24, changes of agents are collected for longer, up to 4 s; agents report their own state to balancers anyway. Fleets of up to 16 balancers keep their figures.

--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -28,9 +28,6 @@
 	// unresponsiveTimeout is how long an agent without an entry may leave messages unanswered; an agent restores its
 	// entry within 2 s.
 	unresponsiveTimeout = 3 * time.Second
-	// agentsWatchPause is how long changes of agent entries are collected; agents report their changes to balancers
-	// too.
-	agentsWatchPause = time.Second
 	// defaultIdleTimeout is how long a flow without packets is kept if the configuration has no idle timeout.
 	defaultIdleTimeout = 15 * time.Second
 )
@@ -55,6 +52,8 @@
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
 	Store     store.Store
+	// SetWatchTimeout sets how long watches of Store wait for a change.
+	SetWatchTimeout func(d time.Duration)
 	// WatchStore is the same store, with a longer watch timeout.
 	WatchStore store.Store
 	Layout     Layout
@@ -75,6 +74,7 @@
 	http     *httpServer
 	fetcher  *stateFetcher
 	agents   *follower // follows the entries of the agents
+	fleet    passthrough.FleetSize
 
 	refreshing sync.Mutex // serializes updates of the views by several followers
 
@@ -100,7 +100,7 @@
 		agents:   func() float64 { return float64(len(b.state.board.Records(board.KindAgent))) },
 	})
 	b.fetcher.metrics = b.metrics
-	b.agents = &follower{store: cfg.WatchStore, prefix: agentsPrefix, pause: agentsWatchPause, logger: cfg.Logger, apply: b.state.applyAgent, changed: b.refresh}
+	b.agents = &follower{store: cfg.WatchStore, prefix: agentsPrefix, pause: b.agentsPause, logger: cfg.Logger, apply: b.state.applyAgent, changed: b.refresh}
 	b.SetDrainPeriod(cfg.DrainPeriod)
 	var err error
 	if b.packets, err = listenUDP(cfg.Packets); err != nil {
@@ -118,6 +118,8 @@
 	return b, nil
 }
 
+func (b *Balancer) agentsPause() time.Duration { return passthrough.AgentsPause(b.fleet.Balancers()) }
+
 // Ready reports whether the platform may send packets to the balancer. A balancer that reaches no agent is not ready,
 // so that callers are sent to other balancers.
 func (b *Balancer) Ready() bool {
@@ -445,6 +447,7 @@
 		b.onLoad(now, m.agent, m.service, m.load)
 	case *report:
 		b.onLoad(now, m.agent, m.service, m.load)
+		b.fleet.Report(now, int(m.balancers))
 		b.fetcher.onRevision(m.agent, m.revision)
 	case *unanswered:
 		for _, attempt := range m.attempts {
@@ -495,6 +498,7 @@
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			b.attempts.Sweep(now)
+			b.cfg.SetWatchTimeout(passthrough.ConfigurationWatch(b.fleet.Balancers()))
 			b.steerer.Sweep(now, b.state.idleTimeout())
 			b.state.dropUnresponsive(func(a netip.AddrPort) bool { return b.steerer.UnansweredFor(now, a) < unresponsiveTimeout })
 		}
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -29,8 +29,8 @@
 	store  store.Store
 	prefix string
 	logger hclog.Logger
-	// pause is how long changes are collected before the next call.
-	pause time.Duration
+	// pause returns how long changes are collected before the next call; nil means that they are not.
+	pause func() time.Duration
 	// apply handles a changed entry; an entry that is missing from a complete list is passed as deleted.
 	apply func(e store.Entry)
 	// changed is called after the changes of a response have been applied.
@@ -120,7 +120,9 @@
 	f.at.Store(uint64(max(at, page.Revision)))
 	if len(page.Entries) > 0 {
 		f.changed()
-		wait(ctx, f.pause)
+		if f.pause != nil {
+			wait(ctx, f.pause())
+		}
 	}
 	return max(at, page.Revision), nil
 }
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -109,6 +109,8 @@
 	service  flow.ServiceID
 	revision uint64
 	load     passthrough.Load
+	// balancers is the number of balancers that the agent has received messages from.
+	balancers uint16
 }
 
 // announce notifies a seed of an agent that the store does not list.
@@ -259,7 +261,8 @@
 	b = appendAddress(b, m.agent)
 	b = binary.BigEndian.AppendUint64(b, uint64(m.service))
 	b = binary.BigEndian.AppendUint64(b, m.revision)
-	return appendLoad(b, m.load)
+	b = appendLoad(b, m.load)
+	return binary.BigEndian.AppendUint16(b, m.balancers)
 }
 
 func (m *announce) append(b []byte) []byte {
@@ -441,7 +444,9 @@
 	case kindProbe:
 		return &probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64()}
 	case kindReport:
-		return &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
+		m := &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
+		m.balancers = binary.BigEndian.Uint16(r.next(2))
+		return m
 	case kindAnnounce:
 		return &announce{agent: r.address(), revision: r.uint64(), id: r.text(), service: r.text(), zone: r.text(), addresses: r.addresses()}
 	case kindUnanswered:
--- a/internal/passthrough/unanswered.go
+++ b/internal/passthrough/unanswered.go
@@ -14,8 +14,10 @@
 	// balancerTTL is how long an agent keeps a balancer without a message from it; each balancer probes the agent more
 	// often.
 	balancerTTL = 3 * time.Second
-	// maxBalancers limits how many balancers an agent reports to; current deployments have fewer.
-	maxBalancers = 64
+	// maxBalancers limits the memory for balancers, of which there are 2,900 at the design size.
+	maxBalancers = 4096
+	// maxUnansweredReports limits how many balancers an agent reports unanswered attempts to.
+	maxUnansweredReports = 64
 )
 
 // recentBalancers holds the balancers from which an agent has received a message recently; the zero value is empty.
@@ -36,6 +38,19 @@
 	r.lastSeen[balancer] = now
 }
 
+// count returns the number of balancers seen within balancerTTL.
+func (r *recentBalancers) count(now time.Time) uint16 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var n uint16
+	for _, at := range r.lastSeen {
+		if now.Sub(at) <= balancerTTL {
+			n++
+		}
+	}
+	return n
+}
+
 // active returns the balancers seen within balancerTTL and removes the others.
 func (r *recentBalancers) active(now time.Time) []netip.AddrPort {
 	r.mu.Lock()
@@ -65,6 +80,7 @@
 		return
 	}
 	balancers := a.balancers.active(now)
+	balancers = balancers[:min(len(balancers), maxUnansweredReports)]
 	a.cfg.Logger.Info("unanswered attempts told", "attempts", len(attempts), "balancers", len(balancers))
 	for part := range slices.Chunk(attempts, maxUnanswered) {
 		for _, b := range balancers {
