fix: no reset of flows while a silent agent may own them, and the right reason for rerouted packets

Change 1: a balancer that has dropped an agent which had not announced its departure resets no denied flow for a minute, for as long as flows live. Cause 2: packets that left the queue of an agent that drains, whose zone is out, whose backend server is absent or cold were logged and counted as 'busy'. Change 2: Dequeue returns the reason with each packet. Result: TestLostAgent and TestDequeueTellsReason; both fail without the change (no such state, reason busy).

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -276,7 +276,7 @@
 			origin: p.Origin, service: a.service, revision: a.state.operatorRevision(), hops: p.Hops, delay: p.Delay, objective: p.Objective, isRetry: p.IsRetry,
 			path: p.Path, directory: p.Directory, packet: p.Packet,
 		}
-		a.passOn(now, p.Segment, m, passthrough.ReasonBusy)
+		a.passOn(now, p.Segment, m, p.Reason)
 	}
 }
 
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -500,7 +500,7 @@
 			b.attempts.Sweep(now)
 			b.cfg.SetWatchTimeout(passthrough.ConfigurationWatch(b.fleet.Balancers()))
 			b.steerer.Sweep(now, b.state.idleTimeout())
-			b.state.dropUnresponsive(func(a netip.AddrPort) bool { return b.steerer.UnansweredFor(now, a) < unresponsiveTimeout })
+			b.state.dropUnresponsive(now, func(a netip.AddrPort) bool { return b.steerer.UnansweredFor(now, a) < unresponsiveTimeout })
 		}
 	}
 }
--- a/internal/passthrough/local_state.go
+++ b/internal/passthrough/local_state.go
@@ -34,6 +34,8 @@
 	observed passthrough.ObservedRoutes
 	// changed is called after entries were applied.
 	changed func()
+	// lostAt is when an agent that had not announced its departure was last dropped, or nil.
+	lostAt atomic.Pointer[time.Time]
 	// newestAgent is the highest store revision at which the entry of an agent was created.
 	newestAgent maxRevision
 }
@@ -205,11 +207,14 @@
 }
 
 // dropUnresponsive drops the agents without a store entry for which responsive returns false.
-func (s *localState) dropUnresponsive(responsive func(address netip.AddrPort) bool) {
+func (s *localState) dropUnresponsive(now time.Time, responsive func(address netip.AddrPort) bool) {
 	dropped := false
 	for _, r := range s.board.Records(board.KindAgent) {
 		a, ok := r.Value.(board.Agent)
 		if ok && r.Version.Liveness == board.Suspect && a.Phase != board.PhaseLeft && !responsive(a.DataAddress) {
+			if a.Phase == board.PhaseReady {
+				s.lostAt.Store(&now)
+			}
 			s.dropAgent(r, a, "unheard")
 			dropped = true
 		}
@@ -219,6 +224,13 @@
 	}
 }
 
+// lostAgent reports whether an agent that had not announced its departure was dropped within a period. It may be paused
+// or cut off, and its backend server may still hold flows.
+func (s *localState) lostAgent(now time.Time, period time.Duration) bool {
+	at := s.lostAt.Load()
+	return at != nil && now.Sub(*at) < period
+}
+
 // dropOtherServices drops the agents at an address that belong to another service.
 func (s *localState) dropOtherServices(address netip.AddrPort, service flow.ServiceID) {
 	for _, r := range s.board.Records(board.KindAgent) {
--- a/internal/passthrough/local_state_test.go
+++ b/internal/passthrough/local_state_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
@@ -23,7 +24,7 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, service, "orders")
 
-	s.dropUnresponsive(func(netip.AddrPort) bool { return false })
+	s.dropUnresponsive(time.Now(), func(netip.AddrPort) bool { return false })
 	assert.Equal(t, len(s.board.Records(board.KindAgent)), 0)
 	assert.Assert(t, s.applyAnnouncement(m), "an announcement after the agent was dropped")
 
@@ -51,7 +52,7 @@
 	r, ok := started.board.Get(board.ID{Kind: board.KindAgent, Key: id})
 	assert.Assert(t, ok)
 	assert.Equal(t, r.Version.Liveness, board.Suspect)
-	started.dropUnresponsive(func(netip.AddrPort) bool { return false })
+	started.dropUnresponsive(time.Now(), func(netip.AddrPort) bool { return false })
 	r, _ = started.board.Get(board.ID{Kind: board.KindAgent, Key: id})
 	a, ok := r.Value.(board.Agent)
 	assert.Assert(t, ok)
@@ -78,3 +79,20 @@
 	announceAgent("pages", "10.1.0.2:7720")
 	assert.Equal(t, s.completeness(), complete)
 }
+
+// Guards against a flow that is reset, and its running request given up, because the agent of its backend server was
+// silent for so long that it was dropped. An agent that has announced its departure holds no flow any more.
+func TestLostAgent(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct{ draining, want bool }{"silent": {false, true}, "left": {true, false}} {
+		t.Run(name, func(t *testing.T) {
+			s := localState{logger: hclog.NewNullLogger(), changed: func() {}}
+			entry := agentEntry{Service: "orders", Zone: "a", Address: netip.MustParseAddrPort("10.1.0.1:7720"), Draining: c.draining}
+			s.apply(store.Entry{Key: agentsPrefix + "agent-1", Value: entry.encode(), Revision: 7})
+			s.apply(store.Entry{Key: agentsPrefix + "agent-1", Revision: 8, Deleted: true})
+			s.dropUnresponsive(now, func(netip.AddrPort) bool { return false })
+			assert.Equal(t, s.lostAgent(now.Add(time.Second), time.Minute), c.want)
+			assert.Assert(t, !s.lostAgent(now.Add(2*time.Minute), time.Minute))
+		})
+	}
+}
--- a/internal/passthrough/owner_search.go
+++ b/internal/passthrough/owner_search.go
@@ -50,14 +50,22 @@
 // restarted, and the caller would wait until its deadline. Silence of an agent is no denial.
 //
 // A balancer that has not listed the agents, or not up to the newest one that others know, does not reset flows, because
-// an agent that it does not know may own them.
+// an agent that it does not know may own them. For as long as flows live, neither does one that has dropped a silent
+// agent: it may be paused or cut off while a request of the flow runs.
 func (b *Balancer) onDenied(now time.Time, m *denied) {
 	if !b.steerer.Deny(now, m.flow, m.agent) {
 		return
 	}
-	if !b.agents.covers(m.newestAgent) {
-		b.metrics.count(eventDropped, "agents_outdated")
-		b.cfg.Logger.Warn("flow not reset", "flow", m.flow.String(), "reason", "agents_outdated", "newest_agent", m.newestAgent)
+	reason := reasonNone
+	switch {
+	case !b.agents.covers(m.newestAgent):
+		reason = "agents_outdated"
+	case b.state.lostAgent(now, passthrough.FlowTTL):
+		reason = "agent_lost"
+	}
+	if reason != reasonNone {
+		b.metrics.count(eventDropped, reason)
+		b.cfg.Logger.Warn("flow not reset", "flow", m.flow.String(), "reason", reason, "newest_agent", m.newestAgent)
 		return
 	}
 	b.refuse(passthrough.NewSegment(m.flow, passthrough.FlagAck, 0, m.ack, 0), "no_owner", b.state.Table())
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -24,9 +24,9 @@
 	// maxBusyHops limits how often a packet is passed on because backend servers are busy. When all are busy, another
 	// hop gains nothing and costs time at every agent.
 	maxBusyHops = 1
-	// flowTTL is how long flows may live, and how long records of flows are kept at least. For as long after its start,
+	// FlowTTL is how long flows may live, and how long records of flows are kept at least. For as long after its start,
 	// an agent delivers packets of unknown flows to its backend server, to find out whether they are pre-existing flows.
-	flowTTL = time.Minute
+	FlowTTL = time.Minute
 	// preExistingMargin is how far before an acknowledgement the initial sequence number of a pre-existing flow is
 	// assumed, so that later packets and reordered ones count as packets of the same backend server.
 	preExistingMargin = maxSequenceGap / 2
@@ -248,14 +248,10 @@
 }
 
 func (ad *Admitter) admit(now time.Time, p OpeningPacket) Decision {
-	switch {
-	case ad.draining:
-		return PassOn{ReasonDraining}
-	case ad.zoneOut:
-		return PassOn{ReasonZoneOut}
-	case !ad.reachability.allowsOpening(now):
-		return PassOn{ReasonAbsent}
-	case p.Unconfigured && now.Before(ad.coldUntil):
+	if reason, closed := ad.closed(now); closed {
+		return PassOn{reason}
+	}
+	if p.Unconfigured && now.Before(ad.coldUntil) {
 		return PassOn{ReasonCold} // Its cold request rate is not known without a configuration.
 	}
 	limit := ad.requestLimit()
@@ -283,13 +279,22 @@
 	return ad.coldLimit.Allow(now, max(1, int(ad.limits.ColdRequestsPerSecond)))
 }
 
+// Rerouted is a queued packet that must be passed on to another agent.
+type Rerouted struct {
+	OpeningPacket
+	Reason Reason
+}
+
 // Dequeue removes queued packets and returns those that the backend server has capacity for, and those that must be
 // passed on to other agents.
-func (ad *Admitter) Dequeue(now time.Time) (deliver, passOn []OpeningPacket) {
+func (ad *Admitter) Dequeue(now time.Time) (deliver []OpeningPacket, passOn []Rerouted) {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	if ad.draining || ad.zoneOut || !ad.reachability.allowsOpening(now) {
-		return nil, ad.queue.dequeueAll(now)
+	if reason, closed := ad.closed(now); closed {
+		for _, p := range ad.queue.dequeueAll(now) {
+			passOn = append(passOn, Rerouted{p, reason})
+		}
+		return nil, passOn
 	}
 	for n := ad.inProgress(now); ; n++ {
 		p, ok := ad.queue.dequeue(now, n < ad.requestLimit(), n < ad.lateRequestLimit())
@@ -297,13 +302,26 @@
 			return deliver, nil
 		}
 		if !ad.coldAllows(now) {
-			return deliver, []OpeningPacket{p}
+			return deliver, []Rerouted{{p, ReasonCold}}
 		}
 		ad.recordDelivery(now, p.Segment.Flow())
 		deliver = append(deliver, p)
 	}
 }
 
+// closed reports whether the agent accepts no flows, and why.
+func (ad *Admitter) closed(now time.Time) (Reason, bool) {
+	switch {
+	case ad.draining:
+		return ReasonDraining, true
+	case ad.zoneOut:
+		return ReasonZoneOut, true
+	case !ad.reachability.allowsOpening(now):
+		return ReasonAbsent, true
+	}
+	return "", false
+}
+
 // UnansweredAttempts returns the queued attempts that must now be reported to the balancers; each is returned once.
 func (ad *Admitter) UnansweredAttempts(now time.Time) []UnansweredAttempt {
 	ad.mu.Lock()
@@ -402,7 +420,7 @@
 // mayHoldUnknown reports whether the backend server may hold flows that the agent has no record of, which were opened
 // before the agent started.
 func (ad *Admitter) mayHoldUnknown(now time.Time) bool {
-	return !ad.noPreExisting.Load() && now.Sub(ad.started) < flowTTL
+	return !ad.noPreExisting.Load() && now.Sub(ad.started) < FlowTTL
 }
 
 // recordRequest updates the pending request of a flow when a caller's packet that carries data or a reset is delivered.
@@ -524,7 +542,7 @@
 // Sweep removes flows without packets for longer than idle.
 func (ad *Admitter) Sweep(now time.Time, idle time.Duration) {
 	// A missing record means that the backend server does not hold the flow, so it is kept for as long as flows live.
-	ad.flows.Sweep(now, func(_ localFlow, unused time.Duration) bool { return unused > max(idle, flowTTL) })
+	ad.flows.Sweep(now, func(_ localFlow, unused time.Duration) bool { return unused > max(idle, FlowTTL) })
 	ad.nextAgents.Sweep(now, func(_ netip.AddrPort, unused time.Duration) bool { return unused > idle })
 	ad.owners.Sweep(now, func(_ [maxOwners]owner, unused time.Duration) bool { return unused > idle })
 }
--- a/pkg/passthrough/admitter_test.go
+++ b/pkg/passthrough/admitter_test.go
@@ -116,6 +116,26 @@
 	})
 }
 
+// Guards against a queued packet whose way to another agent is logged and counted as that of a busy backend server,
+// although the backend server drains or its zone was taken out.
+func TestDequeueTellsReason(t *testing.T) {
+	for want, closeAgent := range map[passthrough.Reason]func(ad *passthrough.Admitter){
+		passthrough.ReasonDraining: func(ad *passthrough.Admitter) { ad.SetDraining() },
+		passthrough.ReasonZoneOut:  func(ad *passthrough.Admitter) { ad.SetZoneOut(true) },
+	} {
+		ad := newAdmitter(1)
+		for i := range 6 {
+			ad.OnOpeningPacket(start, openingPacket(i, 0))
+		}
+		closeAgent(ad)
+		_, passOn := ad.Dequeue(start)
+		assert.Assert(t, len(passOn) > 0)
+		for _, p := range passOn {
+			assert.Equal(t, p.Reason, want)
+		}
+	}
+}
+
 // Guards against callers that lose the next request on a flow that was open when its backend server ended, and against
 // resets of flows that have ended or that the next run of the backend server accepts.
 func TestAdmitterBackendGone(t *testing.T) {
