fix: reset denied flows again once the callers at a lost agent have given up

Cause: after an agent had been dropped, a balancer reset no flow for a minute, although no caller waits for so long. Change: it waits for the timeout of the flow's route; without one, for a minute as before.

--- a/internal/passthrough/owner_search.go
+++ b/internal/passthrough/owner_search.go
@@ -50,8 +50,9 @@
 // restarted, and the caller would wait until its deadline. Silence of an agent is no denial.
 //
 // A balancer that has not listed the agents, or not up to the newest one that others know, does not reset flows, because
-// an agent that it does not know may own them. For as long as flows live, neither does one that has dropped a silent
-// agent: it may be paused or cut off while a request of the flow runs.
+// an agent that it does not know may own them. Neither does one that has dropped a silent
+// agent, which may be paused or cut off while a request of the flow runs, until the callers of such requests have given
+// up.
 func (b *Balancer) onDenied(now time.Time, m *denied) {
 	if !b.steerer.Deny(now, m.flow, m.agent) {
 		return
@@ -60,7 +61,7 @@
 	switch {
 	case !b.agents.covers(m.newestAgent):
 		reason = "agents_outdated"
-	case b.state.lostAgent(now, passthrough.FlowTTL):
+	case b.state.lostAgent(now, b.answerTimeout(m.flow)):
 		reason = "agent_lost"
 	}
 	if reason != reasonNone {
@@ -71,6 +72,14 @@
 	b.refuse(passthrough.NewSegment(m.flow, passthrough.FlagAck, 0, m.ack, 0), "no_owner", b.state.Table())
 }
 
+// answerTimeout returns how long the caller of a flow waits for an answer.
+func (b *Balancer) answerTimeout(f passthrough.FlowID) time.Duration {
+	if r, ok := b.route(f.Address()); ok && r.Timeout > 0 {
+		return r.Timeout
+	}
+	return passthrough.FlowTTL
+}
+
 // route returns the route of a service address: the configured one or, without a configuration, the observed one.
 func (b *Balancer) route(address netip.AddrPort) (route.Route, bool) {
 	if t := b.state.Table(); t != nil {
