--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -43,6 +43,16 @@
 	golden.Assert(t, b.String(), "../../../docs/CAPACITY.md")
 }
 
+// Guards against an extrapolation that makes a falling quantity vanish or grows beyond any measured law.
+func TestSweepExtrapolation(t *testing.T) {
+	measured := []int{30, 100, 300}
+	row := capacity.SweepRow{Busiest: []float64{9, 9, 10}}
+	for power, want := range map[float64]float64{-0.5: 10, 1: 100, 7: 1000} {
+		row.Power = power
+		assert.Assert(t, math.Abs(row.At(measured, 3000)-want) < 1e-6, "power %g", power)
+	}
+}
+
 // Guards against a breaking point at which the line is still within its limit.
 func TestBreakingPointsAreAtTheLimit(t *testing.T) {
 	s, err := capacity.Recorded()
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -64,7 +64,12 @@
 	writeBreakingPoints(&b, BreakingPoints(s, size), size)
 	writeRejectedDesigns(&b, RejectedDesigns(size))
 	writeSlopes(&b, s)
-	_, err := io.WriteString(w, b.String())
+	sweep, err := RecordedSweep()
+	if err != nil {
+		return err
+	}
+	writeSweep(&b, sweep, size)
+	_, err = io.WriteString(w, b.String())
 	return err
 }
 
