fix: an agent without a backend server denies flows

Ruled out: outdated lists of agents, and agents that did not answer. Change: a starting agent without a heartbeat for 300 ms whose backend server has no listener in three checks denies flows until a heartbeat or a packet of a backend server arrives.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -164,6 +164,7 @@
 	g.Go(a.sweep)
 	g.Go(a.runQueue)
 	g.Go(a.awaitDepartures)
+	g.Go(a.checkAbsence)
 	g.Go(func(ctx context.Context) error {
 		select {
 		case <-ctx.Done():
--- a/internal/passthrough/departure.go
+++ b/internal/passthrough/departure.go
@@ -22,6 +22,31 @@
 	maxDepartureChecks = 100
 )
 
+// absenceDelay is how long an agent waits for the first heartbeat before it checks whether there is a backend server.
+const absenceDelay = 300 * time.Millisecond
+
+// checkAbsence finds out whether a starting agent has no backend server beside it: after a loss of power, a backend server
+// that had left does not come back. Such an agent would never answer a search, since no heartbeat shows which flows its
+// backend server holds.
+func (a *Agent) checkAbsence(ctx context.Context) error {
+	wait(ctx, absenceDelay)
+	if a.awaitNoListener(ctx, func() bool { return !a.backendSeen() }) {
+		a.admitter.SetBackendGone(time.Now(), 0)
+		a.cfg.Logger.Info("backend server is absent", "address", a.cfg.Backend)
+	}
+	return nil
+}
+
+// backendSeen reports whether the agent has received a heartbeat.
+func (a *Agent) backendSeen() bool {
+	select {
+	case <-a.registrar.backendSeen:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitDepartures resets the open flows of a backend server that has announced that it stops, once its process has ended.
 //
 // A draining backend server closes a flow after its next response, so flows without a request stay open until the
@@ -33,17 +58,18 @@
 			return nil
 		case <-a.departure:
 		}
-		if a.awaitEnd(ctx) {
+		if a.awaitNoListener(ctx, a.backend.hasLeft) {
 			a.resetOpenFlows(time.Now())
 		}
 	}
 }
 
-// awaitEnd waits until the process of a backend server that leaves has ended, and reports whether it has.
-func (a *Agent) awaitEnd(ctx context.Context) bool {
+// awaitNoListener waits until the process of the backend server has ended, and reports whether it has. It gives up when
+// expected returns false.
+func (a *Agent) awaitNoListener(ctx context.Context, expected func() bool) bool {
 	confirmed := 0
 	for range maxDepartureChecks {
-		if ctx.Err() != nil || !a.backend.hasLeft() {
+		if ctx.Err() != nil || !expected() {
 			return false
 		}
 		if !a.listenerGone(ctx) {
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -404,8 +404,8 @@
 }
 
 // SetBackendGone records that the process of the backend server has ended, and returns the flows that were open there and
-// had a packet within the idle timeout. Their callers would notice the end only at their next deadline. A heartbeat of
-// another run ends this state.
+// had a packet within the idle timeout. Their callers would notice the end only at their next deadline. A heartbeat or a
+// packet of another run ends this state.
 func (ad *Admitter) SetBackendGone(now time.Time, idle time.Duration) []OpenFlow {
 	ad.backendGone.Store(true)
 	var open []OpenFlow
@@ -488,6 +488,7 @@
 // the packet starts the response to a failed request.
 func (ad *Admitter) OnServerPacket(now time.Time, seg Segment, failed bool) (accepted bool) {
 	f := seg.Flow()
+	ad.backendGone.Store(false)
 	ad.flows.Update(now, f, func(lf localFlow, known bool) localFlow {
 		switch {
 		case seg.Has(FlagOpen | FlagAck):
--- a/pkg/passthrough/admitter_test.go
+++ b/pkg/passthrough/admitter_test.go
@@ -172,6 +172,12 @@
 	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), true), deny, "the backend server rejected the trial")
 	assert.Equal(t, ad.OnSearchedPacket(late, requestSegment(2, 77), true), deny, "a flow cannot be as old as the agent")
 
+	ad = restarted()
+	ad.SetBackendGone(early, 0)
+	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), false), deny, "there is no backend server")
+	ad.OnServerPacket(early, responseSegment(1), false)
+	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), true), deliver, "the backend server has the flow")
+
 	ad = restarted()
 	ad.SetNoPreExisting()
 	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), false), deny, "the backend server started with the agent")
