fix: keep records for the platform's flow lifetime, and heed the newest agent that any agent reports

Cause 1: agents took a minute as the lifetime of flows; a deployment with a longer one would have had live flows denied after a restart of their agent. Cause 2: a balancer compared its list with the newest agent that the last denying agent knew, not the newest of all. Change: the lifetime comes from the settings, a minute without one; a balancer keeps the highest revision reported. Result: TestAdmitterSearchedPacket covers the lifetime and fails without it (denied).

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -42,6 +42,8 @@
 	Seeds []netip.AddrPort
 	// DrainPeriod is how long a draining agent still forwards packets before it stops.
 	DrainPeriod time.Duration
+	// FlowTTL is how long flows may live; 0 means passthrough.FlowTTL.
+	FlowTTL time.Duration
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
 	Store     store.Store
@@ -99,6 +101,7 @@
 // NewAgent returns an agent with its sockets bound.
 func NewAgent(cfg AgentConfig) (*Agent, error) {
 	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), admitter: passthrough.NewAdmitter(time.Now()), departure: make(chan struct{}, 1), draining: make(chan struct{})}
+	a.admitter.SetFlowTTL(cfg.FlowTTL)
 	a.state = localState{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
 	a.fetcher = newStateFetcher(&a.state, false, cfg.Logger)
 	a.registrar = newRegistrar(cfg.Store, cfg.ID, agentEntry{Service: cfg.Service, Zone: cfg.Zone, Address: cfg.Link}, cfg.Logger)
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -75,6 +75,8 @@
 	fetcher  *stateFetcher
 	agents   *follower // follows the entries of the agents
 	fleet    passthrough.FleetSize
+	// newestAgent is the highest revision that an agent has passed on at which the entry of an agent was created.
+	newestAgent maxRevision
 
 	refreshing sync.Mutex // serializes updates of the views by several followers
 
--- a/internal/passthrough/owner_search.go
+++ b/internal/passthrough/owner_search.go
@@ -50,23 +50,23 @@
 // restarted, and the caller would wait until its deadline. Silence of an agent is no denial.
 //
 // A balancer that has not listed the agents, or not up to the newest one that others know, does not reset flows, because
-// an agent that it does not know may own them. Neither does one that has dropped a silent
-// agent, which may be paused or cut off while a request of the flow runs, until the callers of such requests have given
-// up.
+// an agent that it does not know may own them. Neither does one that has dropped a silent agent, which may be paused or
+// cut off while a request of the flow runs, until the callers of such requests have given up.
 func (b *Balancer) onDenied(now time.Time, m *denied) {
+	b.newestAgent.add(m.newestAgent)
 	if !b.steerer.Deny(now, m.flow, m.agent) {
 		return
 	}
 	reason := reasonNone
 	switch {
-	case !b.agents.covers(m.newestAgent):
+	case !b.agents.covers(b.newestAgent.get()):
 		reason = "agents_outdated"
 	case b.state.lostAgent(now, b.answerTimeout(m.flow)):
 		reason = "agent_lost"
 	}
 	if reason != reasonNone {
 		b.metrics.count(eventDropped, reason)
-		b.cfg.Logger.Warn("flow not reset", "flow", m.flow.String(), "reason", reason, "newest_agent", m.newestAgent)
+		b.cfg.Logger.Warn("flow not reset", "flow", m.flow.String(), "reason", reason, "newest_agent", b.newestAgent.get())
 		return
 	}
 	b.refuse(passthrough.NewSegment(m.flow, passthrough.FlagAck, 0, m.ack, 0), "no_owner", b.state.Table())
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -24,8 +24,7 @@
 	// maxBusyHops limits how often a packet is passed on because backend servers are busy. When all are busy, another
 	// hop gains nothing and costs time at every agent.
 	maxBusyHops = 1
-	// FlowTTL is how long flows may live, and how long records of flows are kept at least. For as long after its start,
-	// an agent delivers packets of unknown flows to its backend server, to find out whether they are pre-existing flows.
+	// FlowTTL is how long flows may live if the platform states no limit; see SetFlowTTL.
 	FlowTTL = time.Minute
 	// preExistingMargin is how far before an acknowledgement the initial sequence number of a pre-existing flow is
 	// assumed, so that later packets and reordered ones count as packets of the same backend server.
@@ -98,6 +97,7 @@
 	coldLimit    SlidingWindowLimiter
 	limits       route.ServiceLimits
 	started      time.Time
+	flowTTL      time.Duration
 	// noPreExisting means that the backend server started after the agent.
 	noPreExisting atomic.Bool
 	backendGone   atomic.Bool // the process of the backend server has ended
@@ -131,13 +131,22 @@
 
 // NewAdmitter returns the admitter of an agent that started at the given time.
 func NewAdmitter(started time.Time) *Admitter {
-	return &Admitter{pending: make(map[FlowID]pendingRequest), slots: defaultSlots, started: started}
+	return &Admitter{pending: make(map[FlowID]pendingRequest), slots: defaultSlots, started: started, flowTTL: FlowTTL}
 }
 
 // SetAnswerObserver sets a function that is called with the time from a request to the first packet of its response. It
 // must be called before the admitter is used.
 func (ad *Admitter) SetAnswerObserver(f func(d time.Duration)) { ad.observeAnswer = f }
 
+// SetFlowTTL sets how long flows may live; 0 means FlowTTL. Records of flows are kept for as long at least, and for as
+// long after its start the agent finds out whether unknown flows are pre-existing ones. It must be called before the
+// admitter is used.
+func (ad *Admitter) SetFlowTTL(d time.Duration) {
+	if d > 0 {
+		ad.flowTTL = d
+	}
+}
+
 // SetServiceLimits sets the configured limits of the backend server.
 func (ad *Admitter) SetServiceLimits(s route.ServiceLimits) {
 	ad.mu.Lock()
@@ -420,7 +429,7 @@
 // mayHoldUnknown reports whether the backend server may hold flows that the agent has no record of, which were opened
 // before the agent started.
 func (ad *Admitter) mayHoldUnknown(now time.Time) bool {
-	return !ad.noPreExisting.Load() && now.Sub(ad.started) < FlowTTL
+	return !ad.noPreExisting.Load() && now.Sub(ad.started) < ad.flowTTL
 }
 
 // recordRequest updates the pending request of a flow when a caller's packet that carries data or a reset is delivered.
@@ -543,7 +552,7 @@
 // Sweep removes flows without packets for longer than idle.
 func (ad *Admitter) Sweep(now time.Time, idle time.Duration) {
 	// A missing record means that the backend server does not hold the flow, so it is kept for as long as flows live.
-	ad.flows.Sweep(now, func(_ localFlow, unused time.Duration) bool { return unused > max(idle, FlowTTL) })
+	ad.flows.Sweep(now, func(_ localFlow, unused time.Duration) bool { return unused > max(idle, ad.flowTTL) })
 	ad.nextAgents.Sweep(now, func(_ netip.AddrPort, unused time.Duration) bool { return unused > idle })
 	ad.owners.Sweep(now, func(_ [maxOwners]owner, unused time.Duration) bool { return unused > idle })
 }
--- a/pkg/passthrough/admitter_test.go
+++ b/pkg/passthrough/admitter_test.go
@@ -172,6 +172,10 @@
 	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), true), deny, "the backend server rejected the trial")
 	assert.Equal(t, ad.OnSearchedPacket(late, requestSegment(2, 77), true), deny, "a flow cannot be as old as the agent")
 
+	ad = restarted()
+	ad.SetFlowTTL(5 * time.Minute)
+	assert.Equal(t, ad.OnSearchedPacket(late, requestSegment(1, 77), false), uncertain, "flows may be older than the agent")
+
 	ad = restarted()
 	ad.SetBackendGone(early, 0)
 	assert.Equal(t, ad.OnSearchedPacket(early, requestSegment(1, 77), false), deny, "there is no backend server")
