fix: no reset of a denied flow while entries of agents may be missing

All leases had expired, and a balancer that started meanwhile listed the one agent whose entry was back; it denied the flow, and the balancer took that for all agents. Revisions could not show it: the missing entries had been created before. Ruled out: a wrong denial (the agent's backend server had rejected the packet), outdated watches. Change: for 6 s after its first list a balancer resets denied flows only if all agents say that they have just started together with their backend servers, as after a loss of all power.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -331,7 +331,7 @@
 	case passthrough.Refuse:
 		a.refuse(seg, d.Reason)
 	case passthrough.UnknownFlow:
-		a.onUnknownFlow(seg, m)
+		a.onUnknownFlow(now, seg, m)
 	}
 }
 
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -37,6 +37,8 @@
 	changed func()
 	// loaded is called after each complete list.
 	loaded func()
+	// listedAt is when the first complete list was applied, or nil.
+	listedAt atomic.Pointer[time.Time]
 	// at is the store revision up to which all changes have been applied.
 	at atomic.Uint64
 
@@ -83,6 +85,12 @@
 	return nil
 }
 
+// listedFor reports whether the first complete list was applied a period ago or earlier.
+func (f *follower) listedFor(now time.Time, period time.Duration) bool {
+	at := f.listedAt.Load()
+	return at != nil && now.Sub(*at) >= period
+}
+
 // covers reports whether the prefix has been listed and all changes up to a store revision have been applied.
 func (f *follower) covers(revision uint64) bool {
 	at := f.at.Load()
@@ -105,6 +113,8 @@
 	}
 	f.changed()
 	f.at.Store(uint64(page.Revision))
+	now := time.Now()
+	f.listedAt.CompareAndSwap(nil, &now)
 	f.loaded()
 	return page.Revision, nil
 }
--- a/internal/passthrough/follower_test.go
+++ b/internal/passthrough/follower_test.go
@@ -71,6 +71,8 @@
 	at, err := f.list(t.Context())
 	assert.NilError(t, err)
 	assert.Assert(t, f.covers(uint64(at)))
+	assert.Assert(t, !f.listedFor(time.Now(), time.Minute), "entries may be missing from the first list")
+	assert.Assert(t, f.listedFor(time.Now().Add(time.Hour), time.Minute))
 	s.put(store.Entry{Key: "b"})
 	assert.Assert(t, !f.covers(uint64(at)+1))
 	_, err = f.watch(t.Context(), at)
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -156,6 +156,8 @@
 	agent netip.AddrPort
 	// ack is the acknowledged sequence number of the searched packet.
 	ack uint32
+	// restarted means that the agent and its backend server have just started.
+	restarted bool
 	// newestAgent is the highest one that the agent has received from a balancer; see probe.
 	newestAgent uint64
 }
@@ -310,6 +312,7 @@
 	b = m.flow.Append(b)
 	b = appendAddress(b, m.agent)
 	b = binary.BigEndian.AppendUint32(b, m.ack)
+	b = appendFlag(b, m.restarted)
 	return binary.BigEndian.AppendUint64(b, m.newestAgent)
 }
 
@@ -462,6 +465,7 @@
 	case kindDenied:
 		m := &denied{flow: passthrough.DecodeFlowID(r.next(passthrough.FlowIDSize)), agent: r.address()}
 		m.ack = binary.BigEndian.Uint32(r.next(4))
+		m.restarted = r.next(1)[0] == 1
 		m.newestAgent = r.uint64()
 		return m
 	}
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -77,7 +77,7 @@
 		}
 		return m
 	case 9:
-		return &denied{flow: f, agent: drawAddress(t, "agent"), ack: rapid.Uint32().Draw(t, "ack"), newestAgent: rapid.Uint64().Draw(t, "agents revision")}
+		return &denied{flow: f, agent: drawAddress(t, "agent"), ack: rapid.Uint32().Draw(t, "ack"), restarted: rapid.Bool().Draw(t, "restarted"), newestAgent: rapid.Uint64().Draw(t, "agents revision")}
 	default:
 		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t), balancers: rapid.Uint16().Draw(t, "balancers")}
 	}
--- a/internal/passthrough/owner_search.go
+++ b/internal/passthrough/owner_search.go
@@ -46,19 +46,27 @@
 	b.cfg.Logger.Info("owner searched", "flow", f.String(), "agents", agents, "groups", len(groups), "hops", m.hops, "last", m.agent)
 }
 
+// settlingPeriod is how long after its first list of agents a balancer expects entries that are missing from it. Entries
+// that lapsed while the store was unavailable are back within 2 s, and changes are collected for up to 4 s.
+const settlingPeriod = 6 * time.Second
+
 // onDenied resets a flow at its caller once the agents of all services have denied it: its backend server has stopped or
 // restarted, and the caller would wait until its deadline. Silence of an agent is no denial.
 //
 // A balancer that has not listed the agents, or not up to the newest one that others know, does not reset flows, because
 // an agent that it does not know may own them. Neither does one that has dropped a silent agent, which may be paused or
-// cut off while a request of the flow runs, until the callers of such requests have given up.
+// cut off while a request of the flow runs, until the callers of such requests have given up. And neither does one that
+// has just listed the agents, since the leases of some may have expired before, unless all hosts have restarted.
 func (b *Balancer) onDenied(now time.Time, m *denied) {
 	b.newestAgent.add(m.newestAgent)
-	if !b.steerer.Deny(now, m.flow, m.agent) {
+	outcome := b.steerer.Deny(now, m.flow, m.agent, m.restarted)
+	if outcome == passthrough.SomeDeny {
 		return
 	}
 	reason := reasonNone
 	switch {
+	case outcome != passthrough.AllRestarted && !b.agents.listedFor(now, settlingPeriod):
+		reason = "agents_unsettled"
 	case !b.agents.covers(b.newestAgent.get()):
 		reason = "agents_outdated"
 	case b.state.lostAgent(now, b.answerTimeout(m.flow)):
--- a/internal/passthrough/ownership.go
+++ b/internal/passthrough/ownership.go
@@ -54,9 +54,9 @@
 
 // onUnknownFlow sends a packet of an unknown flow to the next agent of its path, or back to its balancer, which searches
 // all agents.
-func (a *Agent) onUnknownFlow(seg passthrough.Segment, m *forward) {
+func (a *Agent) onUnknownFlow(now time.Time, seg passthrough.Segment, m *forward) {
 	if m.searched {
-		a.deny(seg, m.origin) // The backend server has rejected the packet.
+		a.deny(now, seg, m.origin) // The backend server has rejected the packet.
 		return
 	}
 	next, ok := m.path.Next()
@@ -100,12 +100,12 @@
 		a.cfg.Logger.Info("searched packet delivered", "flow", seg.Flow().String(), "origin", m.origin)
 		a.deliver(m.packet)
 	case passthrough.Deny:
-		a.deny(seg, m.origin)
+		a.deny(now, seg, m.origin)
 	}
 }
 
 // deny notifies a balancer that the backend server does not hold a flow.
-func (a *Agent) deny(seg passthrough.Segment, balancer netip.AddrPort) {
+func (a *Agent) deny(now time.Time, seg passthrough.Segment, balancer netip.AddrPort) {
 	a.metrics.count(eventDenied, reasonNone)
-	a.link.send(balancer, &denied{flow: seg.Flow(), agent: a.link.self, ack: seg.Ack(), newestAgent: a.newestAgent.get()})
+	a.link.send(balancer, &denied{flow: seg.Flow(), agent: a.link.self, ack: seg.Ack(), restarted: a.admitter.Restarted(now), newestAgent: a.newestAgent.get()})
 }
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -426,6 +426,14 @@
 	return open
 }
 
+// restartPeriod is how long after its start an agent counts as just started.
+const restartPeriod = 15 * time.Second
+
+// Restarted reports whether the agent has just started together with its backend server, or without one.
+func (ad *Admitter) Restarted(now time.Time) bool {
+	return now.Sub(ad.started) < restartPeriod && (ad.noPreExisting.Load() || ad.backendGone.Load())
+}
+
 // mayHoldUnknown reports whether the backend server may hold flows that the agent has no record of, which were opened
 // before the agent started.
 func (ad *Admitter) mayHoldUnknown(now time.Time) bool {
--- a/pkg/passthrough/search.go
+++ b/pkg/passthrough/search.go
@@ -59,23 +59,41 @@
 
 func (s *Steerer) searchesAllServices() bool { return len(s.agents) <= maxSearchedAgents }
 
-// Deny records that the backend server of an agent does not hold a flow. It reports true once all agents of all services
-// have denied it: then no backend server in the current views holds the flow. The flow is forgotten then, so that later
-// packets of it start another search.
-func (s *Steerer) Deny(now time.Time, f FlowID, agent netip.AddrPort) bool {
+// Denial is the outcome of a search so far: SomeDeny, AllDeny or AllRestarted.
+type Denial uint8
+
+// Outcomes of a search.
+const (
+	// SomeDeny means that an agent has not denied the flow.
+	SomeDeny Denial = iota
+	// AllDeny means that the agents of all services have denied the flow: no backend server in the current views holds it.
+	AllDeny
+	// AllRestarted means that all have denied it, and that all have just started together with their backend servers, so
+	// the flow was lost in an outage of all hosts.
+	AllRestarted
+)
+
+// Deny records that the backend server of an agent does not hold a flow; restarted means that both have just started. Once
+// all agents have denied the flow it is forgotten, so that later packets of it start another search.
+func (s *Steerer) Deny(now time.Time, f FlowID, agent netip.AddrPort, restarted bool) Denial {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	denied := s.searches.deny(now, f, agent)
+	denied := s.searches.deny(now, f, agent, restarted)
 	if len(denied) < len(s.agents) || len(s.agents) == 0 || !s.searchesAllServices() {
-		return false
+		return SomeDeny
 	}
+	outcome := AllRestarted
 	for a := range s.agents {
-		if !denied[a] {
-			return false
+		restarted, ok := denied[a]
+		if !ok {
+			return SomeDeny
+		}
+		if !restarted {
+			outcome = AllDeny
 		}
 	}
 	s.searches.flows.Delete(f)
-	return true
+	return outcome
 }
 
 // searchGroups distributes agents over groups. Each group starts with a responsive agent if there are enough, and
@@ -113,7 +131,7 @@
 type flowSearch struct {
 	last  time.Time
 	count int
-	// denied holds the agents whose backend servers do not hold the flow.
+	// denied holds the agents whose backend servers do not hold the flow, and whether both have just started.
 	denied map[netip.AddrPort]bool
 }
 
@@ -133,7 +151,7 @@
 
 // deny records an agent that denies a flow that was searched for, and returns all of them. The caller must hold the lock
 // of the steerer while it uses the result.
-func (l *searchLimiter) deny(now time.Time, f FlowID, agent netip.AddrPort) map[netip.AddrPort]bool {
+func (l *searchLimiter) deny(now time.Time, f FlowID, agent netip.AddrPort, restarted bool) map[netip.AddrPort]bool {
 	if _, ok := l.flows.Get(now, f); !ok {
 		return nil
 	}
@@ -142,7 +160,7 @@
 		if v.denied == nil {
 			v.denied = make(map[netip.AddrPort]bool)
 		}
-		v.denied[agent] = true
+		v.denied[agent] = restarted
 		denied = v.denied
 		return v
 	})
--- a/pkg/passthrough/steerer_test.go
+++ b/pkg/passthrough/steerer_test.go
@@ -177,6 +177,28 @@
 	})
 }
 
+// Guards against a flow that counts as lost although an agent has not denied it, or as lost in an outage of all hosts
+// although an agent was running: the balancer may not know all agents then.
+func TestSteererDeny(t *testing.T) {
+	for want, restarted := range map[passthrough.Denial][]bool{
+		passthrough.AllRestarted: {true, true, true},
+		passthrough.AllDeny:      {true, false, true},
+		passthrough.SomeDeny:     {true, true},
+	} {
+		s := steerer(3)
+		assert.Equal(t, s.Deny(start, flowOf(1), address(0), true), passthrough.SomeDeny, "before a search")
+		s.Search(start, flowOf(1), service)
+		var got passthrough.Denial
+		for i, r := range restarted {
+			got = s.Deny(start, flowOf(1), address(i), r)
+		}
+		assert.Equal(t, got, want)
+		s.Search(start.Add(time.Second), flowOf(1), service)
+		s.SetOwner(start, flowOf(1), address(2))
+		assert.Equal(t, s.Deny(start, flowOf(1), address(2), true), passthrough.SomeDeny, "the owner was found")
+	}
+}
+
 // Guards against a search for each packet of a caller that sends many, and against unlimited searches in total after a
 // loss of all records.
 func TestSteererLimitsSearches(t *testing.T) {
