--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -199,7 +199,7 @@
 	b := f.balancers[1]
 	if trouble {
 		w.say("the open connections of %s to the store go silent", b.name)
-		b.gate.setSilent(false) // Answers of earlier calls are lost.
+		b.gate.silence()
 	}
 	for i := range 2 {
 		w.at(30*time.Second + time.Duration(i)*1500*time.Millisecond)
@@ -296,105 +296,6 @@
 	return most, at
 }
 
-// silentStore lets the store turn one of three balancers away without an answer for up to 9 s, several times. The
-// operator adds a route in each of these times.
-func silentStore(w *world, trouble bool) (bool, error) {
-	const (
-		rounds     = 4
-		maxSilence = 9 * time.Second
-		contact    = 4 * time.Second
-		apply      = 3 * time.Second
-	)
-	var f fleet
-	routes := []routeConfig{{8443, "orders", "safe"}}
-	w.store.put("op/config", configText(1, 2, 0, routes...))
-	if err := w.balancers(&f, "heredia-a", "heredia-a", "heredia-a"); err != nil {
-		return false, err
-	}
-	for range 3 {
-		if err := w.machine(&f, "orders", "heredia-a", 7, 5*time.Millisecond, 0); err != nil {
-			return false, err
-		}
-	}
-	if err := w.startTraffic(); err != nil {
-		return false, err
-	}
-	stop, err := w.load(8443, 360, 8)
-	if err != nil {
-		return false, err
-	}
-	cl, err := w.client()
-	if err != nil {
-		return false, err
-	}
-	b := f.balancers[2]
-	broken := 0
-	for round := range rounds {
-		w.at(12*time.Second + time.Duration(round)*20*time.Second)
-		begun := make(chan struct{}, 16)
-		start := time.Now()
-		if trouble {
-			b.gate.mu.Lock()
-			b.gate.watching = func() {
-				select {
-				case begun <- struct{}{}:
-				default:
-				}
-			}
-			b.gate.mu.Unlock()
-			b.gate.setSilent(true)
-			w.say("the store does not answer %s any more", b.name)
-		}
-		time.Sleep(2 * time.Second)
-		port := 9000 + round
-		routes = append(routes, routeConfig{port, "orders", "safe"})
-		w.store.put("op/config", configText(2+round, 2, 0, routes...))
-		acknowledged := time.Now()
-		w.say("route to port %d is acknowledged", port)
-		time.Sleep(3 * time.Second)
-		for len(begun) > 0 {
-			<-begun
-		}
-		select {
-		case <-begun:
-		case <-time.After(time.Until(start.Add(maxSilence))):
-		}
-		if trouble {
-			b.gate.setSilent(false)
-		}
-		end := time.Now()
-		w.say("the store answers %s again after %.1f s", b.name, end.Sub(start).Seconds())
-		from := end.Add(contact + 50*time.Millisecond)
-		if bound := acknowledged.Add(apply + 50*time.Millisecond); bound.After(from) {
-			from = bound
-		}
-		time.Sleep(time.Until(from))
-		refused, served := 0, 0
-		var last time.Duration
-		for time.Since(from) < 3*time.Second {
-			sent := time.Now()
-			_, err := cl.once(port, b, fmt.Sprintf("probe-%d-%d", round, refused+served), 200, 1500*time.Millisecond)
-			if errors.Is(err, errReset) {
-				refused++
-				last = sent.Sub(acknowledged)
-				if refused == 1 {
-					w.say("FAULT CONFIG %s refuses the route %.2f s after its acknowledgement and %.2f s after the store answers it again", b.name, sent.Sub(acknowledged).Seconds(), sent.Sub(end).Seconds())
-				}
-			} else if err == nil {
-				served++
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-		w.say("round %d: %d flows on the new route refused, %d served; last refusal %.2f s after the acknowledgement", round+1, refused, served, last.Seconds())
-		if refused > 0 {
-			broken++
-		}
-	}
-	ok, bad := stop()
-	w.say("the route was refused late in %d of %d rounds; other requests: %d answered, %d failed", broken, rounds, ok, bad)
-	return broken > 0, nil
-}
-
 // coldAgent adds a machine whose backend server is cold, and kills its agent while it is.
 func coldAgent(w *world, trouble bool) (bool, error) {
 	const (
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -23,7 +23,6 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"longflow":    longFlow,
 	"strayflow":   strayFlow,
-	"silentstore": silentStore,
 	"clockagent":  clockAgent,
 	"foreignbeat": foreignBeat,
 	"coldagent":   coldAgent,
--- a/review/driver/store.go
+++ b/review/driver/store.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -58,26 +59,21 @@
 type gate struct {
 	address string
 
-	mu     sync.Mutex
-	silent bool
-	epoch  int
-	// watching is called when a call to watch the operator's keys arrives while the gate is silent.
-	watching func()
+	mu    sync.Mutex
+	epoch int
 }
 
-// setSilent starts or ends a time in which the machine gets no answer. An answer that is due in that time is lost, and
-// its connection returns nothing further.
-func (g *gate) setSilent(silent bool) {
+// silence makes the open connections of the machine go silent for good, without a reset; new ones work.
+func (g *gate) silence() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.silent = silent
 	g.epoch++
 }
 
-func (g *gate) state() (silent bool, epoch int) {
+func (g *gate) current() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.silent, g.epoch
+	return g.epoch
 }
 
 func (s *store) listen(ip string) (*gate, error) {
@@ -94,30 +90,30 @@
 	mux.HandleFunc("POST /-/kv-lease", s.grant)
 	mux.HandleFunc("POST /-/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.end)
-	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		silent, epoch := g.state()
-		if silent {
-			g.mu.Lock()
-			f := g.watching
-			g.mu.Unlock()
-			if f != nil && r.URL.Path == "/-/kv-watch" && strings.HasPrefix(r.FormValue("prefix"), "op/") {
-				f()
-			}
-			hang(r)
-		}
-		time.Sleep(4 * time.Millisecond)
-		mux.ServeHTTP(&lossyWriter{ResponseWriter: w, lost: func() bool { _, now := g.state(); return now != epoch }, r: r}, r)
-	}))
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			epoch := r.Context().Value(epochKey{})
+			time.Sleep(4 * time.Millisecond)
+			mux.ServeHTTP(&lossyWriter{ResponseWriter: w, lost: func() bool { return g.current() != epoch }, r: r}, r)
+		}),
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, epochKey{}, g.current())
+		},
+	}
+	go server.Serve(l)
 	return g, nil
 }
 
+// epochKey is the key of the epoch in which a connection was opened.
+type epochKey struct{}
+
 // hang waits until the caller gives up and aborts the connection.
 func hang(r *http.Request) {
 	<-r.Context().Done()
 	panic(http.ErrAbortHandler)
 }
 
-// lossyWriter loses an answer if the gate has changed since the call arrived.
+// lossyWriter loses an answer if the connection has gone silent.
 type lossyWriter struct {
 	http.ResponseWriter
 	lost func() bool
