--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -157,7 +157,7 @@
 	return false, nil
 }
 
-// strayFlow restarts the agents in turn, silences the open connections of one balancer to the store, adds two machines and
+// strayFlow restarts the agents in turn, silences the open connections of one balancer to the store, adds three machines and
 // then stops and starts the other balancer. Clients keep flows open meanwhile. Without the trouble, no connection goes
 // silent.
 func strayFlow(w *world, trouble bool) (bool, error) {
@@ -201,7 +201,7 @@
 		w.say("the open connections of %s to the store go silent", b.name)
 		b.gate.silence()
 	}
-	for i := range 2 {
+	for i := range 3 {
 		w.at(30*time.Second + time.Duration(i)*1500*time.Millisecond)
 		if err := w.machine(&f, "orders", "heredia-a", 7, 5*time.Millisecond, 0); err != nil {
 			return false, err
