fix: the window of sequence numbers follows a flow

Cause: an agent took a packet for its own only while the acknowledged number was within 2^24 of the flow's initial sequence number, for as long as the flow lived. After that the owner and all other agents denied the flow. The records of the directory had the same limit, and after a restart of the agent any number matched.

Change: the agent follows the highest number that its backend server has sent (sequenceWindow). A packet matches if it acknowledges something within 2^23 bytes before that, or as much after it, which records of the directory need between two renewals. These are renewed after each 4 MiB. Numbers wrap around. A random number still matches with a probability of 1/256, now also for flows that were open before the agent started.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -96,6 +96,8 @@
 	searched bool
 	// registeredAt is when the agents of the directory were last notified of the owner.
 	registeredAt time.Time
+	// registered is the lowest acknowledgement that they were notified of.
+	registered uint32
 }
 
 // NewAgent returns an agent with its sockets bound.
@@ -209,7 +211,7 @@
 		a.fetcher.onRevision(m.origin, m.revision)
 		a.onSearch(now, m)
 	case *owner:
-		a.admitter.SetOwner(now, m.flow, m.agent, m.isn)
+		a.admitter.SetOwner(now, m.flow, m.agent, m.minAck)
 	case *probe:
 		a.onBalancerMessage(now, m.origin)
 		a.fetcher.onRevision(m.origin, m.revision)
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -90,8 +90,8 @@
 type owner struct {
 	flow  passthrough.FlowID
 	agent netip.AddrPort
-	// isn is the initial sequence number of the backend server.
-	isn uint32
+	// minAck is the lowest number that the caller's packets acknowledge.
+	minAck uint32
 }
 
 // probe requests a report from an agent.
@@ -248,7 +248,7 @@
 	b = header(b, kindOwner)
 	b = m.flow.Append(b)
 	b = appendAddress(b, m.agent)
-	return binary.BigEndian.AppendUint32(b, m.isn)
+	return binary.BigEndian.AppendUint32(b, m.minAck)
 }
 
 func (m *probe) append(b []byte) []byte {
@@ -442,7 +442,7 @@
 		return &placed{flow: passthrough.DecodeFlowID(r.next(passthrough.FlowIDSize)), agent: r.address(), service: flow.ServiceID(r.uint64()), delivered: r.next(1)[0] == 1, load: r.load()}
 	case kindOwner:
 		m := &owner{flow: passthrough.DecodeFlowID(r.next(passthrough.FlowIDSize)), agent: r.address()}
-		m.isn = binary.BigEndian.Uint32(r.next(4))
+		m.minAck = binary.BigEndian.Uint32(r.next(4))
 		return m
 	case kindProbe:
 		return &probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64()}
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -49,7 +49,7 @@
 	case 2:
 		return &placed{flow: f, agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), delivered: rapid.Bool().Draw(t, "delivered"), load: drawLoad(t)}
 	case 3:
-		return &owner{flow: f, agent: drawAddress(t, "agent"), isn: rapid.Uint32().Draw(t, "isn")}
+		return &owner{flow: f, agent: drawAddress(t, "agent"), minAck: rapid.Uint32().Draw(t, "min ack")}
 	case 4:
 		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision"), newestAgent: rapid.Uint64().Draw(t, "agents revision")}
 	case 5:
--- a/internal/passthrough/ownership.go
+++ b/internal/passthrough/ownership.go
@@ -29,25 +29,34 @@
 	if m.hops > 0 {
 		a.notifyPlaced(now, f, m.origin, true)
 	}
-	if m.directory.Len() > 0 && (old.directory != m.directory || now.Sub(old.registeredAt) > a.state.idleTimeout()/renewalsPerIdleTimeout) {
+	if m.directory.Len() > 0 && a.isRegistrationDue(now, f, old, m.directory) {
 		a.register(now, f, m.directory)
 	}
 }
 
+// isRegistrationDue reports whether the agents of a directory must be notified of the owner of a flow again.
+func (a *Agent) isRegistrationDue(now time.Time, f passthrough.FlowID, old returnPath, directory passthrough.Path) bool {
+	if old.directory != directory || now.Sub(old.registeredAt) > a.state.idleTimeout()/renewalsPerIdleTimeout {
+		return true
+	}
+	minAck, ok := a.admitter.MinAck(now, f)
+	return ok && passthrough.NeedsRenewal(old.registered, minAck)
+}
+
 // register notifies the agents of a directory that this agent owns a flow. It does nothing for a flow that the backend
 // server has not accepted yet; see onBackendPacket.
 func (a *Agent) register(now time.Time, f passthrough.FlowID, directory passthrough.Path) {
-	isn, ok := a.admitter.InitialSequence(now, f)
+	minAck, ok := a.admitter.MinAck(now, f)
 	if !ok {
 		return
 	}
 	for _, d := range directory.All() {
 		if d != a.link.self {
-			a.link.send(d, &owner{flow: f, agent: a.link.self, isn: isn})
+			a.link.send(d, &owner{flow: f, agent: a.link.self, minAck: minAck})
 		}
 	}
 	a.returnPaths.Update(now, f, func(p returnPath, _ bool) returnPath {
-		p.directory, p.registeredAt = directory, now
+		p.directory, p.registeredAt, p.registered = directory, now, minAck
 		return p
 	})
 }
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -15,9 +15,6 @@
 	handshakeTimeout = 80 * time.Millisecond
 	// requestTimeout is how long a request without a response counts as in progress.
 	requestTimeout = 2 * time.Second
-	// maxSequenceGap is more bytes than a backend server sends on one flow; a random sequence number lies within it
-	// with a probability of 1/256.
-	maxSequenceGap = 1 << 24
 	// maxOwners limits the owners kept for one flow, which are backend servers that answered transmissions of the same
 	// opening packet.
 	maxOwners = 2
@@ -26,9 +23,6 @@
 	maxBusyHops = 1
 	// FlowTTL is how long flows may live if the platform states no limit; see SetFlowTTL.
 	FlowTTL = time.Minute
-	// preExistingMargin is how far before an acknowledgement the initial sequence number of a pre-existing flow is
-	// assumed, so that later packets and reordered ones count as packets of the same backend server.
-	preExistingMargin = maxSequenceGap / 2
 )
 
 // Reason is why a packet was not delivered to the backend server. Its text is the value of the reason label of a
@@ -106,20 +100,19 @@
 
 // localFlow is an agent's record of a flow that has had packets to or from its backend server.
 type localFlow struct {
-	isn         uint32
-	accepted    bool   // the backend server answered the opening packet
-	preExisting bool   // opened before the agent started, so its initial sequence number is not known
-	probed      bool   // a packet was delivered to find out whether the backend server has the flow
-	established bool   // the backend server sent more than the answer to the opening packet
-	notHeld     bool   // the flow is unknown to the backend server
-	ended       bool   // the backend server has sent the end of its data or a reset
-	nextSeq     uint32 // the sequence number after the last packet of the backend server
+	window      sequenceWindow // of the backend server
+	accepted    bool           // the backend server answered the opening packet
+	probed      bool           // a packet was delivered to find out whether the backend server has the flow
+	established bool           // the backend server sent more than the answer to the opening packet
+	notHeld     bool           // the flow is unknown to the backend server
+	ended       bool           // the backend server has sent the end of its data or a reset
 }
 
 // owner is an agent that reported that its backend server has a flow.
 type owner struct {
 	agent netip.AddrPort
-	isn   uint32
+	// minAck is the lowest number that the caller's packets acknowledge.
+	minAck uint32
 }
 
 // pendingRequest is a request that the backend server is processing, or is expected to receive after a handshake.
@@ -420,7 +413,7 @@
 	var open []OpenFlow
 	ad.flows.Each(now, func(f FlowID, lf localFlow, unused time.Duration) {
 		if lf.accepted && !lf.ended && !lf.notHeld && unused <= idle {
-			open = append(open, OpenFlow{Flow: f, Seq: lf.nextSeq})
+			open = append(open, OpenFlow{Flow: f, Seq: lf.window.next})
 		}
 	})
 	return open
@@ -459,46 +452,44 @@
 
 // ownsPacket reports whether the caller's packet acknowledges data of this backend server.
 func (lf localFlow) ownsPacket(seg Segment) bool {
-	switch {
-	case lf.notHeld || lf.probed:
-		return false
-	case lf.preExisting:
-		return true
-	}
-	return lf.accepted && acknowledges(lf.isn, seg)
+	return lf.accepted && !lf.notHeld && !lf.probed && acknowledges(lf.window.min, seg)
 }
 
-// acknowledges reports whether a packet acknowledges data that starts at the given initial sequence number. A reset
-// counts for any number.
-func acknowledges(isn uint32, seg Segment) bool {
-	return seg.Has(FlagReset) || seg.Ack()-isn < maxSequenceGap
+// reopened returns the record of a flow after the backend server has answered an opening packet. It keeps the record if
+// the answer is a copy of an earlier one.
+func (lf localFlow) reopened(isn uint32) localFlow {
+	if lf.accepted && lf.window.opensAt(isn) {
+		return lf
+	}
+	return localFlow{window: newSequenceWindow(isn), accepted: true}
 }
 
 func findOwner(os [maxOwners]owner, seg Segment) (netip.AddrPort, bool) {
 	for _, o := range os {
-		if o.agent.IsValid() && acknowledges(o.isn, seg) {
+		if o.agent.IsValid() && acknowledges(o.minAck, seg) {
 			return o.agent, true
 		}
 	}
 	return netip.AddrPort{}, false
 }
 
-// SetOwner records that the backend server of another agent has a flow.
-func (ad *Admitter) SetOwner(now time.Time, f FlowID, agent netip.AddrPort, isn uint32) {
+// SetOwner records that the backend server of another agent has a flow, and the lowest number that the caller's packets
+// acknowledge.
+func (ad *Admitter) SetOwner(now time.Time, f FlowID, agent netip.AddrPort, minAck uint32) {
 	ad.owners.Update(now, f, func(os [maxOwners]owner, _ bool) [maxOwners]owner {
 		if os[0].agent != agent {
 			os[1] = os[0]
 		}
-		os[0] = owner{agent: agent, isn: isn}
+		os[0] = owner{agent: agent, minAck: minAck}
 		return os
 	})
 }
 
-// InitialSequence returns the backend server's initial sequence number of a flow that this agent owns, or false if the
-// agent does not own the flow. For a pre-existing flow it is a lower bound.
-func (ad *Admitter) InitialSequence(now time.Time, f FlowID) (uint32, bool) {
+// MinAck returns the lowest number that the caller's packets acknowledge on a flow that this agent owns, or false if the
+// agent does not own the flow. It rises as the backend server sends.
+func (ad *Admitter) MinAck(now time.Time, f FlowID) (uint32, bool) {
 	lf, ok := ad.flows.Get(now, f)
-	return lf.isn, ok && lf.accepted && !lf.notHeld
+	return lf.window.min, ok && lf.accepted && !lf.notHeld
 }
 
 // OnServerPacket records a packet of the backend server and reports whether it accepts a new flow. failed means that
@@ -510,13 +501,13 @@
 		switch {
 		case seg.Has(FlagOpen | FlagAck):
 			accepted = !lf.accepted
-			lf = localFlow{isn: seg.Seq(), accepted: true}
+			lf = lf.reopened(seg.Seq())
 		case !known || lf.probed:
-			lf = localFlow{isn: seg.Seq() - preExistingMargin, preExisting: true, accepted: true, established: true}
+			lf = localFlow{window: preExistingWindow(seg.Seq()), accepted: true, established: true}
 		default:
 			lf.established = true
 		}
-		lf.nextSeq = seg.Seq() + uint32(seg.Size()) //nolint:gosec // a packet is shorter than 64 KiB
+		lf.window.advance(seg)
 		lf.ended = lf.ended || seg.Has(FlagFinish) || seg.Has(FlagReset)
 		return lf
 	})
