fix: a clock step makes no agent deny the flows of its backend server

Cause: an agent that starts decides by the host's clock whether its backend server is older than itself. If the clock was ahead when the backend server started and is set back, the backend server looks as young as an agent that is started again, and the third heartbeat still counted as one of the first.

Change: the agent's entry in the store names the run of the backend server (ID and start as the heartbeats carry them) and the process that wrote it. The first write of a process finds the entry of an earlier one. If that names the same run, the backend server may hold older flows. If it names another run, no earlier process received a heartbeat of this one. Without an entry only the first heartbeat of a run counts. The times are still compared, as a necessary condition. No denial is sent before the store has answered. It costs one write for each run that begins while its agent goes on, and no read.

Open: an earlier process that could not write to the store within three heartbeats of its backend server, a step of the clock and a kill together.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -60,21 +60,23 @@
 
 // Agent forwards packets between balancers, callers and the backend server beside it.
 type Agent struct {
-	cfg         AgentConfig
-	service     flow.ServiceID
-	state       localState
-	admitter    *passthrough.Admitter
-	link        *link
-	outbound    *net.UDPConn
-	http        *httpServer
-	heartbeats  *httpServer
-	registrar   *registrar
-	announcer   announcer
-	fetcher     *stateFetcher
-	metrics     *metrics
-	backend     backendState
-	balancers   recentBalancers
-	returnPaths passthrough.Table[returnPath] // to pass on packets that the backend server rejects
+	cfg        AgentConfig
+	service    flow.ServiceID
+	state      localState
+	admitter   *passthrough.Admitter
+	link       *link
+	outbound   *net.UDPConn
+	http       *httpServer
+	heartbeats *httpServer
+	registrar  *registrar
+	announcer  announcer
+	fetcher    *stateFetcher
+	metrics    *metrics
+	backend    backendState
+	// firstHeartbeat is the first heartbeat if its backend server looks as old as the agent.
+	firstHeartbeat atomic.Pointer[BackendHeartbeat]
+	balancers      recentBalancers
+	returnPaths    passthrough.Table[returnPath] // to pass on packets that the backend server rejects
 
 	// departure has a value when the backend server has announced that it stops.
 	departure   chan struct{}
@@ -107,6 +109,7 @@
 	a.state = localState{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
 	a.fetcher = newStateFetcher(&a.state, false, cfg.Logger)
 	a.registrar = newRegistrar(cfg.Store, cfg.ID, agentEntry{Service: cfg.Service, Zone: cfg.Zone, Address: cfg.Link}, cfg.Logger)
+	a.registrar.onFirstWrite = a.onFirstEntry
 	a.metrics = newMetrics("agent", gauges{
 		revision: func() float64 { return float64(a.state.operatorRevision()) },
 		flows:    func() float64 { return float64(a.admitter.Flows()) },
--- a/internal/passthrough/backend.go
+++ b/internal/passthrough/backend.go
@@ -52,14 +52,33 @@
 	minRestartTime = 200 * time.Millisecond
 )
 
-// startedWithAgent reports whether the first heartbeat that an agent receives shows that no earlier process of the agent
-// can have delivered flows to this run of the backend server. Both clocks are those of the same host; a step of it
-// between the two starts could make a run look younger, but not its sequence number.
+// startedWithAgent reports whether the first heartbeat that an agent receives looks as if no earlier process of the agent
+// had delivered flows to this run of the backend server. Both times are those of the host's clock. A step of it between
+// the two starts makes an older run look younger, so this alone is no evidence; see isNewRun.
 func (b BackendHeartbeat) startedWithAgent(now, agentStarted time.Time) bool {
 	age := now.Sub(b.Started)
 	return b.Seq <= maxFirstSeq && age >= 0 && age-now.Sub(agentStarted) <= minRestartTime
 }
 
+// run returns the run of the backend server.
+func (b BackendHeartbeat) run() backendRun {
+	return backendRun{ID: b.ID, StartedMS: b.Started.UnixMilli()}
+}
+
+// isNewRun reports whether no earlier process of an agent can have delivered flows to the run of the backend server from
+// which the agent has received its first heartbeat. previous is the entry of an earlier process in the store, or nil.
+//
+// An agent writes each run to the store when it receives a heartbeat of it, so an entry with another run shows that
+// there was no such process. An entry is kept for far longer than maxFirstSeq heartbeats take, but its process deletes it
+// when it stops as planned. Without an entry only the very first heartbeat of a run counts, since no process can have
+// received one before.
+func (b BackendHeartbeat) isNewRun(previous *agentEntry) bool {
+	if previous == nil || previous.Run == (backendRun{}) {
+		return b.Seq <= 1
+	}
+	return previous.Run != b.run()
+}
+
 // update stores a heartbeat if it is newer than the stored one or the run of the stored one has timed out.
 func (s *backendState) update(now time.Time, b BackendHeartbeat) (old BackendHeartbeat, updated bool) {
 	s.mu.Lock()
@@ -109,8 +128,9 @@
 		a.cfg.Logger.Info("heartbeat skipped", "backend", b.ID, "reason", "older", "seq", b.Seq, "started", b.Started)
 		return true
 	}
+	a.registrar.setRun(b.run())
 	if old.ID == "" && b.startedWithAgent(now, a.announcer.started) {
-		a.admitter.SetNoPreExisting()
+		a.firstHeartbeat.Store(&b)
 	}
 	a.admitter.SetBackendState(now, b.Slots, b.Draining || a.leaving.Load(), b.ColdRemaining)
 	a.registrar.setDraining(b.Draining || a.leaving.Load())
@@ -121,6 +141,21 @@
 	return true
 }
 
+// onFirstEntry decides whether the backend server may hold flows that were opened before the agent started. Denying a
+// flow that it holds would break the flow, so without evidence it may.
+func (a *Agent) onFirstEntry(previous *agentEntry, e agentEntry) {
+	b := a.firstHeartbeat.Load()
+	if b == nil || b.run() != e.Run {
+		return
+	}
+	if !b.isNewRun(previous) {
+		a.cfg.Logger.Info("backend server may hold older flows", "backend", b.ID, "seq", b.Seq, "started", b.Started)
+		return
+	}
+	a.admitter.SetNoPreExisting()
+	a.cfg.Logger.Info("backend server holds no older flows", "backend", b.ID, "seq", b.Seq, "started", b.Started)
+}
+
 // HandleLeave makes the agent accept no more flows if the backend server with the given ID is its own.
 func (a *Agent) HandleLeave(id string) {
 	if !a.backend.leave(id) {
--- a/internal/passthrough/layout.go
+++ b/internal/passthrough/layout.go
@@ -32,6 +32,16 @@
 	Zone     string         `json:"zone"`
 	Address  netip.AddrPort `json:"address"`
 	Draining bool           `json:"draining"`
+	// Run is the run of the backend server whose heartbeats the agent receives.
+	Run backendRun `json:"run,omitzero"`
+	// Process identifies the process that wrote the entry.
+	Process uint64 `json:"process,omitempty"`
+}
+
+// backendRun identifies a run of a backend server.
+type backendRun struct {
+	ID        string `json:"id"`
+	StartedMS int64  `json:"started_ms"` // Unix time by the clock of the backend server
 }
 
 // errInvalidEntry means that a store entry under agentsPrefix was not written by an agent.
--- a/internal/passthrough/registrar.go
+++ b/internal/passthrough/registrar.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,21 +39,38 @@
 
 	written atomic.Bool // the store has accepted an entry of this process
 
+	// onFirstWrite is called after the first write with the entry that an earlier process of the agent had written, if
+	// there was one, and the entry that has replaced it. It must be set before run.
+	onFirstWrite func(previous *agentEntry, e agentEntry)
+
 	calls    sync.Mutex // locked during a call, and guards the fields below
 	lease    store.LeaseID
 	revision store.Revision
 	removed  bool
+	previous *agentEntry // the entry of an earlier process, once it is known
 }
 
 func newRegistrar(s store.Store, id string, e agentEntry, logger hclog.Logger) *registrar {
+	e.Process = rand.Uint64()
 	return &registrar{store: s, key: agentsPrefix + id, entry: e, dirty: true, logger: logger, wake: make(chan struct{}, 1), backendSeen: make(chan struct{})}
 }
 
 // setDraining changes the draining state of the entry.
 func (r *registrar) setDraining(draining bool) {
+	r.change(func(e *agentEntry) { e.Draining = draining })
+}
+
+// setRun changes the run of the backend server in the entry.
+func (r *registrar) setRun(run backendRun) {
+	r.change(func(e *agentEntry) { e.Run = run })
+}
+
+// change changes the entry and has it written if it is different.
+func (r *registrar) change(apply func(e *agentEntry)) {
 	r.mu.Lock()
-	changed := r.entry.Draining != draining
-	r.entry.Draining = draining
+	old := r.entry
+	apply(&r.entry)
+	changed := r.entry != old
 	r.dirty = r.dirty || changed
 	r.mu.Unlock()
 	if !changed {
@@ -136,7 +155,7 @@
 	value := entry.encode()
 	revision, err := r.store.CompareAndSwap(ctx, r.key, value, r.revision, r.lease)
 	if errors.Is(err, store.ErrConflict) {
-		revision, err = r.replace(ctx, value)
+		revision, err = r.replace(ctx, entry.Process, value)
 	}
 	if errors.Is(err, store.ErrNotFound) {
 		r.lease = 0
@@ -145,17 +164,23 @@
 		return err
 	}
 	r.revision = revision
-	r.written.Store(true)
+	if !r.written.Swap(true) && r.onFirstWrite != nil {
+		r.onFirstWrite(r.previous, entry)
+	}
 	r.logger.Info("entry written", "key", r.key, "revision", revision, "draining", entry.Draining)
 	return nil
 }
 
 // replace overwrites the entry of an earlier process, or of a write whose response was lost.
-func (r *registrar) replace(ctx context.Context, value []byte) (store.Revision, error) {
+func (r *registrar) replace(ctx context.Context, process uint64, value []byte) (store.Revision, error) {
 	old, err := r.store.Get(ctx, r.key)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return 0, err
 	}
+	var e agentEntry
+	if err == nil && json.Unmarshal(old.Value, &e) == nil && e.Process != process {
+		r.previous = &e
+	}
 	return r.store.CompareAndSwap(ctx, r.key, value, old.Revision, r.lease)
 }
 
--- a/internal/passthrough/registrar_test.go
+++ b/internal/passthrough/registrar_test.go
@@ -201,8 +201,19 @@
 // runRegistrar runs a registrar on a fake store until the test ends.
 func runRegistrar(t *testing.T, s *fakeStore) *registrar {
 	t.Helper()
+	r := newTestRegistrar(s)
+	runRegistrarUntilEnd(t, r)
+	return r
+}
+
+func newTestRegistrar(s *fakeStore) *registrar {
 	e := agentEntry{Service: "orders", Zone: "a", Address: netip.MustParseAddrPort("10.0.0.1:7720")}
-	r := newRegistrar(s, "agent-1", e, hclog.NewNullLogger())
+	return newRegistrar(s, "agent-1", e, hclog.NewNullLogger())
+}
+
+// runRegistrarUntilEnd runs a registrar until the test ends.
+func runRegistrarUntilEnd(t *testing.T, r *registrar) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -213,7 +224,6 @@
 		cancel()
 		<-done
 	})
-	return r
 }
 
 func (s *fakeStore) agent(t *testing.T) (agent agentEntry, ok bool) {
