feat: optional features, loads with learned capacity, routes with priority and split

Groundwork for the two customers with hard load: a list of features that a deployment asks for on the command line of bramleymast-node (all off by default, none has an effect yet), fields of a load report for what an agent learns of its backend server, and the priority and the split of a route in the configuration. The Admitter is split: local_flow.go holds what it keeps of flows, room.go decides whether the backend server has room. No decision changes; tests of pkg/passthrough, internal/passthrough and platform pass.

--- a/cmd/bramleymast-node/main.go
+++ b/cmd/bramleymast-node/main.go
@@ -10,8 +10,10 @@
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/integrii/flaggy"
 
 	"github.com/bramleymast/bramleymast/internal/boundedlog"
+	"github.com/bramleymast/bramleymast/internal/passthrough"
 	"github.com/bramleymast/bramleymast/internal/signals"
 	"github.com/bramleymast/bramleymast/platform"
 )
@@ -25,7 +27,26 @@
 	exitBadInput = 2
 )
 
+// parseArguments returns the role and the features that the command line asks for.
+func parseArguments(args []string) (role string, features passthrough.Features, err error) {
+	p := flaggy.NewParser("bramleymast-node")
+	p.ShowHelpOnUnexpected, p.ShowVersionWithVersionFlag = false, false
+	var list string
+	p.AddPositionalValue(&role, "role", 1, true, "balancer or agent")
+	p.String(&list, "", "features", "comma-separated optional features")
+	if err := p.ParseArgs(args); err != nil {
+		return "", passthrough.Features{}, err
+	}
+	features, err = passthrough.ParseFeatures(list)
+	return role, features, err
+}
+
 func run(ctx context.Context, args []string) int {
+	role, features, err := parseArguments(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadInput
+	}
 	s, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -34,13 +55,13 @@
 	logger, stopLog := newLogger(ctx, s.ID())
 	defer stopLog()
 	var d platform.Daemon
-	switch {
-	case len(args) == 1 && args[0] == "balancer":
-		d, err = platform.NewBalancer(s, logger)
-	case len(args) == 1 && args[0] == "agent":
-		d, err = platform.NewAgent(s, logger)
+	switch role {
+	case "balancer":
+		d, err = platform.NewBalancer(s, features, logger)
+	case "agent":
+		d, err = platform.NewAgent(s, features, logger)
 	default:
-		fmt.Fprintln(os.Stderr, "usage: bramleymast-node balancer|agent")
+		fmt.Fprintln(os.Stderr, "usage: bramleymast-node balancer|agent [--features NAME,...]")
 		return exitBadInput
 	}
 	if err != nil {
@@ -51,7 +72,7 @@
 	defer stop()
 	stopReload := onReload(func() { reload(s, d, logger) })
 	defer stopReload()
-	logger.Info("started", "role", args[0])
+	logger.Info("started", "role", role)
 	drain := func() {
 		logger.Info("graceful shutdown")
 		d.Drain()
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -46,10 +46,12 @@
 	FlowTTL time.Duration
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
-	Store     store.Store
-	Layout    Layout
-	Codec     passthrough.Codec
-	Logger    hclog.Logger
+	// Features are those that the deployment asks for.
+	Features Features
+	Store    store.Store
+	Layout   Layout
+	Codec    passthrough.Codec
+	Logger   hclog.Logger
 }
 
 // maxHops limits how many agents a packet visits.
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -51,7 +51,9 @@
 	DrainPeriod time.Duration
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
-	Store     store.Store
+	// Features are those that the deployment asks for.
+	Features Features
+	Store    store.Store
 	// SetWatchTimeout sets how long watches of Store wait for a change.
 	SetWatchTimeout func(d time.Duration)
 	// WatchStore is the same store, with a longer watch timeout.
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -26,7 +26,7 @@
 	// addressSize is the size of an encoded IPv4 address with its port.
 	addressSize = 6
 	// loadSize is the size of an encoded load.
-	loadSize = 6
+	loadSize = 12
 )
 
 // messageKind is the third byte of a datagram.
@@ -186,7 +186,10 @@
 	b = binary.BigEndian.AppendUint16(b, l.InProgress)
 	b = binary.BigEndian.AppendUint16(b, l.Slots)
 	b = append(b, l.FailurePercent)
-	return appendFlag(b, l.AcceptsFlows)
+	b = appendFlag(b, l.AcceptsFlows)
+	b = binary.BigEndian.AppendUint16(b, l.Limit)
+	b = appendMilliseconds(b, l.ServiceTime)
+	return appendMilliseconds(b, l.Wait)
 }
 
 // appendMilliseconds appends a duration, limited to 65,535 ms.
@@ -361,8 +364,10 @@
 	return all
 }
 
-func (r *reader) milliseconds() time.Duration {
-	return time.Duration(binary.BigEndian.Uint16(r.next(2))) * time.Millisecond
+func (r *reader) milliseconds() time.Duration { return decodeMilliseconds(r.next(2)) }
+
+func decodeMilliseconds(b []byte) time.Duration {
+	return time.Duration(binary.BigEndian.Uint16(b)) * time.Millisecond
 }
 
 func (r *reader) address() netip.AddrPort {
@@ -412,6 +417,7 @@
 	b := r.next(loadSize)
 	return passthrough.Load{
 		InProgress: binary.BigEndian.Uint16(b), Slots: binary.BigEndian.Uint16(b[2:]), FailurePercent: b[4], AcceptsFlows: b[5] == 1,
+		Limit: binary.BigEndian.Uint16(b[6:]), ServiceTime: decodeMilliseconds(b[8:]), Wait: decodeMilliseconds(b[10:]),
 	}
 }
 
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -9,21 +9,8 @@
 	"github.com/bramleymast/bramleymast/pkg/route"
 )
 
-const (
-	// handshakeTimeout is several round trips to a caller. A caller that takes longer to send its request after the
-	// handshake is assumed not to send one.
-	handshakeTimeout = 80 * time.Millisecond
-	// requestTimeout is how long a request without a response counts as in progress.
-	requestTimeout = 2 * time.Second
-	// maxOwners limits the owners kept for one flow, which are backend servers that answered transmissions of the same
-	// opening packet.
-	maxOwners = 2
-	// maxBusyHops limits how often a packet is passed on because backend servers are busy. When all are busy, another
-	// hop gains nothing and costs time at every agent.
-	maxBusyHops = 1
-	// FlowTTL is how long flows may live if the platform states no limit; see SetFlowTTL.
-	FlowTTL = time.Minute
-)
+// FlowTTL is how long flows may live if the platform states no limit; see SetFlowTTL.
+const FlowTTL = time.Minute
 
 // Reason is why a packet was not delivered to the backend server. Its text is the value of the reason label of a
 // metric.
@@ -79,57 +66,24 @@
 	nextAgents Table[netip.AddrPort]
 	owners     Table[[maxOwners]owner]
 
-	mu           sync.Mutex
-	pending      map[FlowID]pendingRequest
-	queue        waitQueue
-	reachability reachability
-	failureRate  failureRate
-	slots        int
-	draining     bool
-	zoneOut      bool
-	coldUntil    time.Time
-	coldLimit    SlidingWindowLimiter
-	limits       route.ServiceLimits
-	started      time.Time
-	flowTTL      time.Duration
+	mu   sync.Mutex
+	room room
+
+	started time.Time
+	flowTTL time.Duration
 	// noPreExisting means that the backend server started after the agent.
 	noPreExisting atomic.Bool
 	backendGone   atomic.Bool // the process of the backend server has ended
-	observeAnswer func(d time.Duration)
-}
-
-// localFlow is an agent's record of a flow that has had packets to or from its backend server.
-type localFlow struct {
-	window      sequenceWindow // of the backend server
-	accepted    bool           // the backend server answered the opening packet
-	probed      bool           // a packet was delivered to find out whether the backend server has the flow
-	established bool           // the backend server sent more than the answer to the opening packet
-	notHeld     bool           // the flow is unknown to the backend server
-	ended       bool           // the backend server has sent the end of its data or a reset
-}
-
-// owner is an agent that reported that its backend server has a flow.
-type owner struct {
-	agent netip.AddrPort
-	// minAck is the lowest number that the caller's packets acknowledge.
-	minAck uint32
-}
-
-// pendingRequest is a request that the backend server is processing, or is expected to receive after a handshake.
-type pendingRequest struct {
-	since      time.Time // when the opening packet or, if processing, the request was delivered
-	processing bool
-	timedOut   bool // exceeded hangTimeout and was counted as failed
 }
 
 // NewAdmitter returns the admitter of an agent that started at the given time.
 func NewAdmitter(started time.Time) *Admitter {
-	return &Admitter{pending: make(map[FlowID]pendingRequest), slots: defaultSlots, started: started, flowTTL: FlowTTL}
+	return &Admitter{room: newRoom(), started: started, flowTTL: FlowTTL}
 }
 
 // SetAnswerObserver sets a function that is called with the time from a request to the first packet of its response. It
 // must be called before the admitter is used.
-func (ad *Admitter) SetAnswerObserver(f func(d time.Duration)) { ad.observeAnswer = f }
+func (ad *Admitter) SetAnswerObserver(f func(d time.Duration)) { ad.room.observeAnswer = f }
 
 // SetFlowTTL sets how long flows may live; 0 means FlowTTL. Records of flows are kept for as long at least, and for as
 // long after its start the agent finds out whether unknown flows are pre-existing ones. It must be called before the
@@ -144,14 +98,14 @@
 func (ad *Admitter) SetServiceLimits(s route.ServiceLimits) {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	ad.limits = s
+	ad.room.limits = s
 }
 
 // SetZoneOut sets whether operators have taken the zone out of service.
 func (ad *Admitter) SetZoneOut(out bool) {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	ad.zoneOut = out
+	ad.room.zoneOut = out
 }
 
 // SetBackendState applies a heartbeat of the backend server; cold is how much longer it stays cold.
@@ -159,12 +113,12 @@
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
 	if slots > 0 {
-		ad.slots = slots
+		ad.room.slots = slots
 	}
-	ad.draining = draining
+	ad.room.draining = draining
 	ad.backendGone.Store(false)
-	ad.coldUntil = now.Add(cold)
-	ad.reachability.onSeen(now)
+	ad.room.coldUntil = now.Add(cold)
+	ad.room.reachability.onSeen(now)
 }
 
 // SetNoPreExisting records that the backend server started after the agent, so it holds no flow that the agent has no
@@ -175,19 +129,19 @@
 func (ad *Admitter) SetDraining() {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	ad.draining = true
+	ad.room.draining = true
 }
 
 // Load returns the load of the backend server.
 func (ad *Admitter) Load(now time.Time) Load {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	n := ad.inProgress(now) + ad.queue.len()
+	n := ad.room.inProgress(now) + ad.room.queue.len()
 	return Load{
-		InProgress:     uint16(min(n, 1<<15)),        //nolint:gosec // bounded by min
-		Slots:          uint16(min(ad.slots, 1<<15)), //nolint:gosec // bounded by min
-		FailurePercent: ad.failureRate.percent(now),
-		AcceptsFlows:   !ad.draining && !ad.zoneOut && !ad.reachability.unreachable(now),
+		InProgress:     uint16(min(n, 1<<15)),             //nolint:gosec // bounded by min
+		Slots:          uint16(min(ad.room.slots, 1<<15)), //nolint:gosec // bounded by min
+		FailurePercent: ad.room.failureRate.percent(now),
+		AcceptsFlows:   !ad.room.draining && !ad.room.zoneOut && !ad.room.reachability.unreachable(now),
 	}
 }
 
@@ -195,37 +149,9 @@
 func (ad *Admitter) BackendConfirmed() bool {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	return ad.reachability.confirmed
-}
-
-// inProgress returns the number of pending requests, after removing those that have timed out. It counts a request
-// without a response as failed after hangTimeout.
-func (ad *Admitter) inProgress(now time.Time) int {
-	for f, r := range ad.pending {
-		limit := handshakeTimeout
-		if r.processing {
-			limit = requestTimeout
-		}
-		if r.processing && !r.timedOut && now.Sub(r.since) > hangTimeout {
-			r.timedOut = true
-			ad.pending[f] = r
-			ad.failureRate.add(now, true)
-		}
-		if now.Sub(r.since) > limit {
-			delete(ad.pending, f)
-		}
-	}
-	return len(ad.pending)
+	return ad.room.reachability.confirmed
 }
 
-// requestLimit is the maximum number of requests in progress: enough that no slot is idle while a caller's request is
-// on its way, and fewer than a backend server queues.
-func (ad *Admitter) requestLimit() int { return 2*ad.slots + 2 }
-
-// lateRequestLimit is the maximum number of requests in progress when a late packet is admitted: it may take a free
-// slot, but not a place ahead of callers that can still be answered in time.
-func (ad *Admitter) lateRequestLimit() int { return ad.slots + 1 }
-
 // OnOpeningPacket decides on a packet that opens a flow. Retransmissions of a delivered packet are delivered too.
 func (ad *Admitter) OnOpeningPacket(now time.Time, p OpeningPacket) Decision {
 	seg := p.Segment
@@ -234,7 +160,7 @@
 	}
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	d := ad.admit(now, p)
+	d := ad.room.admit(now, p)
 	if _, ok := d.(Deliver); ok {
 		ad.recordDelivery(now, seg.Flow())
 	}
@@ -243,44 +169,12 @@
 
 // recordDelivery records that an opening packet is delivered to the backend server.
 func (ad *Admitter) recordDelivery(now time.Time, f FlowID) {
-	ad.pending[f] = pendingRequest{since: now}
-	ad.reachability.onDelivered(now)
+	ad.room.pending[f] = pendingRequest{since: now}
+	ad.room.reachability.onDelivered(now)
 	ad.flows.Put(now, f, localFlow{})
 	ad.nextAgents.Delete(f)
 }
 
-func (ad *Admitter) admit(now time.Time, p OpeningPacket) Decision {
-	if reason, closed := ad.closed(now); closed {
-		return PassOn{reason}
-	}
-	if p.Unconfigured && now.Before(ad.coldUntil) {
-		return PassOn{ReasonCold} // Its cold request rate is not known without a configuration.
-	}
-	limit := ad.requestLimit()
-	if p.isLate() {
-		limit = ad.lateRequestLimit()
-	}
-	if ad.inProgress(now) >= limit {
-		if p.Path.Len() > 0 && p.Hops < maxBusyHops && !p.isLate() {
-			return PassOn{ReasonBusy}
-		}
-		ad.queue.enqueue(now, p)
-		return Queued{}
-	}
-	if !ad.coldAllows(now) {
-		return PassOn{ReasonCold}
-	}
-	return Deliver{}
-}
-
-// coldAllows reports whether the rate limit of a cold backend server allows another request, and counts it if it does.
-func (ad *Admitter) coldAllows(now time.Time) bool {
-	if ad.limits.ColdRequestsPerSecond <= 0 || !now.Before(ad.coldUntil) {
-		return true
-	}
-	return ad.coldLimit.Allow(now, max(1, int(ad.limits.ColdRequestsPerSecond)))
-}
-
 // Rerouted is a queued packet that must be passed on to another agent.
 type Rerouted struct {
 	OpeningPacket
@@ -292,18 +186,18 @@
 func (ad *Admitter) Dequeue(now time.Time) (deliver []OpeningPacket, passOn []Rerouted) {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	if reason, closed := ad.closed(now); closed {
-		for _, p := range ad.queue.dequeueAll(now) {
+	if reason, closed := ad.room.closed(now); closed {
+		for _, p := range ad.room.queue.dequeueAll(now) {
 			passOn = append(passOn, Rerouted{p, reason})
 		}
 		return nil, passOn
 	}
-	for n := ad.inProgress(now); ; n++ {
-		p, ok := ad.queue.dequeue(now, n < ad.requestLimit(), n < ad.lateRequestLimit())
+	for n := ad.room.inProgress(now); ; n++ {
+		p, ok := ad.room.queue.dequeue(now, n < ad.room.requestLimit(), n < ad.room.lateRequestLimit())
 		if !ok {
 			return deliver, nil
 		}
-		if !ad.coldAllows(now) {
+		if !ad.room.coldAllows(now) {
 			return deliver, []Rerouted{{p, ReasonCold}}
 		}
 		ad.recordDelivery(now, p.Segment.Flow())
@@ -311,24 +205,11 @@
 	}
 }
 
-// closed reports whether the agent accepts no flows, and why.
-func (ad *Admitter) closed(now time.Time) (Reason, bool) {
-	switch {
-	case ad.draining:
-		return ReasonDraining, true
-	case ad.zoneOut:
-		return ReasonZoneOut, true
-	case !ad.reachability.allowsOpening(now):
-		return ReasonAbsent, true
-	}
-	return "", false
-}
-
 // UnansweredAttempts returns the queued attempts that must now be reported to the balancers; each is returned once.
 func (ad *Admitter) UnansweredAttempts(now time.Time) []UnansweredAttempt {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	return ad.queue.unansweredAttempts(now)
+	return ad.room.queue.unansweredAttempts(now)
 }
 
 // SetNextAgent records the agent to which an opening packet was passed on.
@@ -337,7 +218,7 @@
 	ad.nextAgents.Put(now, f, agent)
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	delete(ad.pending, f)
+	delete(ad.room.pending, f)
 }
 
 // OnEstablishedPacket decides on a packet of a flow that is already open. likelyOwner means that the sender has a record
@@ -441,36 +322,13 @@
 	}
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	r, ok := ad.pending[seg.Flow()]
+	r, ok := ad.room.pending[seg.Flow()]
 	switch {
 	case ok && ends:
-		delete(ad.pending, seg.Flow())
+		delete(ad.room.pending, seg.Flow())
 	case ok && !r.processing:
-		ad.pending[seg.Flow()] = pendingRequest{since: now, processing: true}
-	}
-}
-
-// ownsPacket reports whether the caller's packet acknowledges data of this backend server.
-func (lf localFlow) ownsPacket(seg Segment) bool {
-	return lf.accepted && !lf.notHeld && !lf.probed && acknowledges(lf.window.min, seg)
-}
-
-// reopened returns the record of a flow after the backend server has answered an opening packet. It keeps the record if
-// the answer is a copy of an earlier one.
-func (lf localFlow) reopened(isn uint32) localFlow {
-	if lf.accepted && lf.window.opensAt(isn) {
-		return lf
-	}
-	return localFlow{window: newSequenceWindow(isn), accepted: true}
-}
-
-func findOwner(os [maxOwners]owner, seg Segment) (netip.AddrPort, bool) {
-	for _, o := range os {
-		if o.agent.IsValid() && acknowledges(o.minAck, seg) {
-			return o.agent, true
-		}
+		ad.room.pending[seg.Flow()] = pendingRequest{since: now, processing: true}
 	}
-	return netip.AddrPort{}, false
 }
 
 // SetOwner records that the backend server of another agent has a flow, and the lowest number that the caller's packets
@@ -513,15 +371,15 @@
 	})
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	ad.reachability.onSeen(now)
+	ad.room.reachability.onSeen(now)
 	if seg.Size() > 0 || seg.Has(FlagReset) || seg.Has(FlagFinish) {
-		if r, ok := ad.pending[f]; ok && r.processing && !r.timedOut {
-			ad.failureRate.add(now, failed || seg.Size() == 0)
-			if ad.observeAnswer != nil {
-				ad.observeAnswer(now.Sub(r.since))
+		if r, ok := ad.room.pending[f]; ok && r.processing && !r.timedOut {
+			ad.room.failureRate.add(now, failed || seg.Size() == 0)
+			if ad.room.observeAnswer != nil {
+				ad.room.observeAnswer(now.Sub(r.since))
 			}
 		}
-		delete(ad.pending, f)
+		delete(ad.room.pending, f)
 	}
 	return accepted
 }
@@ -531,9 +389,9 @@
 	f := seg.Flow()
 	lf, known := ad.flows.Get(now, f)
 	ad.mu.Lock()
-	delete(ad.pending, f)
+	delete(ad.room.pending, f)
 	if seg.IsOpening() {
-		ad.reachability.onRejected(now)
+		ad.room.reachability.onRejected(now)
 	}
 	ad.mu.Unlock()
 	switch {
--- a/pkg/passthrough/load.go
+++ b/pkg/passthrough/load.go
@@ -1,5 +1,7 @@
 package passthrough
 
+import "time"
+
 // Load is what an agent reports about its backend server; the zero value accepts no flows.
 type Load struct {
 	// InProgress is the number of requests that occupy a slot, are queued or are expected after a handshake.
@@ -10,6 +12,12 @@
 	FailurePercent uint8
 	// AcceptsFlows reports whether the backend server accepts new flows.
 	AcceptsFlows bool
+	// Limit is the number of requests in progress beyond which answers only get slower; 0 if it is not known.
+	Limit uint16
+	// ServiceTime is how long the backend server takes for a request with a free slot; 0 if it is not known.
+	ServiceTime time.Duration
+	// Wait is how long one more request would wait for a slot; it is meaningful only if ServiceTime is known.
+	Wait time.Duration
 }
 
 // crossZoneCost is the cost of a flow to another zone, in requests ahead of it.
--- /dev/null
+++ b/pkg/passthrough/local_flow.go
@@ -0,0 +1,47 @@
+package passthrough
+
+import "net/netip"
+
+// maxOwners limits the owners kept for one flow, which are backend servers that answered transmissions of the same
+// opening packet.
+const maxOwners = 2
+
+// localFlow is an agent's record of a flow that has had packets to or from its backend server.
+type localFlow struct {
+	window      sequenceWindow // of the backend server
+	accepted    bool           // the backend server answered the opening packet
+	probed      bool           // a packet was delivered to find out whether the backend server has the flow
+	established bool           // the backend server sent more than the answer to the opening packet
+	notHeld     bool           // the flow is unknown to the backend server
+	ended       bool           // the backend server has sent the end of its data or a reset
+}
+
+// owner is an agent that reported that its backend server has a flow.
+type owner struct {
+	agent netip.AddrPort
+	// minAck is the lowest number that the caller's packets acknowledge.
+	minAck uint32
+}
+
+// ownsPacket reports whether the caller's packet acknowledges data of this backend server.
+func (lf localFlow) ownsPacket(seg Segment) bool {
+	return lf.accepted && !lf.notHeld && !lf.probed && acknowledges(lf.window.min, seg)
+}
+
+// reopened returns the record of a flow after the backend server has answered an opening packet. It keeps the record if
+// the answer is a copy of an earlier one.
+func (lf localFlow) reopened(isn uint32) localFlow {
+	if lf.accepted && lf.window.opensAt(isn) {
+		return lf
+	}
+	return localFlow{window: newSequenceWindow(isn), accepted: true}
+}
+
+func findOwner(os [maxOwners]owner, seg Segment) (netip.AddrPort, bool) {
+	for _, o := range os {
+		if o.agent.IsValid() && acknowledges(o.minAck, seg) {
+			return o.agent, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
--- /dev/null
+++ b/pkg/passthrough/room.go
@@ -0,0 +1,115 @@
+package passthrough
+
+import (
+	"time"
+
+	"github.com/bramleymast/bramleymast/pkg/route"
+)
+
+const (
+	// handshakeTimeout is several round trips to a caller. A caller that takes longer to send its request after the
+	// handshake is assumed not to send one.
+	handshakeTimeout = 80 * time.Millisecond
+	// requestTimeout is how long a request without a response counts as in progress.
+	requestTimeout = 2 * time.Second
+	// maxBusyHops limits how often a packet is passed on because backend servers are busy. When all are busy, another
+	// hop gains nothing and costs time at every agent.
+	maxBusyHops = 1
+)
+
+// room decides whether the backend server has room for another request. It is not safe for concurrent use.
+type room struct {
+	pending       map[FlowID]pendingRequest
+	queue         waitQueue
+	reachability  reachability
+	failureRate   failureRate
+	slots         int
+	draining      bool
+	zoneOut       bool
+	coldUntil     time.Time
+	coldLimit     SlidingWindowLimiter
+	limits        route.ServiceLimits
+	observeAnswer func(d time.Duration)
+}
+
+func newRoom() room { return room{pending: make(map[FlowID]pendingRequest), slots: defaultSlots} }
+
+// pendingRequest is a request that the backend server is processing, or is expected to receive after a handshake.
+type pendingRequest struct {
+	since      time.Time // when the opening packet or, if processing, the request was delivered
+	processing bool
+	timedOut   bool // exceeded hangTimeout and was counted as failed
+}
+
+// inProgress returns the number of pending requests, after removing those that have timed out. It counts a request
+// without a response as failed after hangTimeout.
+func (r *room) inProgress(now time.Time) int {
+	for f, p := range r.pending {
+		limit := handshakeTimeout
+		if p.processing {
+			limit = requestTimeout
+		}
+		if p.processing && !p.timedOut && now.Sub(p.since) > hangTimeout {
+			p.timedOut = true
+			r.pending[f] = p
+			r.failureRate.add(now, true)
+		}
+		if now.Sub(p.since) > limit {
+			delete(r.pending, f)
+		}
+	}
+	return len(r.pending)
+}
+
+// requestLimit is the maximum number of requests in progress: enough that no slot is idle while a caller's request is
+// on its way, and fewer than a backend server queues.
+func (r *room) requestLimit() int { return 2*r.slots + 2 }
+
+// lateRequestLimit is the maximum number of requests in progress when a late packet is admitted: it may take a free
+// slot, but not a place ahead of callers that can still be answered in time.
+func (r *room) lateRequestLimit() int { return r.slots + 1 }
+
+func (r *room) admit(now time.Time, p OpeningPacket) Decision {
+	if reason, closed := r.closed(now); closed {
+		return PassOn{reason}
+	}
+	if p.Unconfigured && now.Before(r.coldUntil) {
+		return PassOn{ReasonCold} // Its cold request rate is not known without a configuration.
+	}
+	limit := r.requestLimit()
+	if p.isLate() {
+		limit = r.lateRequestLimit()
+	}
+	if r.inProgress(now) >= limit {
+		if p.Path.Len() > 0 && p.Hops < maxBusyHops && !p.isLate() {
+			return PassOn{ReasonBusy}
+		}
+		r.queue.enqueue(now, p)
+		return Queued{}
+	}
+	if !r.coldAllows(now) {
+		return PassOn{ReasonCold}
+	}
+	return Deliver{}
+}
+
+// coldAllows reports whether the rate limit of a cold backend server allows another request, and counts it if it does.
+func (r *room) coldAllows(now time.Time) bool {
+	if r.limits.ColdRequestsPerSecond <= 0 || !now.Before(r.coldUntil) {
+		return true
+	}
+	return r.coldLimit.Allow(now, max(1, int(r.limits.ColdRequestsPerSecond)))
+}
+
+// closed reports whether the agent accepts no flows, and why.
+func (r *room) closed(now time.Time) (Reason, bool) {
+	switch {
+	case r.draining:
+		return ReasonDraining, true
+	case r.zoneOut:
+		return ReasonZoneOut, true
+	case !r.reachability.allowsOpening(now):
+		return ReasonAbsent, true
+	}
+	return "", false
+}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -21,15 +21,26 @@
 
 // Route maps a service address to a customer service.
 type Route struct {
-	// Service is the customer service that new flows go to.
+	// Service is the customer service that new flows go to. If there is a split, it is the first service of the split.
 	Service string
-	Kind    Kind
+	// Split divides new flows between several services; it is empty for a route with one service.
+	Split []Share
+	Kind  Kind
+	// Priority orders requests while capacity is short; 0 is the highest.
+	Priority int
 	// Timeout is how long a caller waits for an answer; 0 if it is not known.
 	Timeout time.Duration
 	// TargetLatency is the latency objective of the requests; 0 if there is none.
 	TargetLatency time.Duration
 }
 
+// Share is the part of a route's new flows that goes to a service.
+type Share struct {
+	Service string
+	// Weight is relative to the other weights of the route; a service with the weight 0 gets no new flows.
+	Weight float64
+}
+
 // ServiceLimits are the configured limits of each backend server of a customer service.
 type ServiceLimits struct {
 	// MaxConnections is the maximum number of flows of a backend server; 0 if it is not configured.
