fix: an agent takes no packet of a reused port for one of its earlier flow

Cause: the agent compared the acknowledged number with a range of 2^24 after the initial sequence number of its old flow, though its backend server had sent only some hundred bytes; one in 256 new flows is in that range.

Change: an agent that knows a flow from its opening packet takes a packet for its own only if it acknowledges what its backend server has sent. After a restart, when earlier packets are not known, the range stays.

TestSequenceWindowOfReusedPort fails without it (packet delivered).

--- a/pkg/passthrough/local_flow.go
+++ b/pkg/passthrough/local_flow.go
@@ -25,16 +25,19 @@
 
 // ownsPacket reports whether the caller's packet acknowledges data of this backend server.
 func (lf localFlow) ownsPacket(seg Segment) bool {
-	return lf.accepted && !lf.notHeld && !lf.probed && acknowledges(lf.window.min, seg)
+	return lf.accepted && !lf.notHeld && !lf.probed && lf.window.acknowledgedBy(seg)
 }
 
 // reopened returns the record of a flow after the backend server has answered an opening packet. It keeps the record if
 // the answer is a copy of an earlier one.
 func (lf localFlow) reopened(isn uint32) localFlow {
-	if lf.accepted && lf.window.opensAt(isn) {
+	switch {
+	case !lf.accepted:
+		return localFlow{window: newSequenceWindow(isn), accepted: true}
+	case lf.window.opensAt(isn):
 		return lf
 	}
-	return localFlow{window: newSequenceWindow(isn), accepted: true}
+	return localFlow{window: lf.window.reopened(isn), accepted: true}
 }
 
 func findOwner(os [maxOwners]owner, seg Segment) (netip.AddrPort, bool) {
--- a/pkg/passthrough/sequence.go
+++ b/pkg/passthrough/sequence.go
@@ -16,10 +16,14 @@
 type sequenceWindow struct {
 	min  uint32 // the lowest number that the caller's packets acknowledge
 	next uint32 // the number after the last one that was sent
+	// complete means that all packets of the flow are known, so nothing after next can be acknowledged.
+	complete bool
 }
 
 // newSequenceWindow returns the window of a flow that opens with the given initial sequence number.
-func newSequenceWindow(isn uint32) sequenceWindow { return sequenceWindow{min: isn, next: isn} }
+func newSequenceWindow(isn uint32) sequenceWindow {
+	return sequenceWindow{min: isn, next: isn, complete: true}
+}
 
 // preExistingWindow returns the window of a flow whose first known packet has the given sequence number. The packet may
 // be a retransmission, or the caller may have acknowledged less.
@@ -31,6 +35,16 @@
 // window has moved.
 func (w sequenceWindow) opensAt(isn uint32) bool { return w.min == isn }
 
+// reopened returns the window after an answer to an opening packet. What was sent shortly after that number belongs to
+// the same flow, and the answer is a copy of an earlier one.
+func (w sequenceWindow) reopened(isn uint32) sequenceWindow {
+	fresh := newSequenceWindow(isn)
+	if w.next-isn <= ackMargin {
+		fresh.next = w.next
+	}
+	return fresh
+}
+
 // advance applies a packet of the backend server. Retransmissions do not move the window back.
 func (w *sequenceWindow) advance(seg Segment) {
 	end := seg.Seq() + uint32(seg.Size()) //nolint:gosec // a packet is shorter than 64 KiB
@@ -49,6 +63,14 @@
 // isAfter reports whether a sequence number is after another one.
 func isAfter(a, b uint32) bool { return a != b && a-b < 1<<31 }
 
+// acknowledgedBy reports whether a caller's packet acknowledges a number of the window. A reset counts for any number.
+func (w sequenceWindow) acknowledgedBy(seg Segment) bool {
+	if w.complete && seg.Ack()-w.min > w.next-w.min && !seg.Has(FlagReset) {
+		return false
+	}
+	return acknowledges(w.min, seg)
+}
+
 // acknowledges reports whether a packet acknowledges data from the given sequence number on. A reset counts for any
 // number.
 func acknowledges(minAck uint32, seg Segment) bool {
