fix: a restarted agent limits a backend server that may be cold

Cause: until the next heartbeat, up to 1.2 s later, the restarted agent took the backend server for warm, and it had no configuration and so no limit.

Change: a backend server whose heartbeat the agent hasn't received yet may be cold and gets the cold request rate. Flows are held until the agent has the configuration, which it fetches from the balancer that sends the first message. In the first second half of the rate is allowed, since the earlier process may have used it up. Without a limit in the configuration nothing else changes.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -193,8 +193,10 @@
 
 // refresh applies the current configuration and zone state to the admitter.
 func (a *Agent) refresh() {
-	s, _ := a.state.Table().ServiceLimits(a.cfg.Service)
-	a.admitter.SetServiceLimits(s)
+	if t := a.state.Table(); t != nil {
+		s, _ := t.ServiceLimits(a.cfg.Service)
+		a.admitter.SetServiceLimits(s)
+	}
 	out, _ := a.state.board.ZoneOut(a.cfg.Zone)
 	a.admitter.SetZoneOut(out)
 }
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -78,7 +78,7 @@
 
 // NewAdmitter returns the admitter of an agent that started at the given time.
 func NewAdmitter(started time.Time) *Admitter {
-	return &Admitter{room: newRoom(), started: started, flowTTL: FlowTTL}
+	return &Admitter{room: newRoom(started), started: started, flowTTL: FlowTTL}
 }
 
 // SetAnswerObserver sets a function that is called with the time from a request to the first packet of its response. It
@@ -98,7 +98,7 @@
 func (ad *Admitter) SetServiceLimits(s route.ServiceLimits) {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	ad.room.limits = s
+	ad.room.limits, ad.room.limitsKnown = s, true
 }
 
 // SetZoneOut sets whether operators have taken the zone out of service.
@@ -117,6 +117,7 @@
 	}
 	ad.room.draining = draining
 	ad.backendGone.Store(false)
+	ad.room.heard = true
 	ad.room.coldUntil = now.Add(cold)
 	ad.room.reachability.onSeen(now)
 }
@@ -192,6 +193,10 @@
 		}
 		return nil, passOn
 	}
+	if ad.room.awaitsLimits(now) {
+		ad.room.queue.expire(now)
+		return nil, nil
+	}
 	for n := ad.room.inProgress(now); ; n++ {
 		p, ok := ad.room.queue.dequeue(now, n < ad.room.requestLimit(), n < ad.room.lateRequestLimit())
 		if !ok {
--- a/pkg/passthrough/room.go
+++ b/pkg/passthrough/room.go
@@ -19,20 +19,26 @@
 
 // room decides whether the backend server has room for another request. It is not safe for concurrent use.
 type room struct {
-	pending       map[FlowID]pendingRequest
-	queue         waitQueue
-	reachability  reachability
-	failureRate   failureRate
-	slots         int
-	draining      bool
-	zoneOut       bool
-	coldUntil     time.Time
-	coldLimit     SlidingWindowLimiter
-	limits        route.ServiceLimits
-	observeAnswer func(d time.Duration)
+	pending      map[FlowID]pendingRequest
+	queue        waitQueue
+	reachability reachability
+	failureRate  failureRate
+	slots        int
+	draining     bool
+	zoneOut      bool
+	coldUntil    time.Time
+	coldLimit    SlidingWindowLimiter
+	limits       route.ServiceLimits
+	// limitsKnown means that the agent has a configuration, and heard that the backend server has sent a heartbeat.
+	// A restarted agent has neither at first, and its backend server may be cold.
+	limitsKnown, heard bool
+	started            time.Time
+	observeAnswer      func(d time.Duration)
 }
 
-func newRoom() room { return room{pending: make(map[FlowID]pendingRequest), slots: defaultSlots} }
+func newRoom(started time.Time) room {
+	return room{pending: make(map[FlowID]pendingRequest), slots: defaultSlots, started: started}
+}
 
 // pendingRequest is a request that the backend server is processing, or is expected to receive after a handshake.
 type pendingRequest struct {
@@ -76,6 +82,10 @@
 	if p.Unconfigured && now.Before(r.coldUntil) {
 		return PassOn{ReasonCold} // Its cold request rate is not known without a configuration.
 	}
+	if !p.Unconfigured && r.awaitsLimits(now) {
+		r.queue.enqueue(now, p)
+		return Queued{}
+	}
 	limit := r.requestLimit()
 	if p.isLate() {
 		limit = r.lateRequestLimit()
@@ -93,12 +103,24 @@
 	return Deliver{}
 }
 
+// awaitsLimits reports whether the backend server is cold, or may be, and its cold request rate is not known yet. A
+// restarted agent fetches the configuration from the balancer that sends it the first message.
+func (r *room) awaitsLimits(now time.Time) bool { return !r.limitsKnown && r.mayBeCold(now) }
+
+// mayBeCold reports whether the backend server is cold or no heartbeat has shown yet that it is not.
+func (r *room) mayBeCold(now time.Time) bool { return !r.heard || now.Before(r.coldUntil) }
+
 // coldAllows reports whether the rate limit of a cold backend server allows another request, and counts it if it does.
+// In the first period an agent allows half of the rate, because an earlier process may have used it up.
 func (r *room) coldAllows(now time.Time) bool {
-	if r.limits.ColdRequestsPerSecond <= 0 || !now.Before(r.coldUntil) {
+	limit := r.limits.ColdRequestsPerSecond
+	if limit <= 0 || !r.mayBeCold(now) {
 		return true
 	}
-	return r.coldLimit.Allow(now, max(1, int(r.limits.ColdRequestsPerSecond)))
+	if now.Sub(r.started) < window {
+		limit /= 2
+	}
+	return r.coldLimit.Allow(now, max(1, int(limit)))
 }
 
 // closed reports whether the agent accepts no flows, and why.
