fix: a balancer interrupts a watch that lacks a known change

After the connections of a balancer to the store had gone silent without a reset, it learned of new agents up to 25 s late.

Cause: the watch of the agents waits for 25 s, and nothing shows that its connection is dead.

Change: agents pass the newest agent that balancers know on in their reports too, not only in denials. A watch that has lacked it for 1.5 s is interrupted, and the next one opens a new connection. No store call is added while watches work. The search is unchanged: it delivers one packet of an unknown flow at an agent that has restarted, and with a current list the owner is found.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -228,7 +228,7 @@
 }
 
 func (a *Agent) sendReport(now time.Time, to netip.AddrPort) {
-	a.link.send(to, &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now)})
+	a.link.send(to, &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get()})
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -77,8 +77,6 @@
 	fetcher  *stateFetcher
 	agents   *follower // follows the entries of the agents
 	fleet    passthrough.FleetSize
-	// newestAgent is the highest revision that an agent has passed on at which the entry of an agent was created.
-	newestAgent maxRevision
 
 	refreshing sync.Mutex // serializes updates of the views by several followers
 
@@ -452,6 +450,7 @@
 	case *report:
 		b.onLoad(now, m.agent, m.service, m.load)
 		b.fleet.Report(now, int(m.balancers))
+		b.agents.expected.add(m.newestAgent)
 		b.fetcher.onRevision(m.agent, m.revision)
 	case *unanswered:
 		for _, attempt := range m.attempts {
@@ -492,6 +491,9 @@
 			b.replayObserved()
 		}
 		now := time.Now()
+		if b.agents.interruptStaleWatch(now) {
+			b.metrics.staleWatches.Inc()
+		}
 		due := b.steerer.DueProbes(now)
 		if len(due) > 0 {
 			p := &probe{origin: b.link.self, revision: b.state.operatorRevision(), newestAgent: b.state.newestAgent.get()}
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,9 @@
 )
 
 const (
+	// staleWatchTimeout is how long a waiting watch may lack a change that other processes know of. A store answers a
+	// watch within some tens of milliseconds.
+	staleWatchTimeout = 1500 * time.Millisecond
 	// startRetryDelay is the delay after a failed store call of a process that cannot serve before the call succeeds.
 	startRetryDelay = 100 * time.Millisecond
 	// retryDelay is the delay after any other failed store call; it doubles up to maxRetryDelay.
@@ -44,6 +48,13 @@
 
 	// keys are the keys of the entries that exist in the store.
 	keys map[string]bool
+
+	// expected is the highest revision of the prefix that other processes know of.
+	expected maxRevision
+
+	mu          sync.Mutex
+	cancelWatch context.CancelFunc // ends the waiting watch; nil if there is none
+	behindSince time.Time          // since when the waiting watch lacks the expected revision; zero if it does not
 }
 
 // run lists the prefix and watches its changes until the context ends.
@@ -120,7 +131,13 @@
 }
 
 func (f *follower) watch(ctx context.Context, at store.Revision) (store.Revision, error) {
-	page, err := f.store.Watch(ctx, f.prefix, at)
+	watchCtx, end := f.beginWatch(ctx)
+	page, err := f.store.Watch(watchCtx, f.prefix, at)
+	interrupted := watchCtx.Err() != nil && ctx.Err() == nil
+	end()
+	if interrupted {
+		return at, nil
+	}
 	if err != nil {
 		return at, err
 	}
@@ -137,6 +154,43 @@
 	return max(at, page.Revision), nil
 }
 
+// beginWatch returns the context of a watch that interruptStaleWatch can end, and a function that must be called after
+// the watch.
+func (f *follower) beginWatch(ctx context.Context) (watchCtx context.Context, end func()) {
+	watchCtx, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelWatch, f.behindSince = cancel, time.Time{}
+	return watchCtx, func() {
+		f.mu.Lock()
+		f.cancelWatch = nil
+		f.mu.Unlock()
+		cancel()
+	}
+}
+
+// interruptStaleWatch ends a waiting watch that has lacked the expected revision for staleWatchTimeout, and reports
+// whether it did. A connection may go silent without a reset, and the next watch opens another one.
+func (f *follower) interruptStaleWatch(now time.Time) bool {
+	expected := f.expected.get()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.cancelWatch == nil || f.covers(expected):
+		f.behindSince = time.Time{}
+		return false
+	case f.behindSince.IsZero():
+		f.behindSince = now
+		return false
+	case now.Sub(f.behindSince) < staleWatchTimeout:
+		return false
+	}
+	f.cancelWatch()
+	f.cancelWatch = nil
+	f.logger.Warn("watch interrupted, it lacks a known change", "prefix", f.prefix, "revision", f.at.Load(), "expected", expected)
+	return true
+}
+
 func (f *follower) applyEntry(e store.Entry) {
 	if e.Deleted {
 		delete(f.keys, e.Key)
--- a/internal/passthrough/follower_test.go
+++ b/internal/passthrough/follower_test.go
@@ -14,6 +14,13 @@
 
 // startFollower runs a follower on a fake store until the test ends and returns the entries that it has applied.
 func startFollower(t *testing.T, s *fakeStore) map[string]string {
+	t.Helper()
+	_, applied := runFollower(t, s)
+	return applied
+}
+
+// runFollower is startFollower, and returns the follower too.
+func runFollower(t *testing.T, s *fakeStore) (*follower, map[string]string) {
 	t.Helper()
 	applied := make(map[string]string)
 	f := &follower{
@@ -36,7 +43,32 @@
 		cancel()
 		<-done
 	})
-	return applied
+	return f, applied
+}
+
+// Guards against a balancer that does not know new agents, as in case 4 of the review: the connection of its watch has
+// gone silent without a reset, and other processes know of the change.
+func TestFollowerInterruptsSilentWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(store.Entry{Key: "a", Value: []byte("1")})
+		s.silent = true
+		f, applied := runFollower(t, s)
+		synctest.Wait()
+		f.expected.add(f.at.Load())
+		assert.Assert(t, !f.interruptStaleWatch(time.Now()))
+		s.set(func() {
+			s.put(store.Entry{Key: "b", Value: []byte("1")})
+			s.silent = false
+		})
+		f.expected.add(uint64(s.revision))
+		assert.Assert(t, !f.interruptStaleWatch(time.Now()), "the change may be on its way")
+		time.Sleep(staleWatchTimeout)
+		assert.Assert(t, f.interruptStaleWatch(time.Now()))
+		synctest.Wait()
+		assert.DeepEqual(t, applied, map[string]string{"a": "1", "b": "1"})
+		assert.Assert(t, !f.interruptStaleWatch(time.Now().Add(time.Hour)), "the new watch has the change")
+	})
 }
 
 // Guards against changes that are lost when the store compacts its history while they are made.
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -111,6 +111,8 @@
 	load     passthrough.Load
 	// balancers is the number of balancers that the agent has received messages from.
 	balancers uint16
+	// newestAgent is the highest one that the agent has received from a balancer; see probe.
+	newestAgent uint64
 }
 
 // announce notifies a seed of an agent that the store does not list.
@@ -267,7 +269,8 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(m.service))
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	b = appendLoad(b, m.load)
-	return binary.BigEndian.AppendUint16(b, m.balancers)
+	b = binary.BigEndian.AppendUint16(b, m.balancers)
+	return binary.BigEndian.AppendUint64(b, m.newestAgent)
 }
 
 func (m *announce) append(b []byte) []byte {
@@ -455,6 +458,7 @@
 	case kindReport:
 		m := &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
 		m.balancers = binary.BigEndian.Uint16(r.next(2))
+		m.newestAgent = r.uint64()
 		return m
 	case kindAnnounce:
 		return &announce{agent: r.address(), revision: r.uint64(), id: r.text(), service: r.text(), zone: r.text(), addresses: r.addresses()}
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -82,7 +82,7 @@
 	case 9:
 		return &denied{flow: f, agent: drawAddress(t, "agent"), ack: rapid.Uint32().Draw(t, "ack"), restarted: rapid.Bool().Draw(t, "restarted"), newestAgent: rapid.Uint64().Draw(t, "agents revision")}
 	default:
-		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t), balancers: rapid.Uint16().Draw(t, "balancers")}
+		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t), balancers: rapid.Uint16().Draw(t, "balancers"), newestAgent: rapid.Uint64().Draw(t, "newest agent")}
 	}
 }
 
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -45,6 +45,8 @@
 	unsent   prometheus.Counter
 	answers  prometheus.Histogram
 	waits    prometheus.Histogram
+	// staleWatches counts watches of the store that were interrupted.
+	staleWatches prometheus.Counter
 }
 
 // latencyBuckets are upper bounds in seconds, from a round trip within a zone to the longest deadline of a caller.
@@ -79,11 +81,14 @@
 	m.waits = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_wait_seconds", Help: "Time that an opening packet waited within the system before it was delivered.", Buckets: latencyBuckets,
 	})
+	m.staleWatches = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "bramleymast_stale_watches_total", Help: "Watches of the store that lacked a change that other processes knew.",
+	})
 	labels := prometheus.Labels{"role": role}
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels}, f)
 	}
-	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.answers, m.waits,
+	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.answers, m.waits, m.staleWatches,
 		gauge("bramleymast_operator_revision", "Store revision of the newest configuration or zone state.", g.revision),
 		gauge("bramleymast_flows", "Flows that the process remembers.", g.flows),
 		gauge("bramleymast_agents", "Agents that the process knows.", g.agents),
--- a/internal/passthrough/owner_search.go
+++ b/internal/passthrough/owner_search.go
@@ -58,7 +58,7 @@
 // cut off while a request of the flow runs, until the callers of such requests have given up. And neither does one that
 // has just listed the agents, since the leases of some may have expired before, unless all hosts have restarted.
 func (b *Balancer) onDenied(now time.Time, m *denied) {
-	b.newestAgent.add(m.newestAgent)
+	b.agents.expected.add(m.newestAgent)
 	outcome := b.steerer.Deny(now, m.flow, m.agent, m.restarted)
 	if outcome == passthrough.SomeDeny {
 		return
@@ -67,14 +67,14 @@
 	switch {
 	case outcome != passthrough.AllRestarted && !b.agents.listedFor(now, settlingPeriod):
 		reason = "agents_unsettled"
-	case !b.agents.covers(b.newestAgent.get()):
+	case !b.agents.covers(b.agents.expected.get()):
 		reason = "agents_outdated"
 	case b.state.lostAgent(now, b.answerTimeout(m.flow)):
 		reason = "agent_lost"
 	}
 	if reason != reasonNone {
 		b.metrics.count(eventDropped, reason)
-		b.cfg.Logger.Warn("flow not reset", "flow", m.flow.String(), "reason", reason, "newest_agent", b.newestAgent.get())
+		b.cfg.Logger.Warn("flow not reset", "flow", m.flow.String(), "reason", reason, "newest_agent", b.agents.expected.get())
 		return
 	}
 	b.refuse(passthrough.NewSegment(m.flow, passthrough.FlagAck, 0, m.ack, 0), "no_owner", b.state.Table())
--- a/internal/passthrough/registrar_test.go
+++ b/internal/passthrough/registrar_test.go
@@ -27,6 +27,7 @@
 	calls       int
 	events      []store.Entry
 	compactedAt store.Revision // watches from earlier revisions fail
+	silent      bool           // watches that begin now never return
 	changed     chan struct{}
 }
 
@@ -122,6 +123,10 @@
 }
 
 func (s *fakeStore) Watch(ctx context.Context, _ string, after store.Revision) (store.Page, error) {
+	if s.isSilent() {
+		<-ctx.Done()
+		return store.Page{}, ctx.Err()
+	}
 	for first := true; ; first = false {
 		p, changed, err := s.since(after, first)
 		if err != nil || len(p.Entries) > 0 {
@@ -135,6 +140,12 @@
 	}
 }
 
+func (s *fakeStore) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 func (s *fakeStore) since(after store.Revision, first bool) (store.Page, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
