fix: busy time of a sample backend server includes the service time

The demo printed an imbalance of slots of -2.52 and -3.53: the busy time of a backend server decreased. Cause: the end of a request was taken as time.Now() in the same call that served it, and arguments are evaluated from left to right, so the end was the start. It is read after the request now.

TestBusyTimeIncludesServiceTime failed before.

--- a/internal/standin/backend/backend_test.go
+++ b/internal/standin/backend/backend_test.go
@@ -50,6 +50,21 @@
 	}, poll.WithTimeout(30*time.Second))
 }
 
+// Guards against a busy time that leaves out the service time, or even decreases, so that the imbalance of slots is wrong.
+func TestBusyTimeIncludesServiceTime(t *testing.T) {
+	const serviceTime = 20 * time.Millisecond
+	s := start(t, backend.Config{Kind: backend.KindBundles, Slots: 3, ServiceTime: serviceTime})
+	for n := 1; n <= 3; n++ {
+		resp, err := send(t, t.Context(), s, http.MethodGet, "/entries/1", "")
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		resp.Body.Close()
+		waitFor(t, "the end of the request", func() bool { return s.Counts().Answered == n })
+		assert.Assert(t, s.Counts().Busy >= time.Duration(n)*serviceTime, "%v after %d requests", s.Counts().Busy, n)
+	}
+}
+
 // Guards against a server that exceeds its reduced limit during a cold start, and against overload that is not counted.
 func TestColdServerShedsAndCountsRequestsOverItsLimit(t *testing.T) {
 	s := start(t, backend.Config{Kind: backend.KindBundles, Slots: 3, ColdSlots: 1, Ramp: time.Hour})
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -228,7 +228,8 @@
 		if cold {
 			serviceTime *= coldSlowdown
 		}
-		s.limiter.release(time.Now(), s.finish(w, r, h(w, r, serviceTime)))
+		end := s.finish(w, r, h(w, r, serviceTime))
+		s.limiter.release(time.Now(), end)
 	})
 }
 
