feat: load, failures and limits count all requests of kept flows

With learned_capacity or request_priorities an agent counts each request of each flow, so load reports, failure rate and answer times see kept flows. With learned_capacity it also reports the learned limit, service time and wait, and admits requests by the wait that a caller's packet stays fresh for instead of by 2 x slots + 2, which stays the upper bound; the floor is one more than the learned limit. Metrics, and a log line "capacity changed" at most every 2 s.

Without either feature nothing changes.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -85,6 +85,7 @@
 	leaving     atomic.Bool
 	draining    chan struct{} // closed when the graceful shutdown starts
 	drainPeriod atomic.Int64  // as time.Duration
+	capacityLog capacityLog
 	// newestAgent is the highest revision that a balancer has sent at which the entry of an agent was created. It is
 	// passed on, so that a balancer finds out that it does not know an agent yet.
 	newestAgent maxRevision
@@ -118,6 +119,7 @@
 		agents:   func() float64 { return 1 },
 	})
 	a.fetcher.metrics = a.metrics
+	a.observeRequests(cfg.Features)
 	a.admitter.SetAnswerObserver(func(d time.Duration) { a.metrics.answers.Observe(d.Seconds()) })
 	a.SetDrainPeriod(cfg.DrainPeriod)
 	var err error
@@ -424,6 +426,7 @@
 		if now.Sub(reportedAt) >= unansweredReportInterval {
 			reportedAt = now
 			a.reportUnanswered(now)
+			a.logCapacity(now)
 		}
 	}
 }
--- a/internal/passthrough/backend.go
+++ b/internal/passthrough/backend.go
@@ -129,6 +129,9 @@
 		return true
 	}
 	a.registrar.setRun(b.run())
+	if old.ID != "" && old.run() != b.run() {
+		a.admitter.SetBackendRestarted(now)
+	}
 	if old.ID == "" && b.startedWithAgent(now, a.announcer.started) {
 		a.firstHeartbeat.Store(&b)
 	}
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -28,6 +28,8 @@
 	eventSearched flowEvent = "searched"
 	// eventDenied counts searched flows that an agent's backend server does not hold.
 	eventDenied flowEvent = "denied"
+	// eventRequest counts requests by outcome.
+	eventRequest flowEvent = "request"
 )
 
 // reasonBackendEnded is the reason for the reset of a flow whose backend server has ended.
--- a/pkg/concurrency/estimator.go
+++ b/pkg/concurrency/estimator.go
@@ -87,7 +87,7 @@
 		e.mean = work
 	}
 	e.mean += (work - e.mean) / meanWorkAnswers
-	e.knee.add(e.inProgress, work)
+	e.knee.add(work)
 	if typical, known := e.serviceTime(); known && a.Took > 0 {
 		// A request that started behind others has waited for its share of the time.
 		served := a.Took.Seconds() * min(1, float64(e.limit())/float64(max(a.InProgress, 1)))
--- a/pkg/concurrency/estimator_test.go
+++ b/pkg/concurrency/estimator_test.go
@@ -142,6 +142,23 @@
 	}
 }
 
+// Load: three requests at a time, whose answers arrive together. Guards against a knee that is an effect of the order of
+// the answers.
+func TestAnswersInBatches(t *testing.T) {
+	s, now := newServer(3, 3, 1), time.Duration(0)
+	for range 500 {
+		for range 3 {
+			s.enqueue(now, request{route: light, left: 25})
+		}
+		for range 25 {
+			now += time.Millisecond
+			s.work(now)
+		}
+	}
+	assert.Equal(t, s.Estimate(start.Add(now)).Limit, 3)
+	assertWithin(t, "service time", s.serviceMS(now), 25, 0.1)
+}
+
 // Load: half use, and five times slower for 6 s. Guards against an estimate that follows late or not back.
 func TestSlowForSixSeconds(t *testing.T) {
 	s, l := newServer(3, 3, 1), newLoad(50)
--- a/pkg/concurrency/knee.go
+++ b/pkg/concurrency/knee.go
@@ -12,6 +12,10 @@
 	kneeHalfLife = 10 * time.Second
 	// minKneeAnswers is the number of answers below which the knee is not looked for.
 	minKneeAnswers = 64
+	// minSettleTime and settleShare are how long a number in progress must last for answers to count there, as a time and
+	// as a share of the mean time between answers. Answers that arrive together belong to the number before the first.
+	minSettleTime = 500 * time.Microsecond
+	settleShare   = 1. / 16
 	// kneeEvidence is the difference of log likelihoods from which on another knee is taken. It allows for dispersion.
 	kneeEvidence = 4 * dispersion
 )
@@ -25,6 +29,8 @@
 type knee struct {
 	limit int
 	slots int
+	// settled is the last number in progress that lasted.
+	settled int
 	// time and answers are decaying sums for each number of requests in progress.
 	time, answers [maxLevels + 1]float64
 	// elapsed is the time since the sums were last decayed.
@@ -39,11 +45,15 @@
 }
 
 func (k *knee) advance(d time.Duration, inProgress int, serviceTime float64) {
-	k.time[min(inProgress, maxLevels)] += d.Seconds() / serviceTime
+	inProgress = min(inProgress, maxLevels)
+	k.time[inProgress] += d.Seconds() / serviceTime
 	k.elapsed += d
+	if d >= minSettleTime && d.Seconds() >= settleShare*serviceTime/float64(k.limit) {
+		k.settled = inProgress
+	}
 }
 
-func (k *knee) add(inProgress int, work float64) { k.answers[min(inProgress, maxLevels)] += work }
+func (k *knee) add(work float64) { k.answers[k.settled] += work }
 
 // forget drops the evidence, which a change of speed makes ambiguous, and keeps the knee.
 func (k *knee) forget() {
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bramleymast/bramleymast/pkg/concurrency"
 	"github.com/bramleymast/bramleymast/pkg/route"
 )
 
@@ -69,8 +70,9 @@
 	mu   sync.Mutex
 	room room
 
-	started time.Time
-	flowTTL time.Duration
+	started        time.Time
+	flowTTL        time.Duration
+	tracksRequests bool
 	// noPreExisting means that the backend server started after the agent.
 	noPreExisting atomic.Bool
 	backendGone   atomic.Bool // the process of the backend server has ended
@@ -85,6 +87,26 @@
 // must be called before the admitter is used.
 func (ad *Admitter) SetAnswerObserver(f func(d time.Duration)) { ad.room.observeAnswer = f }
 
+// TrackRequests makes load, failure rate, answer times and limits count every request of a flow and not only the first
+// one. It must be called before the admitter is used.
+func (ad *Admitter) TrackRequests() {
+	ad.tracksRequests = true
+	ad.room.trackRequests()
+}
+
+// LearnCapacity makes the admitter learn the speed of the backend server and how many requests it takes at a time, report
+// them with the load and limit the requests in progress by them. It includes TrackRequests and must be called before the
+// admitter is used.
+func (ad *Admitter) LearnCapacity() {
+	ad.TrackRequests()
+	ad.room.capacity.estimator = new(concurrency.Estimator)
+	ad.room.capacity.estimator.SetSlots(ad.room.slots)
+}
+
+// SetOutcomeObserver sets a function that is called with the outcome of each tracked request. It must be called before the
+// admitter is used.
+func (ad *Admitter) SetOutcomeObserver(f func(o RequestOutcome)) { ad.room.observeOutcome = f }
+
 // SetFlowTTL sets how long flows may live; 0 means FlowTTL. Records of flows are kept for as long at least, and for as
 // long after its start the agent finds out whether unknown flows are pre-existing ones. It must be called before the
 // admitter is used.
@@ -113,7 +135,7 @@
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
 	if slots > 0 {
-		ad.room.slots = slots
+		ad.room.setSlots(slots)
 	}
 	ad.room.draining = draining
 	ad.backendGone.Store(false)
@@ -121,6 +143,15 @@
 	ad.room.reachability.onSeen(now)
 }
 
+// SetBackendRestarted records that another run of the backend server has started. What was learned of the earlier one and
+// its requests in progress count no more.
+func (ad *Admitter) SetBackendRestarted(now time.Time) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	ad.room.dropRequests(now)
+	ad.room.capacity.reset()
+}
+
 // SetNoPreExisting records that the backend server started after the agent, so it holds no flow that the agent has no
 // record of.
 func (ad *Admitter) SetNoPreExisting() { ad.noPreExisting.Store(true) }
@@ -137,12 +168,14 @@
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
 	n := ad.room.inProgress(now) + ad.room.queue.len()
-	return Load{
+	l := Load{
 		InProgress:     uint16(min(n, 1<<15)),             //nolint:gosec // bounded by min
 		Slots:          uint16(min(ad.room.slots, 1<<15)), //nolint:gosec // bounded by min
 		FailurePercent: ad.room.failureRate.percent(now),
 		AcceptsFlows:   !ad.room.draining && !ad.room.zoneOut && !ad.room.reachability.unreachable(now),
 	}
+	ad.room.capacity.report(now, n, &l)
+	return l
 }
 
 // BackendConfirmed reports whether the backend server has been seen and has not rejected an opening packet since.
@@ -162,14 +195,15 @@
 	defer ad.mu.Unlock()
 	d := ad.room.admit(now, p)
 	if _, ok := d.(Deliver); ok {
-		ad.recordDelivery(now, seg.Flow())
+		ad.recordDelivery(now, seg)
 	}
 	return d
 }
 
 // recordDelivery records that an opening packet is delivered to the backend server.
-func (ad *Admitter) recordDelivery(now time.Time, f FlowID) {
-	ad.room.pending[f] = pendingRequest{since: now}
+func (ad *Admitter) recordDelivery(now time.Time, seg Segment) {
+	f := seg.Flow()
+	ad.room.onOpening(now, seg)
 	ad.room.reachability.onDelivered(now)
 	ad.flows.Put(now, f, localFlow{})
 	ad.nextAgents.Delete(f)
@@ -200,7 +234,7 @@
 		if !ad.room.coldAllows(now) {
 			return deliver, []Rerouted{{p, ReasonCold}}
 		}
-		ad.recordDelivery(now, p.Segment.Flow())
+		ad.recordDelivery(now, p.Segment)
 		deliver = append(deliver, p)
 	}
 }
@@ -218,7 +252,7 @@
 	ad.nextAgents.Put(now, f, agent)
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	delete(ad.room.pending, f)
+	ad.room.onEnd(now, f)
 }
 
 // OnEstablishedPacket decides on a packet of a flow that is already open. likelyOwner means that the sender has a record
@@ -240,6 +274,7 @@
 	}
 	if !known && likelyOwner && ad.mayHoldUnknown(now) {
 		ad.flows.Put(now, f, localFlow{probed: true})
+		ad.recordProbe(now, seg)
 		return Deliver{}
 	}
 	return UnknownFlow{}
@@ -267,6 +302,7 @@
 		return UnknownFlow{}
 	}
 	ad.flows.Put(now, f, localFlow{probed: true})
+	ad.recordProbe(now, seg)
 	return Deliver{}
 }
 
@@ -291,6 +327,9 @@
 // packet of another run ends this state.
 func (ad *Admitter) SetBackendGone(now time.Time, idle time.Duration) []OpenFlow {
 	ad.backendGone.Store(true)
+	ad.mu.Lock()
+	ad.room.dropRequests(now)
+	ad.mu.Unlock()
 	var open []OpenFlow
 	ad.flows.Each(now, func(f FlowID, lf localFlow, unused time.Duration) {
 		if lf.accepted && !lf.ended && !lf.notHeld && unused <= idle {
@@ -314,20 +353,21 @@
 	return !ad.noPreExisting.Load() && now.Sub(ad.started) < ad.flowTTL
 }
 
-// recordRequest updates the pending request of a flow when a caller's packet that carries data or a reset is delivered.
+// recordRequest updates the requests in progress when a caller's packet of an open flow is delivered.
 func (ad *Admitter) recordRequest(now time.Time, seg Segment) {
-	ends := seg.Has(FlagReset)
-	if seg.Size() == 0 && !ends {
+	if !ad.tracksRequests && seg.Size() == 0 && !seg.Has(FlagReset) {
 		return
 	}
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	r, ok := ad.room.pending[seg.Flow()]
-	switch {
-	case ok && ends:
-		delete(ad.room.pending, seg.Flow())
-	case ok && !r.processing:
-		ad.room.pending[seg.Flow()] = pendingRequest{since: now, processing: true}
+	ad.room.onCallerPacket(now, seg)
+}
+
+// recordProbe updates the requests in progress when a packet is delivered to find out whether the backend server holds
+// its flow.
+func (ad *Admitter) recordProbe(now time.Time, seg Segment) {
+	if ad.tracksRequests {
+		ad.recordRequest(now, seg)
 	}
 }
 
@@ -372,15 +412,7 @@
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
 	ad.room.reachability.onSeen(now)
-	if seg.Size() > 0 || seg.Has(FlagReset) || seg.Has(FlagFinish) {
-		if r, ok := ad.room.pending[f]; ok && r.processing && !r.timedOut {
-			ad.room.failureRate.add(now, failed || seg.Size() == 0)
-			if ad.room.observeAnswer != nil {
-				ad.room.observeAnswer(now.Sub(r.since))
-			}
-		}
-		delete(ad.room.pending, f)
-	}
+	ad.room.onServerPacket(now, seg, failed)
 	return accepted
 }
 
@@ -389,7 +421,7 @@
 	f := seg.Flow()
 	lf, known := ad.flows.Get(now, f)
 	ad.mu.Lock()
-	delete(ad.room.pending, f)
+	ad.room.onEnd(now, f)
 	if seg.IsOpening() {
 		ad.room.reachability.onRejected(now)
 	}
@@ -412,6 +444,9 @@
 	ad.flows.Sweep(now, func(_ localFlow, unused time.Duration) bool { return unused > max(idle, ad.flowTTL) })
 	ad.nextAgents.Sweep(now, func(_ netip.AddrPort, unused time.Duration) bool { return unused > idle })
 	ad.owners.Sweep(now, func(_ [maxOwners]owner, unused time.Duration) bool { return unused > idle })
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	ad.room.sweepRequests(now, max(idle, ad.flowTTL))
 }
 
 // Flows returns the number of flows that the agent has a record of.
--- a/pkg/passthrough/room.go
+++ b/pkg/passthrough/room.go
@@ -30,6 +30,11 @@
 	coldLimit     SlidingWindowLimiter
 	limits        route.ServiceLimits
 	observeAnswer func(d time.Duration)
+	// observeOutcome is called with the outcome of each tracked request; nil if nobody observes them.
+	observeOutcome func(o RequestOutcome)
+	// requests follows the requests of all flows; nil if only the first request of a flow counts.
+	requests *requestTracker
+	capacity learnedCapacity
 }
 
 func newRoom() room { return room{pending: make(map[FlowID]pendingRequest), slots: defaultSlots} }
@@ -44,6 +49,10 @@
 // inProgress returns the number of pending requests, after removing those that have timed out. It counts a request
 // without a response as failed after hangTimeout.
 func (r *room) inProgress(now time.Time) int {
+	if r.requests != nil {
+		r.expireRequests(now)
+		return r.requests.inProgress()
+	}
 	for f, p := range r.pending {
 		limit := handshakeTimeout
 		if p.processing {
@@ -63,11 +72,22 @@
 
 // requestLimit is the maximum number of requests in progress: enough that no slot is idle while a caller's request is
 // on its way, and fewer than a backend server queues.
-func (r *room) requestLimit() int { return 2*r.slots + 2 }
+func (r *room) requestLimit() int {
+	limit := 2*r.slots + 2
+	if l, known := r.capacity.requestLimit(); known {
+		return min(l, limit)
+	}
+	return limit
+}
 
 // lateRequestLimit is the maximum number of requests in progress when a late packet is admitted: it may take a free
 // slot, but not a place ahead of callers that can still be answered in time.
-func (r *room) lateRequestLimit() int { return r.slots + 1 }
+func (r *room) lateRequestLimit() int {
+	if l, known := r.capacity.limit(); known {
+		return l + 1
+	}
+	return r.slots + 1
+}
 
 func (r *room) admit(now time.Time, p OpeningPacket) Decision {
 	if reason, closed := r.closed(now); closed {
@@ -76,6 +96,7 @@
 	if p.Unconfigured && now.Before(r.coldUntil) {
 		return PassOn{ReasonCold} // Its cold request rate is not known without a configuration.
 	}
+	r.capacity.onOpening(now, p.freshPeriod())
 	limit := r.requestLimit()
 	if p.isLate() {
 		limit = r.lateRequestLimit()
