--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -188,14 +188,20 @@
 	b = append(b, l.FailurePercent)
 	b = appendFlag(b, l.AcceptsFlows)
 	b = binary.BigEndian.AppendUint16(b, l.Limit)
-	b = appendMilliseconds(b, l.ServiceTime)
-	return appendMilliseconds(b, l.Wait)
+	b = appendUnits(b, l.ServiceTime, loadTimeUnit)
+	return appendUnits(b, l.Wait, loadTimeUnit)
 }
 
-// appendMilliseconds appends a duration, limited to 65,535 ms.
-func appendMilliseconds(b []byte, d time.Duration) []byte {
-	ms := min(max(d.Milliseconds(), 0), 1<<16-1)
-	return binary.BigEndian.AppendUint16(b, uint16(ms)) //nolint:gosec // bounded above
+// loadTimeUnit is the resolution of the times in a load, of which the longest is 6.5 s.
+const loadTimeUnit = 100 * time.Microsecond
+
+// appendUnits appends a duration in a unit, limited to 65,535 units.
+func appendUnits(b []byte, d, unit time.Duration) []byte {
+	return binary.BigEndian.AppendUint16(b, uint16(min(max(d/unit, 0), 1<<16-1))) //nolint:gosec // bounded above
+}
+
+func decodeUnits(b []byte, unit time.Duration) time.Duration {
+	return time.Duration(binary.BigEndian.Uint16(b)) * unit
 }
 
 func appendFlag(b []byte, flag bool) []byte {
@@ -213,8 +219,8 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(m.service))
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	b = append(b, m.hops)
-	b = appendMilliseconds(b, m.delay)
-	b = appendMilliseconds(b, m.objective)
+	b = appendUnits(b, m.delay, time.Millisecond)
+	b = appendUnits(b, m.objective, time.Millisecond)
 	b = append(b, m.flags())
 	b = appendPath(b, &m.path)
 	b = appendPath(b, &m.directory)
@@ -286,7 +292,7 @@
 	b = append(b, byte(len(attempts)))
 	for _, a := range attempts {
 		b = a.Flow.Append(b)
-		b = appendMilliseconds(b, a.Age)
+		b = appendUnits(b, a.Age, time.Millisecond)
 	}
 	return b
 }
@@ -364,11 +370,7 @@
 	return all
 }
 
-func (r *reader) milliseconds() time.Duration { return decodeMilliseconds(r.next(2)) }
-
-func decodeMilliseconds(b []byte) time.Duration {
-	return time.Duration(binary.BigEndian.Uint16(b)) * time.Millisecond
-}
+func (r *reader) milliseconds() time.Duration { return decodeUnits(r.next(2), time.Millisecond) }
 
 func (r *reader) address() netip.AddrPort {
 	b := r.next(addressSize)
@@ -417,7 +419,7 @@
 	b := r.next(loadSize)
 	return passthrough.Load{
 		InProgress: binary.BigEndian.Uint16(b), Slots: binary.BigEndian.Uint16(b[2:]), FailurePercent: b[4], AcceptsFlows: b[5] == 1,
-		Limit: binary.BigEndian.Uint16(b[6:]), ServiceTime: decodeMilliseconds(b[8:]), Wait: decodeMilliseconds(b[10:]),
+		Limit: binary.BigEndian.Uint16(b[6:]), ServiceTime: decodeUnits(b[8:], loadTimeUnit), Wait: decodeUnits(b[10:], loadTimeUnit),
 	}
 }
 
