--- a/pkg/passthrough/learned_capacity_test.go
+++ b/pkg/passthrough/learned_capacity_test.go
@@ -9,6 +9,13 @@
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 )
 
+// newLearningAdmitter returns the admitter of an agent that learns the capacity of its backend server.
+func newLearningAdmitter(slots int) *passthrough.Admitter {
+	ad := newAdmitter(slots)
+	ad.LearnCapacity()
+	return ad
+}
+
 // keptFlow sends requests on one open flow to an admitter.
 type keptFlow struct {
 	*passthrough.Admitter
@@ -71,8 +78,7 @@
 // against new flows that wait behind requests of a slow backend server while others have free slots, and against a limit
 // that leaves its slots idle. The rule without estimates admits eight requests at any speed.
 func TestAdmitterLimitsSlowBackend(t *testing.T) {
-	ad, now := newAdmitter(3), start
-	ad.LearnCapacity()
+	ad, now := newLearningAdmitter(3), start
 	flows := make([]*keptFlow, 0, 6)
 	for i := range 6 {
 		flows = append(flows, openKeptFlow(ad, now, i))
--- a/pkg/passthrough/simulation_test.go
+++ b/pkg/passthrough/simulation_test.go
@@ -125,13 +125,18 @@
 		outage    = 1300 * time.Millisecond
 		objective = 120 * time.Millisecond
 	)
-	for name, c := range map[string]struct{ perSecond, want int }{
-		"usual load":     {53, 50},
-		"twice capacity": {154, 69},
+	for name, c := range map[string]struct {
+		perSecond, want int
+		newAdmitter     func(slots int) *passthrough.Admitter
+	}{
+		"usual load":                    {53, 50, newAdmitter},
+		"twice capacity":                {154, 69, newAdmitter},
+		"usual load, learned limit":     {53, 50, newLearningAdmitter},
+		"twice capacity, learned limit": {154, 69, newLearningAdmitter},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &outageSimulation{
-				admitter: newAdmitter(2), slots: 2, workTime: 26 * time.Millisecond, linkDelay: 4 * time.Millisecond,
+				admitter: c.newAdmitter(2), slots: 2, workTime: 26 * time.Millisecond, linkDelay: 4 * time.Millisecond,
 				startedAt: make(map[int]time.Duration), answeredAt: make(map[int]time.Duration),
 			}
 			for i := 0; ; i++ {
@@ -261,11 +266,16 @@
 // the load is twice what the backend server can process; nine tenths of its capacity must be answered in time.
 func TestOverloadWithRetries(t *testing.T) {
 	for _, balancers := range []int{1, 5} {
-		t.Run(fmt.Sprintf("balancers %d", balancers), func(t *testing.T) { testOverloadWithRetries(t, balancers) })
+		t.Run(fmt.Sprintf("balancers %d", balancers), func(t *testing.T) {
+			testOverloadWithRetries(t, balancers, newAdmitter(2))
+		})
+		t.Run(fmt.Sprintf("balancers %d, learned limit", balancers), func(t *testing.T) {
+			testOverloadWithRetries(t, balancers, newLearningAdmitter(2))
+		})
 	}
 }
 
-func testOverloadWithRetries(t *testing.T, balancers int) {
+func testOverloadWithRetries(t *testing.T, balancers int, ad *passthrough.Admitter) {
 	t.Helper()
 	const (
 		capacity  = 77 // requests a second: 2 slots with 26 ms of work
@@ -274,7 +284,7 @@
 	)
 	o := &overloadSimulation{
 		outageSimulation: outageSimulation{
-			admitter: newAdmitter(2), slots: 2, workTime: 26 * time.Millisecond, linkDelay: 4 * time.Millisecond,
+			admitter: ad, slots: 2, workTime: 26 * time.Millisecond, linkDelay: 4 * time.Millisecond,
 			startedAt: make(map[int]time.Duration), answeredAt: make(map[int]time.Duration),
 		},
 		balancers: make([]passthrough.Attempts, balancers), objective: objective, served: make(map[passthrough.FlowID]bool), callers: make(map[passthrough.FlowID]int),
