fix: a backend server that stops answering stays known as slow

Evidence was weighed in service times of the last estimate, so a server that stopped answering became unknown as soon as its estimate had risen. Evidence now counts by answers or busy time, what is known stays so until half of it has decayed, and a server without a request for 3 s is unknown, so one that gets none because it was slow is tried again. The extended TestAnswersStop failed before.

--- a/pkg/concurrency/estimator.go
+++ b/pkg/concurrency/estimator.go
@@ -15,8 +15,11 @@
 	speedHalfLife = 3 * time.Second
 	// minAnswers is the number of answers below which nothing is known.
 	minAnswers = 8
-	// unknownServiceTime replaces the service time of a server that has not shown any when the evidence is weighed.
-	unknownServiceTime = 200 * time.Millisecond
+	// idleTTL is how long the speed of a server without requests is remembered. A server that gets none because it was
+	// slow is tried again after that.
+	idleTTL = 3 * time.Second
+	// assumedServiceTime is how much busy time counts as much evidence as an answer, if answers do not come.
+	assumedServiceTime = 200 * time.Millisecond
 	// dispersion is the variance of the number of answers divided by their mean. Service times with a long tail have
 	// one above that of independent answers, which is 1.
 	dispersion = 2
@@ -43,13 +46,14 @@
 	slots      int
 	inProgress int
 	at         time.Time // when the counts were last updated
+	usedAt     time.Time // when the number in progress last changed
 
 	speed          speed
 	slower, faster change
-	// mean is the work of the average answer, relative to a typical one.
-	mean float64
-	// last is the last known time of a typical request in seconds; 0 if there was none.
-	last float64
+	// extraWork is by how much the work of the recent answers exceeds that of a typical one, as a share of it.
+	extraWork float64
+	// known means that there is enough evidence.
+	known bool
 
 	routes routeWork
 	knee   knee
@@ -68,14 +72,22 @@
 // Reset forgets what was learned of the server, because another run of it has started. What its routes cost in
 // comparison to each other stays.
 func (e *Estimator) Reset() {
-	e.speed, e.slower, e.faster, e.last, e.mean = speed{}, change{}, change{}, 0, 0
+	e.forgetSpeed()
 	e.knee = newKnee(e.slots)
 }
 
+func (e *Estimator) forgetSpeed() {
+	e.speed, e.slower, e.faster, e.known = speed{}, change{}, change{}, false
+}
+
 // SetInProgress sets the number of requests in progress.
 func (e *Estimator) SetInProgress(now time.Time, n int) {
+	if n == e.inProgress {
+		return
+	}
 	e.advance(now)
 	e.inProgress = n
+	e.usedAt = now
 }
 
 // Add records an answer, before SetInProgress reduces the number of requests in progress.
@@ -83,10 +95,7 @@
 	e.advance(now)
 	work := e.routes.work(a.Route)
 	e.speed.answers += work
-	if e.mean == 0 {
-		e.mean = work
-	}
-	e.mean += (work - e.mean) / meanWorkAnswers
+	e.extraWork += (work - 1 - e.extraWork) / meanWorkAnswers
 	e.knee.add(work)
 	if typical, known := e.serviceTime(); known && a.Took > 0 {
 		// A request that started behind others has waited for its share of the time.
@@ -104,16 +113,20 @@
 
 // advance accounts for the time since the last update, in which the number of requests in progress has not changed.
 func (e *Estimator) advance(now time.Time) {
-	d := now.Sub(e.at)
-	if e.at.IsZero() || d <= 0 {
+	if e.at.IsZero() {
 		e.at = now
+	}
+	d := now.Sub(e.at)
+	if d <= 0 {
 		return
 	}
 	e.at = now
+	if e.inProgress == 0 && now.Sub(e.usedAt) > idleTTL {
+		e.forgetSpeed()
+	}
 	busy := float64(min(e.inProgress, e.limit())) * d.Seconds()
 	e.speed.advance(d, busy)
 	if typical, known := e.serviceTime(); known {
-		e.last = typical
 		e.knee.advance(d, e.inProgress, typical)
 	}
 	if now.Sub(e.fittedAt) >= fitInterval {
@@ -143,16 +156,18 @@
 	}
 }
 
-// serviceTime returns the time of a typical request with a free slot in seconds, or false if it is not known.
+// serviceTime returns the time of a typical request with a free slot in seconds, or false if it is not known. What is
+// known stays so until half of the necessary evidence has decayed.
 func (e *Estimator) serviceTime() (seconds float64, known bool) {
-	last := e.last
-	if last == 0 {
-		last = unknownServiceTime.Seconds()
+	necessary := float64(minAnswers)
+	if e.known {
+		necessary /= 2
 	}
-	if max(e.speed.answers, e.speed.busy/last) < minAnswers {
+	e.known = e.speed.busy > 0 && max(e.speed.answers, e.speed.busy/assumedServiceTime.Seconds()) >= necessary
+	if !e.known {
 		return 0, false
 	}
-	return min(e.speed.busy/max(e.speed.answers, 1), maxServiceTime.Seconds()), e.speed.busy > 0
+	return min(e.speed.busy/max(e.speed.answers, 1), maxServiceTime.Seconds()), true
 }
 
 func (e *Estimator) limit() int { return max(e.knee.limit, 1) }
@@ -167,7 +182,7 @@
 	return Estimate{
 		Limit:       e.limit(),
 		ServiceTime: time.Duration(typical * float64(time.Second)),
-		perRequest:  time.Duration(typical * e.mean * float64(time.Second)),
+		perRequest:  time.Duration(typical * (1 + e.extraWork) * float64(time.Second)),
 	}
 }
 
--- a/pkg/concurrency/estimator_test.go
+++ b/pkg/concurrency/estimator_test.go
@@ -200,13 +200,19 @@
 	assert.Equal(t, e.Wait(100), time.Duration(0))
 }
 
-// Load: half use, then answers stop. Guards against a server that passes for fast because only answers count.
+// Load: half use, then answers stop, and after a while there are no requests. Guards against a server that passes for
+// fast because only answers count, and against one that is never tried again.
 func TestAnswersStop(t *testing.T) {
 	s, l := newServer(3, 3, 1), newLoad(50)
 	run(s, l, 0, 10*time.Second)
 	s.stopped = true
 	run(s, l, 10*time.Second, 10700*time.Millisecond)
 	assert.Assert(t, s.serviceMS(10700*time.Millisecond) > 4*typicalMS)
+	run(s, l, 10700*time.Millisecond, 13*time.Second)
+	assert.Assert(t, s.serviceMS(13*time.Second) > 20*typicalMS)
+	s.SetInProgress(start.Add(13*time.Second), 0) // The requests count as lost and no others come.
+	assert.Assert(t, s.Estimate(start.Add(15*time.Second)).IsKnown())
+	assert.Assert(t, !s.Estimate(start.Add(17*time.Second)).IsKnown())
 }
 
 // Load: full use during a cold start, then at full speed; a release that is twice as fast; another run of the server.
