--- /dev/null
+++ b/pkg/dispatch/rank.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxAttraction is how many times its share of the capacity a server gets at most, unless the reports are so fresh
+	// that its free slots bear more. A new or returned server fills up without a rush.
+	maxAttraction = 4
+	// exploredFlows is the part of flows, one in so many, that go to a server without work. Nothing else shows that a
+	// slow server has recovered.
+	exploredFlows = 64
+	// exploreAfter is how long a balancer has not placed a flow at a server before it explores it.
+	exploreAfter = 2 * time.Second
+	// exploreFailurePercent is the failure rate from which a server is not explored; failures expire by themselves.
+	exploreFailurePercent = 10
+)
+
+// Choice is the place of a server in the order in which a flow tries them.
+type Choice struct {
+	// Server is the index of the server.
+	Server   int
+	Estimate Estimate
+	// InZone means that the server is in the zone chosen for the flow.
+	InZone bool
+	// Explored means that the server is first only to find out whether it has recovered.
+	Explored bool
+
+	key float64 // lower goes first
+}
+
+// Ranker orders servers for new flows; the zero value is ready to use. It keeps memory between calls and is not safe for
+// concurrent use.
+type Ranker struct {
+	choices []Choice
+	zones   []zoneState
+}
+
+// Rank returns the servers in the order in which a flow tries them, valid until the next call, or false if the speed of
+// none is known. hash identifies the flow, objective is the latency objective of its requests, and zone that of the
+// balancer.
+func (r *Ranker) Rank(hash uint64, objective time.Duration, zone string, servers []Server) ([]Choice, bool) {
+	d := demandOf(servers)
+	if d.serviceTime == 0 {
+		return nil, false
+	}
+	r.choices = r.choices[:0]
+	for i := range servers {
+		r.choices = append(r.choices, Choice{Server: i, Estimate: servers[i].estimate(d)})
+	}
+	r.summarizeZones(servers, d)
+	chosen := r.chooseZone(hash, objective, zone, d)
+	for i := range r.choices {
+		c := &r.choices[i]
+		c.InZone = servers[c.Server].Zone == chosen
+	}
+	r.setKeys(hash, servers, d)
+	r.explore(hash, servers)
+	slices.SortStableFunc(r.choices, compareChoices)
+	return r.choices, true
+}
+
+func compareChoices(a, b Choice) int {
+	switch {
+	case a.InZone != b.InZone:
+		if a.InZone {
+			return -1
+		}
+		return 1
+	case a.key < b.key:
+		return -1
+	case a.key > b.key:
+		return 1
+	}
+	return 0
+}
+
+// delay returns the part of an estimate, in seconds, by which servers of a zone are compared. For flows that stay, the
+// service time counts as capacity only: the load of a server then follows its speed.
+func (e Estimate) delay(d demand) float64 {
+	return (1-d.kept)*e.Service.Seconds() + e.Queue.Seconds() + e.Failure.Seconds()
+}
+
+// setKeys gives each server a random key whose distribution makes it first with a probability that is proportional to
+// its capacity and grows with its free part and falls with its delay.
+func (r *Ranker) setKeys(hash uint64, servers []Server, d demand) {
+	var capacity, delay, free float64
+	for i := range r.choices {
+		e := r.choices[i].Estimate
+		capacity += e.Capacity
+		delay += e.Capacity * e.delay(d)
+		free += e.Capacity * e.Free
+	}
+	delay, free = delay/capacity, free/capacity
+	for i := range r.choices {
+		c := &r.choices[i]
+		s, e := &servers[c.Server], c.Estimate
+		attraction := math.Log(e.Free/free) - (e.delay(d)-delay)/tolerance(s, e, d)
+		limit := float64(maxAttraction)
+		if d.kept < 0.5 {
+			// The flows that all balancers send in the age of a report may fill the free slots.
+			limit = max(limit, e.Free*s.concurrency()/(d.throughput*d.age)*capacity/e.Capacity)
+		}
+		attraction = min(attraction, math.Log(limit))
+		c.key = -math.Log(e.Capacity) - attraction + math.Log(exponential(hash, s.Key))
+	}
+}
+
+// tolerance returns the difference of delays in seconds that halves a server's share, roughly: what may have happened
+// since its report. For flows that stay it is a service time, since their later requests meet other queues.
+func tolerance(s *Server, e Estimate, d demand) float64 {
+	step, service := 1/e.Capacity, e.Service.Seconds()
+	once := min(max(math.Sqrt(s.Age.Seconds()*step)/2, step/4), service)
+	return (1-d.kept)*once + d.kept*service
+}
+
+// explore puts a server of the chosen zone first that has had no work, for one in exploredFlows flows.
+func (r *Ranker) explore(hash uint64, servers []Server) {
+	if uniform(hash, exploreSalt) >= 1.0/exploredFlows {
+		return
+	}
+	best := -1
+	for i := range r.choices {
+		c := &r.choices[i]
+		s := &servers[c.Server]
+		if !c.InZone || s.InProgress > 0 || s.Placed > 0 || s.Idle < exploreAfter || s.FailurePercent >= exploreFailurePercent {
+			continue
+		}
+		if best < 0 || s.Idle > servers[r.choices[best].Server].Idle {
+			best = i
+		}
+	}
+	if best >= 0 {
+		r.choices[best].Explored, r.choices[best].key = true, math.Inf(-1)
+	}
+}
+
+// Salts separate the random numbers that are derived from the hash of a flow.
+const (
+	exploreSalt = 0x9e3779b97f4a7c15
+	leaveSalt   = 0xd1342543de82ef95
+	zoneSalt    = 0xaf251af3b0f025b5
+)
+
+// uniform returns a number from (0, 1) that depends on a flow and a salt only.
+func uniform(hash, salt uint64) float64 {
+	x := hash ^ salt
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return (float64(x>>11) + 0.5) / (1 << 53)
+}
+
+// exponential returns a number with an exponential distribution: the server with the lowest number divided by its weight
+// is the first with a probability proportional to its weight.
+func exponential(hash, key uint64) float64 { return -math.Log(uniform(hash, key*exploreSalt)) }
