feat: placement by expected time, split of routes

Agents report their open flows. Without the features the costs and the order are the same as before.

--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -96,6 +96,9 @@
 // NewBalancer returns a balancer with its sockets bound.
 func NewBalancer(cfg BalancerConfig) (*Balancer, error) {
 	b := &Balancer{cfg: cfg, steerer: passthrough.NewSteerer(cfg.Zone), draining: make(chan struct{})}
+	if cfg.Features.Has(LearnedCapacity) {
+		b.steerer.UseExpectedTime()
+	}
 	b.state = localState{layout: cfg.Layout, logger: cfg.Logger, changed: b.refresh}
 	b.fetcher = newStateFetcher(&b.state, true, cfg.Logger)
 	b.metrics = newMetrics("balancer", gauges{
@@ -377,18 +380,18 @@
 // place sends an opening packet to an agent, or returns false if no agent accepts flows.
 func (b *Balancer) place(now time.Time, p passthrough.OpeningPacket, r route.Route) bool {
 	seg := p.Segment
-	o, ok := b.steerer.Place(now, seg, r.Service)
+	d := b.destination(seg.Flow(), r)
+	o, ok := b.steerer.PlaceAt(now, seg, d)
 	if !ok {
 		return false
 	}
 	p.IsRetry = seg.Retransmissions() == 0 && b.attempts.IsRetry(now, seg.Flow())
 	b.attempts.Add(now, p)
 	b.link.send(o.Target, &forward{
-		origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.state.operatorRevision(),
+		origin: b.link.self, service: flow.ServiceIDOf(o.Service), revision: b.state.operatorRevision(),
 		path: o.Alternatives, directory: o.Directory, delay: p.Delay, objective: r.TargetLatency, isRetry: p.IsRetry, packet: p.Packet,
 	})
-	b.metrics.count(eventPlaced, reasonNone)
-	b.cfg.Logger.Info("flow placed", "flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Retransmissions(), "returning", p.IsRetry, "revision", b.state.Table().Revision())
+	b.recordPlacement(p, d, o)
 	return true
 }
 
@@ -407,34 +410,6 @@
 	b.link.send(target, m)
 }
 
-// ownerPath returns the agents that may have a record of the owner of a flow, and the directory of the flow. The path
-// includes the agents of the previous service of the route, which may still own open flows.
-func (b *Balancer) ownerPath(now time.Time, f passthrough.FlowID, r route.Route) (path, directory passthrough.Path) {
-	path, directory = b.steerer.OwnerCandidates(now, f, r.Service)
-	service, ok := b.previousService(f, r)
-	if !ok {
-		return path, directory
-	}
-	other, _ := b.steerer.OwnerCandidates(now, f, service)
-	var both passthrough.Path
-	for both.Len() < passthrough.MaxPath && (path.Len() > 0 || other.Len() > 0) {
-		if a, ok := path.Next(); ok {
-			both.Add(a)
-		}
-		if a, ok := other.Next(); ok {
-			both.Add(a)
-		}
-	}
-	return both, directory
-}
-
-// previousService returns the service of a flow's address before the last change of the configuration, or false if the
-// service is the same.
-func (b *Balancer) previousService(f passthrough.FlowID, r route.Route) (string, bool) {
-	old, ok := b.state.previousTable().Route(f.Address())
-	return old.Service, ok && old.Service != r.Service
-}
-
 func (b *Balancer) onMessage(_ netip.AddrPort, data []byte) {
 	m, err := decodeMessage(data)
 	if err != nil {
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -26,7 +26,7 @@
 	// addressSize is the size of an encoded IPv4 address with its port.
 	addressSize = 6
 	// loadSize is the size of an encoded load.
-	loadSize = 12
+	loadSize = 14
 )
 
 // messageKind is the third byte of a datagram.
@@ -189,7 +189,8 @@
 	b = appendFlag(b, l.AcceptsFlows)
 	b = binary.BigEndian.AppendUint16(b, l.Limit)
 	b = appendMilliseconds(b, l.ServiceTime)
-	return appendMilliseconds(b, l.Wait)
+	b = appendMilliseconds(b, l.Wait)
+	return binary.BigEndian.AppendUint16(b, l.Flows)
 }
 
 // appendMilliseconds appends a duration, limited to 65,535 ms.
@@ -418,6 +419,7 @@
 	return passthrough.Load{
 		InProgress: binary.BigEndian.Uint16(b), Slots: binary.BigEndian.Uint16(b[2:]), FailurePercent: b[4], AcceptsFlows: b[5] == 1,
 		Limit: binary.BigEndian.Uint16(b[6:]), ServiceTime: decodeMilliseconds(b[8:]), Wait: decodeMilliseconds(b[10:]),
+		Flows: binary.BigEndian.Uint16(b[12:]),
 	}
 }
 
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -43,6 +43,7 @@
 	packets  prometheus.Counter
 	fetches  *prometheus.CounterVec
 	unsent   prometheus.Counter
+	shares   *prometheus.CounterVec
 	answers  prometheus.Histogram
 	waits    prometheus.Histogram
 }
@@ -73,6 +74,9 @@
 	m.unsent = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "bramleymast_unsent_datagrams_total", Help: "Datagrams that the host did not take for sending; they count as lost.",
 	})
+	m.shares = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bramleymast_split_flows_total", Help: "New flows of routes with several services, by the service that got them.",
+	}, []string{"service", "reason"})
 	m.answers = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_answer_seconds", Help: "Time from a request to the first packet of its answer.", Buckets: latencyBuckets,
 	})
@@ -83,7 +87,7 @@
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels}, f)
 	}
-	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.answers, m.waits,
+	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.shares, m.answers, m.waits,
 		gauge("bramleymast_operator_revision", "Store revision of the newest configuration or zone state.", g.revision),
 		gauge("bramleymast_flows", "Flows that the process remembers.", g.flows),
 		gauge("bramleymast_agents", "Agents that the process knows.", g.agents),
@@ -95,6 +99,21 @@
 	m.events.WithLabelValues(string(e), reason).Inc()
 }
 
+// Reasons why a service of a split route gets a flow: its weight, or no room in the service that the weights gave it to.
+const (
+	reasonWeight = "weight"
+	reasonSpill  = "no_room"
+)
+
+// countShare counts a new flow of a route with several services.
+func (m *metrics) countShare(service string, spilled bool) {
+	reason := reasonWeight
+	if spilled {
+		reason = reasonSpill
+	}
+	m.shares.WithLabelValues(service, reason).Inc()
+}
+
 // send sends a datagram. A datagram that cannot be sent is counted and lost, like one that is lost on the network; its
 // sender retransmits it.
 func (m *metrics) send(conn *net.UDPConn, b []byte, to netip.AddrPort) {
--- a/internal/passthrough/owner_search.go
+++ b/internal/passthrough/owner_search.go
@@ -23,10 +23,7 @@
 		b.metrics.count(eventDropped, "no_route")
 		return
 	}
-	services := []string{r.Service}
-	if old, ok := b.previousService(f, r); ok {
-		services = append(services, old)
-	}
+	services, _ := b.ownerServices(f, r)
 	ids := make([]flow.ServiceID, 0, len(services))
 	for _, s := range services {
 		ids = append(ids, flow.ServiceIDOf(s))
@@ -36,7 +33,7 @@
 		b.metrics.count(eventDropped, "unknown_flow")
 		return
 	}
-	_, directory := b.steerer.OwnerCandidates(now, f, r.Service)
+	_, directory := b.ownerPath(now, f, r)
 	agents := 0
 	for _, g := range groups {
 		agents += len(g)
--- a/pkg/dispatch/rank.go
+++ b/pkg/dispatch/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -19,17 +18,25 @@
 	exploreFailurePercent = 10
 )
 
-// Choice is the place of a server in the order in which a flow tries them.
+// Choice is what a ranker decides about a server.
 type Choice struct {
-	// Server is the index of the server.
-	Server   int
 	Estimate Estimate
-	// InZone means that the server is in the zone chosen for the flow.
+	// Key orders the servers for a flow: the lowest goes first.
+	Key float64
+	// InZone means that the server is in the zone chosen for the flow; others have higher keys.
 	InZone bool
 	// Explored means that the server is first only to find out whether it has recovered.
 	Explored bool
+}
 
-	key float64 // lower goes first
+// Flow is what decides about a new flow beside the servers.
+type Flow struct {
+	// Hash identifies the flow; it is the same for all copies of the opening packet and at all balancers.
+	Hash uint64
+	// Zone is that of the balancer.
+	Zone string
+	// Objective is the latency objective of the requests; 0 if there is none.
+	Objective time.Duration
 }
 
 // Ranker orders servers for new flows; the zero value is ready to use. It keeps memory between calls and is not safe for
@@ -39,44 +46,32 @@
 	zones   []zoneState
 }
 
-// Rank returns the servers in the order in which a flow tries them, valid until the next call, or false if the speed of
-// none is known. hash identifies the flow, objective is the latency objective of its requests, and zone that of the
-// balancer.
-func (r *Ranker) Rank(hash uint64, objective time.Duration, zone string, servers []Server) ([]Choice, bool) {
+// Rank returns a choice for each server, valid until the next call, or false if the speed of none is known.
+func (r *Ranker) Rank(f Flow, servers []Server) ([]Choice, bool) {
 	d := demandOf(servers)
 	if d.serviceTime == 0 {
 		return nil, false
 	}
 	r.choices = r.choices[:0]
 	for i := range servers {
-		r.choices = append(r.choices, Choice{Server: i, Estimate: servers[i].estimate(d)})
+		r.choices = append(r.choices, Choice{Estimate: servers[i].estimate(d)})
 	}
 	r.summarizeZones(servers, d)
-	chosen := r.chooseZone(hash, objective, zone, d)
+	zone := r.chooseZone(f, d)
 	for i := range r.choices {
-		c := &r.choices[i]
-		c.InZone = servers[c.Server].Zone == chosen
+		r.choices[i].InZone = servers[i].Zone == zone
 	}
-	r.setKeys(hash, servers, d)
-	r.explore(hash, servers)
-	slices.SortStableFunc(r.choices, compareChoices)
+	r.setKeys(f.Hash, servers, d)
+	r.explore(f.Hash, servers)
 	return r.choices, true
 }
 
-func compareChoices(a, b Choice) int {
-	switch {
-	case a.InZone != b.InZone:
-		if a.InZone {
-			return -1
-		}
-		return 1
-	case a.key < b.key:
-		return -1
-	case a.key > b.key:
-		return 1
-	}
-	return 0
-}
+// Offsets of keys. otherZoneKey and exploredKey exceed all other differences between keys.
+const (
+	maxRepulsion = 1e3
+	otherZoneKey = 1e4
+	exploredKey  = -1e4
+)
 
 // delay returns the part of an estimate, in seconds, by which servers of a zone are compared. For flows that stay, the
 // service time counts as capacity only: the load of a server then follows its speed.
@@ -97,15 +92,18 @@
 	delay, free = delay/capacity, free/capacity
 	for i := range r.choices {
 		c := &r.choices[i]
-		s, e := &servers[c.Server], c.Estimate
+		s, e := &servers[i], c.Estimate
 		attraction := math.Log(e.Free/free) - (e.delay(d)-delay)/tolerance(s, e, d)
 		limit := float64(maxAttraction)
 		if d.kept < 0.5 {
 			// The flows that all balancers send in the age of a report may fill the free slots.
 			limit = max(limit, e.Free*s.concurrency()/(d.throughput*d.age)*capacity/e.Capacity)
 		}
-		attraction = min(attraction, math.Log(limit))
-		c.key = -math.Log(e.Capacity) - attraction + math.Log(exponential(hash, s.Key))
+		attraction = max(min(attraction, math.Log(limit)), -maxRepulsion)
+		c.Key = math.Log(exponential(hash, s.Key)) - math.Log(e.Capacity/capacity) - attraction
+		if !c.InZone {
+			c.Key += otherZoneKey
+		}
 	}
 }
 
@@ -124,17 +122,16 @@
 	}
 	best := -1
 	for i := range r.choices {
-		c := &r.choices[i]
-		s := &servers[c.Server]
-		if !c.InZone || s.InProgress > 0 || s.Placed > 0 || s.Idle < exploreAfter || s.FailurePercent >= exploreFailurePercent {
+		s := &servers[i]
+		if !r.choices[i].InZone || s.InProgress > 0 || s.Placed > 0 || s.Idle < exploreAfter || s.FailurePercent >= exploreFailurePercent {
 			continue
 		}
-		if best < 0 || s.Idle > servers[r.choices[best].Server].Idle {
+		if best < 0 || s.Idle > servers[best].Idle {
 			best = i
 		}
 	}
 	if best >= 0 {
-		r.choices[best].Explored, r.choices[best].key = true, math.Inf(-1)
+		r.choices[best].Explored, r.choices[best].Key = true, exploredKey
 	}
 }
 
--- a/pkg/dispatch/zone.go
+++ b/pkg/dispatch/zone.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 // leaveShare is the part of the latency objective by which another zone must answer sooner before flows leave their
 // zone. Callers gain nothing from less, and traffic between zones is charged.
@@ -23,7 +20,7 @@
 	for i := range r.choices {
 		c := &r.choices[i]
 		e := c.Estimate
-		z := r.zone(servers[c.Server].Zone)
+		z := r.zone(servers[i].Zone)
 		w := e.Capacity * e.Free
 		z.free += w
 		z.delay += w * e.delay(d)
@@ -47,9 +44,9 @@
 
 // chooseZone returns the zone for a flow: that of the balancer while it has a server, and for a part of the flows that
 // grows with the gain another zone that answers sooner by more than the way to it.
-func (r *Ranker) chooseZone(hash uint64, objective time.Duration, home string, d demand) string {
-	own, ok := r.find(home)
-	threshold := max(leaveShare*objective.Seconds(), d.serviceTime)
+func (r *Ranker) chooseZone(f Flow, d demand) string {
+	own, ok := r.find(f.Zone)
+	threshold := max(leaveShare*f.Objective.Seconds(), d.serviceTime)
 	least := math.Inf(1)
 	for i := range r.zones {
 		least = min(least, r.zones[i].delay+r.zones[i].way)
@@ -60,17 +57,17 @@
 		switch {
 		case !ok: // All zones are others; those that answer much later get little.
 			z.gain = math.Exp((least - z.delay - z.way) / threshold)
-		case z.name != home:
+		case z.name != f.Zone:
 			z.gain = max(0, own.delay-z.delay-z.way-threshold)
 		default:
 			z.gain = 0
 		}
 		gain = max(gain, z.gain)
 	}
-	if ok && uniform(hash, leaveSalt) >= gain/threshold {
-		return home
+	if ok && uniform(f.Hash, leaveSalt) >= gain/threshold {
+		return f.Zone
 	}
-	return r.drawZone(hash)
+	return r.drawZone(f.Hash)
 }
 
 // drawZone returns a zone with a probability proportional to its free capacity and gain.
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -65,6 +65,7 @@
 	flows      Table[localFlow]
 	nextAgents Table[netip.AddrPort]
 	owners     Table[[maxOwners]owner]
+	open       openFlows
 
 	mu   sync.Mutex
 	room room
@@ -142,6 +143,7 @@
 		Slots:          uint16(min(ad.room.slots, 1<<15)), //nolint:gosec // bounded by min
 		FailurePercent: ad.room.failureRate.percent(now),
 		AcceptsFlows:   !ad.room.draining && !ad.room.zoneOut && !ad.room.reachability.unreachable(now),
+		Flows:          ad.open.count(),
 	}
 }
 
@@ -356,6 +358,8 @@
 	f := seg.Flow()
 	ad.backendGone.Store(false)
 	ad.flows.Update(now, f, func(lf localFlow, known bool) localFlow {
+		before := lf
+		defer func() { ad.open.change(before, lf) }()
 		switch {
 		case seg.Has(FlagOpen | FlagAck):
 			accepted = !lf.accepted
@@ -410,6 +414,7 @@
 func (ad *Admitter) Sweep(now time.Time, idle time.Duration) {
 	// A missing record means that the backend server does not hold the flow, so it is kept for as long as flows live.
 	ad.flows.Sweep(now, func(_ localFlow, unused time.Duration) bool { return unused > max(idle, ad.flowTTL) })
+	ad.open.recount(now, &ad.flows, idle)
 	ad.nextAgents.Sweep(now, func(_ netip.AddrPort, unused time.Duration) bool { return unused > idle })
 	ad.owners.Sweep(now, func(_ [maxOwners]owner, unused time.Duration) bool { return unused > idle })
 }
--- /dev/null
+++ b/pkg/passthrough/agent_rank.go
@@ -0,0 +1,119 @@
+package passthrough
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bramleymast/bramleymast/pkg/dispatch"
+	"github.com/bramleymast/bramleymast/pkg/flow"
+)
+
+// reportTTL is how long a reported load counts; after that the agent counts as idle.
+const reportTTL = time.Second
+
+// suspectCost ranks suspect agents behind all others.
+const suspectCost = 1e6
+
+// rankedAgent is an agent that a new flow may go to.
+type rankedAgent struct {
+	address netip.AddrPort
+	state   *agentState
+	// cost orders the agents: the lowest gets the flow. choice explains it if byTime is set.
+	cost   float64
+	byTime bool
+	choice dispatch.Choice
+}
+
+// kind returns how the agent is chosen for a flow from a zone, or "" if it is not chosen by expected time.
+func (a *rankedAgent) kind(zone string) PlacementKind {
+	switch {
+	case !a.byTime:
+		return ""
+	case a.choice.Explored:
+		return PlacedToExplore
+	case a.state.zone != zone:
+		return PlacedElsewhere
+	}
+	return PlacedInZone
+}
+
+// agentRanker keeps the memory of rankAgents between calls.
+type agentRanker struct {
+	agents  []rankedAgent
+	servers []dispatch.Server
+	times   dispatch.Ranker
+}
+
+// rankAgents returns the agents of a view that accept flows, with their costs. Agents of equal cost follow each other in
+// an order that depends on the flow, and those that do not answer come last. The result is valid until the next call.
+func (s *Steerer) rankAgents(now time.Time, zone string, v *flow.View, f FlowID, objective time.Duration) []rankedAgent {
+	members := v.Members()
+	if len(members) == 0 {
+		return nil
+	}
+	r := &s.ranker
+	r.agents, r.servers = r.agents[:0], r.servers[:0]
+	start := int(f.Hash() % uint64(len(members)))
+	for _, suspect := range []bool{false, true} {
+		for i := range members {
+			m := &members[(start+i)%len(members)]
+			st, ok := s.agents[m.DataAddress()]
+			if !ok || !st.inService || !st.load.AcceptsFlows || st.suspect(now) != suspect {
+				continue
+			}
+			a := rankedAgent{address: m.DataAddress(), state: st, cost: st.cost(now, st.zone == zone)}
+			if suspect {
+				a.cost += suspectCost
+			} else if s.byTime {
+				r.servers = append(r.servers, s.server(now, zone, uint64(m.ShortID()), st))
+			}
+			r.agents = append(r.agents, a)
+		}
+	}
+	if s.byTime {
+		r.rankByTime(dispatch.Flow{Hash: f.Hash(), Zone: zone, Objective: objective})
+	}
+	return r.agents
+}
+
+// rankByTime replaces the costs of the agents that answer by those of their expected times, if the speed of a backend
+// server is known.
+func (r *agentRanker) rankByTime(f dispatch.Flow) {
+	choices, ok := r.times.Rank(f, r.servers)
+	if !ok {
+		return
+	}
+	for i := range choices {
+		r.agents[i].cost, r.agents[i].byTime, r.agents[i].choice = choices[i].Key, true, choices[i]
+	}
+}
+
+// cost returns the expected wait in requests per slot.
+func (st *agentState) cost(now time.Time, sameZone bool) float64 {
+	l := st.load
+	if now.Sub(st.reportedAt) > reportTTL {
+		l.InProgress = 0
+	}
+	return l.cost(st.unreported, sameZone)
+}
+
+// server returns what is known of the backend server of an agent, seen from a zone.
+func (s *Steerer) server(now time.Time, zone string, key uint64, st *agentState) dispatch.Server {
+	l := st.load
+	sv := dispatch.Server{
+		Key: key, Zone: st.zone, Slots: int(l.Slots), Limit: int(l.Limit), InProgress: int(l.InProgress), Flows: int(l.Flows),
+		Placed: st.unreported, ServiceTime: l.ServiceTime, Wait: l.Wait, Age: min(now.Sub(st.reportedAt), reportTTL), Idle: now.Sub(st.placedAt),
+		FailurePercent: int(l.FailurePercent),
+	}
+	if st.zone == zone {
+		return sv
+	}
+	var ok bool
+	if sv.Way, ok = s.ways.Extra(zone, st.zone); !ok {
+		sv.Way = unknownWay
+	}
+	return sv
+}
+
+// unknownWay is the way to another zone that has not been measured yet, a typical one between zones of a region.
+const unknownWay = 2 * time.Millisecond
--- a/pkg/passthrough/load.go
+++ b/pkg/passthrough/load.go
@@ -18,6 +18,8 @@
 	ServiceTime time.Duration
 	// Wait is how long one more request would wait for a slot; it is meaningful only if ServiceTime is known.
 	Wait time.Duration
+	// Flows is the number of open flows; 0 if it is not known.
+	Flows uint16
 }
 
 // crossZoneCost is the cost of a flow to another zone, in requests ahead of it.
@@ -38,3 +40,8 @@
 	ahead += failureCost * float64(l.FailurePercent) / 100
 	return (ahead + 1) / float64(max(l.Slots, 1))
 }
+
+// hasRoom reports whether the agent would deliver one more flow at once; see room.requestLimit.
+func (l Load) hasRoom(unreported int) bool {
+	return int(l.InProgress)+unreported < 2*int(max(l.Slots, 1))+2
+}
--- a/pkg/passthrough/local_flow.go
+++ b/pkg/passthrough/local_flow.go
@@ -48,3 +48,6 @@
 	}
 	return netip.AddrPort{}, false
 }
+
+// isOpen reports whether the backend server holds the flow and its caller may send requests on it.
+func (lf localFlow) isOpen() bool { return lf.established && !lf.ended && !lf.notHeld }
--- /dev/null
+++ b/pkg/passthrough/open_flows.go
@@ -0,0 +1,35 @@
+package passthrough
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// openFlows counts the open flows of a backend server; the zero value counts none. It is safe for concurrent use.
+//
+// Changes are counted as they happen, and recount corrects the sum by the flows that ended without a packet.
+type openFlows struct{ n atomic.Int32 }
+
+// change counts a flow that has been opened or has ended.
+func (o *openFlows) change(before, after localFlow) {
+	switch {
+	case after.isOpen() && !before.isOpen():
+		o.n.Add(1)
+	case before.isOpen() && !after.isOpen():
+		o.n.Add(-1)
+	}
+}
+
+// recount counts the flows with packets within the idle timeout.
+func (o *openFlows) recount(now time.Time, flows *Table[localFlow], idle time.Duration) {
+	var n int32
+	flows.Each(now, func(_ FlowID, lf localFlow, unused time.Duration) {
+		if lf.isOpen() && unused <= idle {
+			n++
+		}
+	})
+	o.n.Store(n)
+}
+
+func (o *openFlows) count() uint16 { return uint16(min(max(o.n.Load(), 0), math.MaxUint16)) } //nolint:gosec // bounded
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bramleymast/bramleymast/pkg/dispatch"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 )
 
@@ -24,6 +25,10 @@
 
 	mu     sync.Mutex
 	agents map[netip.AddrPort]*agentState
+	// byTime makes new flows go by expected time; see UseExpectedTime.
+	byTime bool
+	ways   dispatch.Ways
+	ranker agentRanker
 	views  map[string]*flow.View
 	// probeTokens is the number of probes that could be sent at probedAt.
 	probeTokens float64
@@ -40,12 +45,14 @@
 type agentState struct {
 	service         flow.ServiceID
 	load            Load
+	zone            string
 	sameZone        bool
 	inService       bool // accepts flows according to the operator's and the agent's state in the store
 	reported        bool
 	reportedAt      time.Time
 	unreported      int       // flows placed since the last report
 	unansweredSince time.Time // when the oldest unanswered message was sent; zero if there is none
+	placedAt        time.Time // when a flow was last placed
 	lastSentAt      time.Time
 }
 
@@ -54,6 +61,10 @@
 	return &Steerer{zone: zone, agents: make(map[netip.AddrPort]*agentState), views: make(map[string]*flow.View)}
 }
 
+// UseExpectedTime makes new flows go to the agents with the shortest expected time to an answer, as far as agents report
+// the service times of their backend servers. It must be called before the steerer is used.
+func (s *Steerer) UseExpectedTime() { s.byTime = true }
+
 // SetViews replaces the members of all services. It keeps the state of agents that stay in the same service.
 func (s *Steerer) SetViews(views map[string]*flow.View) {
 	s.mu.Lock()
@@ -66,7 +77,7 @@
 			if !ok || st.service != v.Service() {
 				st = &agentState{service: v.Service(), load: Load{Slots: defaultSlots, AcceptsFlows: true}}
 			}
-			st.sameZone = m.Zone() == s.zone
+			st.zone, st.sameZone = m.Zone(), m.Zone() == s.zone
 			st.inService = m.AcceptsFlows()
 			agents[m.DataAddress()] = st
 		}
@@ -119,6 +130,9 @@
 	if st.service != service {
 		return false
 	}
+	if s.byTime && !st.unansweredSince.IsZero() {
+		s.ways.Add(st.zone, now.Sub(st.unansweredSince))
+	}
 	st.load, st.reported, st.reportedAt = l, true, now
 	st.unreported = 0
 	st.unansweredSince = time.Time{}
