--- a/pkg/dispatch/rank.go
+++ b/pkg/dispatch/rank.go
@@ -9,6 +9,8 @@
 	// maxAttraction is how many times its share of the capacity a server gets at most, unless the reports are so fresh
 	// that its free slots bear more. A new or returned server fills up without a rush.
 	maxAttraction = 4
+	// mostlyKept is from where on flows of a service count as ones that stay.
+	mostlyKept = 0.5
 	// exploredFlows is the part of flows, one in so many, that go to a server without work. Nothing else shows that a
 	// slow server has recovered.
 	exploredFlows = 64
@@ -43,6 +45,7 @@
 // concurrent use.
 type Ranker struct {
 	choices []Choice
+	weights []float64
 	zones   []zoneState
 }
 
@@ -66,9 +69,9 @@
 	return r.choices, true
 }
 
-// Offsets of keys. otherZoneKey and exploredKey exceed all other differences between keys.
+// maxRepulsion keeps weights above 0. otherZoneKey and exploredKey exceed all other differences between keys.
 const (
-	maxRepulsion = 1e3
+	maxRepulsion = 600
 	otherZoneKey = 1e4
 	exploredKey  = -1e4
 )
@@ -79,34 +82,83 @@
 	return (1-d.kept)*e.Service.Seconds() + e.Queue.Seconds() + e.Failure.Seconds()
 }
 
-// setKeys gives each server a random key whose distribution makes it first with a probability that is proportional to
-// its capacity and grows with its free part and falls with its delay.
+// setKeys gives each server a random key. Its distribution makes a server the first of its zone with a probability that is
+// proportional to its capacity and its free part, and falls with its delay.
 func (r *Ranker) setKeys(hash uint64, servers []Server, d demand) {
-	var capacity, delay, free float64
-	for i := range r.choices {
-		e := r.choices[i].Estimate
-		capacity += e.Capacity
-		delay += e.Capacity * e.delay(d)
-		free += e.Capacity * e.Free
+	r.weights = append(r.weights[:0], make([]float64, len(servers))...)
+	for _, inZone := range []bool{true, false} {
+		r.weigh(servers, d, inZone)
 	}
-	delay, free = delay/capacity, free/capacity
 	for i := range r.choices {
 		c := &r.choices[i]
-		s, e := &servers[i], c.Estimate
-		attraction := math.Log(e.Free/free) - (e.delay(d)-delay)/tolerance(s, e, d)
-		limit := float64(maxAttraction)
-		if d.kept < 0.5 {
-			// The flows that all balancers send in the age of a report may fill the free slots.
-			limit = max(limit, e.Free*s.concurrency()/(d.throughput*d.age)*capacity/e.Capacity)
-		}
-		attraction = max(min(attraction, math.Log(limit)), -maxRepulsion)
-		c.Key = math.Log(exponential(hash, s.Key)) - math.Log(e.Capacity/capacity) - attraction
+		c.Key = math.Log(exponential(hash, servers[i].Key)) - math.Log(r.weights[i])
 		if !c.InZone {
 			c.Key += otherZoneKey
 		}
 	}
 }
 
+// weigh sets the weights of the servers of the chosen zone, or those of all others.
+func (r *Ranker) weigh(servers []Server, d demand, inZone bool) {
+	least := math.Inf(1)
+	for i := range r.choices {
+		if r.choices[i].InZone == inZone {
+			least = min(least, r.choices[i].Estimate.delay(d))
+		}
+	}
+	var sum, capacity float64
+	for i := range r.choices {
+		if e := r.choices[i].Estimate; r.choices[i].InZone == inZone {
+			repulsion := min((e.delay(d)-least)/tolerance(&servers[i], e, d), maxRepulsion)
+			r.weights[i] = e.Capacity * e.Free * math.Exp(-repulsion)
+			sum += r.weights[i]
+			capacity += e.Capacity
+		}
+	}
+	r.boundWeights(servers, d, inZone, sum, capacity)
+}
+
+// boundWeights lowers the weights of servers that would get more than their highest share. sum and capacity are those of
+// the weights and servers considered.
+func (r *Ranker) boundWeights(servers []Server, d demand, inZone bool, sum, capacity float64) {
+	for range boundRounds {
+		var bounded, rest float64
+		for i := range r.choices {
+			if r.choices[i].InZone != inZone {
+				continue
+			}
+			share := maxShare(&servers[i], r.choices[i].Estimate, d, capacity)
+			if r.weights[i] > sum*share {
+				bounded += share
+			} else {
+				rest += r.weights[i]
+			}
+		}
+		if bounded == 0 || bounded >= 1 {
+			break
+		}
+		sum = rest / (1 - bounded)
+	}
+	for i := range r.choices {
+		if r.choices[i].InZone == inZone {
+			r.weights[i] = min(r.weights[i], sum*maxShare(&servers[i], r.choices[i].Estimate, d, capacity))
+		}
+	}
+}
+
+// boundRounds limits how often the bounds are applied: less weight for one server is a higher share for the others.
+const boundRounds = 4
+
+// maxShare returns the highest share of the flows of a zone that a server may get; capacity is that of the zone.
+func maxShare(s *Server, e Estimate, d demand, capacity float64) float64 {
+	share := maxAttraction * e.Capacity / capacity
+	if d.kept < mostlyKept {
+		// The flows that all balancers send in the age of a report may fill the free slots.
+		share = max(share, e.Free*s.concurrency()/(d.throughput*d.age))
+	}
+	return min(share, 1)
+}
+
 // tolerance returns the difference of delays in seconds that halves a server's share, roughly: what may have happened
 // since its report. For flows that stay it is a service time, since their later requests meet other queues.
 func tolerance(s *Server, e Estimate, d demand) float64 {
