--- a/internal/cmd/root.go
+++ b/internal/cmd/root.go
@@ -117,7 +117,7 @@
 
 // topLevelCommands returns the commands that belong to no group.
 func topLevelCommands() []command {
-	return []command{&statusCommand{}, &balancerCommand{}, &agentCommand{}, &demoCommand{}, &capacityCommand{}, &explainCommand{}}
+	return []command{&statusCommand{}, &balancerCommand{}, &agentCommand{}, &demoCommand{}, &capacityCommand{}, &explainCommand{}, &whereCommand{}}
 }
 
 // attachCommands declares every command to the parser and returns all of them with their declarations.
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -122,6 +122,7 @@
 	}
 	b.http.handleReady(cfg.ReadyPath, b.Ready)
 	b.http.mux.Handle("GET "+metricsPath, b.metrics.handler())
+	b.http.mux.HandleFunc("GET "+wherePath, b.serveWhere)
 	return b, nil
 }
 
--- a/internal/passthrough/local_state.go
+++ b/internal/passthrough/local_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -100,6 +101,14 @@
 	return complete
 }
 
+// hasAgentIn reports whether an agent is known in a zone.
+func (s *localState) hasAgentIn(zone string) bool {
+	return slices.ContainsFunc(s.board.Records(board.KindAgent), func(r board.Record) bool {
+		a, ok := r.Value.(board.Agent)
+		return ok && a.Zone == zone
+	})
+}
+
 // operatorRevision returns the highest store revision of the operator's entries.
 func (s *localState) operatorRevision() uint64 {
 	return max(s.table.Load().Revision(), s.board.ZoneRevision())
--- a/pkg/passthrough/placement.go
+++ b/pkg/passthrough/placement.go
@@ -95,7 +95,10 @@
 		return Placement{}, false
 	}
 	s.rank(now, zone, v, f, d.Objective, &o)
-	return o, o.Target.IsValid()
+	if !o.Target.IsValid() {
+		return Placement{}, false
+	}
+	return o, true
 }
 
 // serviceOf returns the service among those given to which an agent belongs, or "" if it is none of them.
@@ -116,41 +119,44 @@
 	first := ""
 	for _, name := range services {
 		switch s.roomOf(now, name) {
-		case roomFree:
+		case RoomFree:
 			return name
-		case roomFull:
+		case RoomFull:
 			if first == "" {
 				first = name
 			}
-		case roomClosed:
+		case RoomClosed:
 		}
 	}
 	return first
 }
 
-// serviceRoom says whether the agents of a service take a new flow.
-type serviceRoom uint8
+// ServiceRoom says whether the agents of a service take a new flow; its text is printed.
+type ServiceRoom string
 
+// Rooms of a service.
 const (
-	roomClosed serviceRoom = iota // no agent accepts flows
-	roomFull                      // all agents that accept flows have as many requests as they take
-	roomFree
+	// RoomClosed means that no agent accepts flows, or that none that does answers.
+	RoomClosed ServiceRoom = "no agent accepts flows"
+	// RoomFull means that all agents that accept flows have as many requests as they take.
+	RoomFull ServiceRoom = "no room"
+	RoomFree ServiceRoom = "room"
 )
 
-func (s *Steerer) roomOf(now time.Time, service string) serviceRoom {
+func (s *Steerer) roomOf(now time.Time, service string) ServiceRoom {
 	v, ok := s.views[service]
 	if !ok {
-		return roomClosed
+		return RoomClosed
 	}
-	r := roomClosed
+	r := RoomClosed
 	for i := range v.Members() {
 		a := v.Members()[i].DataAddress()
 		if !s.usable(now, a) {
 			continue
 		}
-		r = roomFull
+		r = RoomFull
 		if st := s.agents[a]; now.Sub(st.reportedAt) > reportTTL || st.load.hasRoom(st.unreported) {
-			return roomFree
+			return RoomFree
 		}
 	}
 	return r
--- a/pkg/passthrough/table.go
+++ b/pkg/passthrough/table.go
@@ -41,6 +41,15 @@
 	return e.value, ok
 }
 
+// Peek returns the value of a flow without marking the flow as used.
+func (t *Table[V]) Peek(f FlowID) (V, bool) {
+	s := t.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[f]
+	return e.value, ok
+}
+
 // Put sets the value of a flow. If the flow's shard is full, it replaces an arbitrary other entry.
 func (t *Table[V]) Put(now time.Time, f FlowID, v V) {
 	s := t.shard(f)
