fix: a configuration that grows is not sent between zones again and again

Cause: each process fetches each version of the configuration whole from the first process that announces a newer revision, and again for a change of a zone.

Change: a fetch names the revision that the caller has, whose value is left out, and large values are compressed once for each version. Plain calls of earlier processes are answered as before.

--- a/internal/passthrough/local_state.go
+++ b/internal/passthrough/local_state.go
@@ -28,7 +28,8 @@
 
 	mu sync.Mutex // guards config and previous, and orders updates of table
 	// config is the encoded configuration, which is passed to processes that cannot reach the store.
-	config []byte
+	config     []byte
+	compressed compressedConfig
 	// previous is the table before the current one; open flows may still follow it.
 	previous *route.Table
 	// observed holds the routes that are observed before the first configuration.
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -39,12 +39,18 @@
 	Deleted  bool
 	// Unlisted means that the store no longer has the entry, or never had it, and the agent is kept while it answers.
 	Unlisted bool
+	// Compressed means that Value is compressed with gzip.
+	Compressed bool
 }
 
 // StateArgs requests the store entries in the local state of a process. Types of net/rpc must be exported.
 type StateArgs struct {
 	// Agents requests the agent entries too.
 	Agents bool
+	// Compressed means that the caller decompresses entries, and Known is the revision of its configuration, which is not
+	// sent again.
+	Compressed bool
+	Known      uint64
 }
 
 // StateReply holds store entries.
@@ -60,6 +66,11 @@
 // State returns the store entries in the local state of the process.
 func (s *peerService) State(args StateArgs, reply *StateReply) error {
 	reply.Entries = s.state.entries(args.Agents)
+	for i := range reply.Entries {
+		if e := &reply.Entries[i]; args.Compressed && e.Key == s.state.layout.ConfigKey {
+			s.state.compressed.shrink(e, args.Known)
+		}
+	}
 	if s.state.Table() == nil {
 		reply.Observed = s.state.observed.Routes()
 	}
@@ -92,7 +103,7 @@
 }
 
 // fetchState fetches the local state of another process.
-func fetchState(ctx context.Context, from netip.AddrPort, agents bool) (StateReply, error) {
+func fetchState(ctx context.Context, from netip.AddrPort, args StateArgs) (StateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", from.String())
@@ -104,7 +115,7 @@
 	client := rpc.NewClient(conn)
 	defer func() { _ = client.Close() }() // The reply is complete, or an error has been returned.
 	var reply StateReply
-	if err := client.Call(peerName+".State", StateArgs{Agents: agents}, &reply); err != nil {
+	if err := client.Call(peerName+".State", args, &reply); err != nil {
 		return StateReply{}, errors.Annotatef(err, "cannot fetch state from %s", from)
 	}
 	return reply, nil
@@ -148,7 +159,7 @@
 }
 
 func (f *stateFetcher) fetch(ctx context.Context, from netip.AddrPort) bool {
-	reply, err := fetchState(ctx, from, f.agents)
+	reply, err := fetchState(ctx, from, StateArgs{Agents: f.agents, Compressed: true, Known: f.state.Table().Revision()})
 	if err != nil {
 		f.metrics.fetches.WithLabelValues("failed").Inc()
 		f.logger.Warn("state not fetched", "from", from, "error", err)
@@ -166,7 +177,12 @@
 		f.state.addObservedRoute(r, from)
 	}
 	for _, e := range reply.Entries {
-		entry := store.Entry{Key: e.Key, Value: e.Value, Revision: store.Revision(e.Revision), Deleted: e.Deleted}
+		value, err := e.decompress()
+		if err != nil {
+			f.logger.Warn("entry skipped", "from", from, "error", err)
+			continue
+		}
+		entry := store.Entry{Key: e.Key, Value: value, Revision: store.Revision(e.Revision), Deleted: e.Deleted}
 		if e.Unlisted {
 			f.state.applyUnlistedAgent(entry)
 		} else {
