--- a/internal/passthrough/where_answer.go
+++ b/internal/passthrough/where_answer.go
@@ -115,7 +115,7 @@
 func (s whereServiceJSON) write(b *strings.Builder) {
 	fmt.Fprintf(b, "\nservice %s: %s\n", s.Service, s.Room)
 	tw := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "AGENT\tADDRESS\tZONE\tEXPECTED\tWAIT\tWAY\tIN PROGRESS\tFLOWS\tLIMIT\tSERVICE TIME\tFAILS\tREPORT")
+	_, _ = fmt.Fprintln(tw, "AGENT\tADDRESS\tZONE\tEXPECTED\tWAIT\tWAY\tIN PROGRESS\tFLOWS\tLIMIT\tSERVICE TIME\tFAILS\tREPORT")
 	usable, shown := 0, 0
 	excluded := make(map[string]int)
 	for _, a := range s.Agents {
@@ -126,7 +126,7 @@
 		usable++
 		if shown < shownAgents {
 			shown++
-			fmt.Fprintln(tw, strings.Join(a.cells(), "\t"))
+			_, _ = fmt.Fprintln(tw, strings.Join(a.cells(), "\t"))
 		}
 	}
 	_ = tw.Flush() // A strings.Builder takes all.
