--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -173,7 +173,10 @@
 func (ad *Admitter) recordDelivery(now time.Time, f FlowID) {
 	ad.room.pending[f] = pendingRequest{since: now}
 	ad.room.reachability.onDelivered(now)
-	ad.flows.Put(now, f, localFlow{})
+	ad.flows.Update(now, f, func(before localFlow, _ bool) localFlow {
+		ad.open.change(before, localFlow{})
+		return localFlow{}
+	})
 	ad.nextAgents.Delete(f)
 }
 
@@ -278,6 +281,7 @@
 		return Refuse{ReasonAbsent}
 	}
 	ad.recordRequest(now, seg)
+	ad.recordCallerEnd(now, seg)
 	return Deliver{}
 }
 
--- a/pkg/passthrough/local_flow.go
+++ b/pkg/passthrough/local_flow.go
@@ -14,6 +14,7 @@
 	established bool           // the backend server sent more than the answer to the opening packet
 	notHeld     bool           // the flow is unknown to the backend server
 	ended       bool           // the backend server has sent the end of its data or a reset
+	callerEnded bool           // the caller has sent the end of its data or a reset
 }
 
 // owner is an agent that reported that its backend server has a flow.
@@ -50,4 +51,4 @@
 }
 
 // isOpen reports whether the backend server holds the flow and its caller may send requests on it.
-func (lf localFlow) isOpen() bool { return lf.established && !lf.ended && !lf.notHeld }
+func (lf localFlow) isOpen() bool { return lf.established && !lf.ended && !lf.callerEnded && !lf.notHeld }
--- a/pkg/passthrough/open_flows.go
+++ b/pkg/passthrough/open_flows.go
@@ -33,3 +33,16 @@
 }
 
 func (o *openFlows) count() uint16 { return uint16(min(max(o.n.Load(), 0), math.MaxUint16)) } //nolint:gosec // bounded
+
+// recordCallerEnd records that the caller sends no more requests on a flow of the backend server.
+func (ad *Admitter) recordCallerEnd(now time.Time, seg Segment) {
+	if !seg.Has(FlagFinish) && !seg.Has(FlagReset) {
+		return
+	}
+	ad.flows.Update(now, seg.Flow(), func(lf localFlow, _ bool) localFlow {
+		before := lf
+		lf.callerEnded = true
+		ad.open.change(before, lf)
+		return lf
+	})
+}
