--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -66,6 +66,7 @@
 	flows      Table[localFlow]
 	nextAgents Table[netip.AddrPort]
 	owners     Table[[maxOwners]owner]
+	open       openFlows
 
 	mu   sync.Mutex
 	room room
@@ -174,6 +175,7 @@
 		Slots:          uint16(min(ad.room.slots, 1<<15)), //nolint:gosec // bounded by min
 		FailurePercent: ad.room.failureRate.percent(now),
 		AcceptsFlows:   !ad.room.draining && !ad.room.zoneOut && !ad.room.reachability.unreachable(now),
+		Flows:          ad.open.count(),
 	}
 	ad.room.capacity.report(now, n, &l)
 	return l
@@ -206,7 +208,10 @@
 	f := seg.Flow()
 	ad.room.onOpening(now, seg)
 	ad.room.reachability.onDelivered(now)
-	ad.flows.Put(now, f, localFlow{})
+	ad.flows.Update(now, f, func(before localFlow, _ bool) localFlow {
+		ad.open.change(before, localFlow{})
+		return localFlow{}
+	})
 	ad.nextAgents.Delete(f)
 }
 
@@ -315,6 +320,7 @@
 		return Refuse{ReasonAbsent}
 	}
 	ad.recordRequest(now, seg)
+	ad.recordCallerEnd(now, seg)
 	return Deliver{}
 }
 
@@ -391,6 +397,8 @@
 	f := seg.Flow()
 	ad.backendGone.Store(false)
 	ad.flows.Update(now, f, func(lf localFlow, known bool) localFlow {
+		before := lf
+		defer func() { ad.open.change(before, lf) }()
 		switch {
 		case seg.Has(FlagOpen | FlagAck):
 			accepted = !lf.accepted
@@ -437,6 +445,7 @@
 func (ad *Admitter) Sweep(now time.Time, idle time.Duration) {
 	// A missing record means that the backend server does not hold the flow, so it is kept for as long as flows live.
 	ad.flows.Sweep(now, func(_ localFlow, unused time.Duration) bool { return unused > max(idle, ad.flowTTL) })
+	ad.open.recount(now, &ad.flows, idle)
 	ad.nextAgents.Sweep(now, func(_ netip.AddrPort, unused time.Duration) bool { return unused > idle })
 	ad.owners.Sweep(now, func(_ [maxOwners]owner, unused time.Duration) bool { return unused > idle })
 	ad.mu.Lock()
