feat: ways round a cut: datagrams go through a third host while nothing passes directly

Nothing passes from one zone to another for some seconds, or between two zones, while a third zone reaches both: packets of open flows whose backend server is on the other side are lost, and so are denials and records of owners.

A balancer with the feature "detours" checks a silent agent through an agent of another zone. The answer tells how long the agent has received nothing directly, so a lost packet and a lost answer are told apart, and a host that is paused or has failed gets no detour, because no relay reaches it. Datagrams then go through the relay, each once and through one relay; agents answer by the same way where nothing of theirs arrives. Balancers share the relays with agents of their zone, which learn nothing of other agents by themselves.

pkg/detour decides and does no I/O; its tests cover cuts in one direction, in both, of single hosts, links that lose 5% or half of the packets, failed hosts and failed relays. The tests in platform cut links between real processes.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bramleymast/bramleymast/internal/rungroup"
+	"github.com/bramleymast/bramleymast/pkg/detour"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 	"github.com/bramleymast/bramleymast/pkg/store"
@@ -48,10 +49,12 @@
 	ReadyPath string
 	// Features are those that the deployment asks for.
 	Features Features
-	Store    store.Store
-	Layout   Layout
-	Codec    passthrough.Codec
-	Logger   hclog.Logger
+	// LinkFilter drops datagrams to other processes in tests; nil sends all.
+	LinkFilter LinkFilter
+	Store      store.Store
+	Layout     Layout
+	Codec      passthrough.Codec
+	Logger     hclog.Logger
 }
 
 // maxHops limits how many agents a packet visits.
@@ -74,6 +77,7 @@
 	announcer  announcer
 	fetcher    *stateFetcher
 	metrics    *metrics
+	detours    *agentDetours // nil without the feature
 	backend    backendState
 	// firstHeartbeat is the first heartbeat if its backend server looks as old as the agent.
 	firstHeartbeat atomic.Pointer[BackendHeartbeat]
@@ -127,6 +131,10 @@
 	if a.link, err = newLink(cfg.Link, a.metrics); err != nil {
 		return nil, err
 	}
+	a.link.filter = cfg.LinkFilter
+	if d := newDetours(a.link, cfg.Features, cfg.Logger); d != nil {
+		a.detours = &agentDetours{detours: d, arrivals: detour.NewArrivals(time.Now())}
+	}
 	a.announcer = announcer{
 		id: cfg.ID, entry: a.registrar.entry, seeds: cfg.Seeds, link: a.link, observed: &a.state.observed, logger: cfg.Logger,
 		newRoute: make(chan struct{}, 1), listed: a.registrar.listed, draining: a.registrar.draining,
@@ -199,13 +207,14 @@
 	a.admitter.SetZoneOut(out)
 }
 
-func (a *Agent) onMessage(_ netip.AddrPort, data []byte) {
-	m, err := decodeMessage(data)
+func (a *Agent) onMessage(from netip.AddrPort, data []byte) {
+	now := time.Now()
+	m, src, err := a.link.detours.open(now, from, data)
 	if err != nil {
 		a.cfg.Logger.Warn("message dropped", "error", err)
 		return
 	}
-	now := time.Now()
+	a.detours.received(now, src)
 	switch m := m.(type) {
 	case *forward:
 		a.onBalancerMessage(now, m.origin)
@@ -222,11 +231,19 @@
 		a.fetcher.onRevision(m.origin, m.revision)
 		a.newestAgent.add(m.newestAgent)
 		a.sendReport(now, m.origin)
+	case *check:
+		a.onBalancerMessage(now, m.origin)
+		a.newestAgent.add(m.newestAgent)
+		a.detours.answer(now, src, m, a.report(now))
+	case *share:
+		a.detours.use(now, m)
 	}
 }
 
-func (a *Agent) sendReport(now time.Time, to netip.AddrPort) {
-	a.link.send(to, &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now)})
+func (a *Agent) sendReport(now time.Time, to netip.AddrPort) { a.link.send(to, a.report(now)) }
+
+func (a *Agent) report(now time.Time) *report {
+	return &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now)}
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
@@ -439,6 +456,7 @@
 		case now := <-t.C:
 			idle := a.state.idleTimeout()
 			a.admitter.Sweep(now, idle)
+			a.detours.sweep(now)
 			a.returnPaths.Sweep(now, func(_ returnPath, unused time.Duration) bool { return unused > idle })
 		}
 	}
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -14,6 +14,7 @@
 
 	"github.com/bramleymast/bramleymast/internal/rungroup"
 	"github.com/bramleymast/bramleymast/pkg/board"
+	"github.com/bramleymast/bramleymast/pkg/detour"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 	"github.com/bramleymast/bramleymast/pkg/route"
@@ -53,7 +54,9 @@
 	ReadyPath string
 	// Features are those that the deployment asks for.
 	Features Features
-	Store    store.Store
+	// LinkFilter drops datagrams to other processes in tests; nil sends all.
+	LinkFilter LinkFilter
+	Store      store.Store
 	// SetWatchTimeout sets how long watches of Store wait for a change.
 	SetWatchTimeout func(d time.Duration)
 	// WatchStore is the same store, with a longer watch timeout.
@@ -72,6 +75,7 @@
 	attempts passthrough.Attempts
 	metrics  *metrics
 	link     *link
+	detours  *balancerDetours // nil without the feature
 	packets  *net.UDPConn
 	http     *httpServer
 	fetcher  *stateFetcher
@@ -113,6 +117,10 @@
 	if b.link, err = newLink(cfg.Link, b.metrics); err != nil {
 		return nil, err
 	}
+	b.link.filter = cfg.LinkFilter
+	if d := newDetours(b.link, cfg.Features, cfg.Logger); d != nil {
+		b.detours = &balancerDetours{detours: d, planner: detour.NewPlanner(cfg.Zone, &d.table), setDetoured: b.steerer.SetDetoured, probe: b.probe}
+	}
 	b.http, err = newHTTPServer(cfg.HTTP)
 	if err != nil {
 		return nil, err
@@ -223,12 +231,14 @@
 		}
 	}
 	members := make(map[string][]flow.Member)
+	zones := make(map[netip.AddrPort]string)
 	for _, r := range newest {
 		a, ok := r.Value.(board.Agent)
 		if !ok {
 			continue
 		}
 		out, _ := b.state.board.ZoneOut(a.Zone)
+		zones[a.DataAddress] = a.Zone
 		acceptsFlows := a.Phase == board.PhaseReady && !out
 		members[a.Service] = append(members[a.Service], flow.NewMember(r.ID.Key, a.DataAddress, a.Zone, acceptsFlows, true))
 	}
@@ -237,6 +247,7 @@
 		views[service] = flow.NewView(flow.ServiceIDOf(service), ms)
 	}
 	b.steerer.SetViews(views)
+	b.detours.setPeers(zones)
 }
 
 // earlyPacket is a packet that was received before the balancer had a configuration and agents.
@@ -383,6 +394,7 @@
 	}
 	p.IsRetry = seg.Retransmissions() == 0 && b.attempts.IsRetry(now, seg.Flow())
 	b.attempts.Add(now, p)
+	b.detours.asked(now, o.Target)
 	b.link.send(o.Target, &forward{
 		origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.state.operatorRevision(),
 		path: o.Alternatives, directory: o.Directory, delay: p.Delay, objective: r.TargetLatency, isRetry: p.IsRetry, packet: p.Packet,
@@ -435,13 +447,14 @@
 	return old.Service, ok && old.Service != r.Service
 }
 
-func (b *Balancer) onMessage(_ netip.AddrPort, data []byte) {
-	m, err := decodeMessage(data)
+func (b *Balancer) onMessage(from netip.AddrPort, data []byte) {
+	now := time.Now()
+	m, src, err := b.link.detours.open(now, from, data)
 	if err != nil {
 		b.cfg.Logger.Warn("message dropped", "error", err)
 		return
 	}
-	now := time.Now()
+	b.detours.received(now, src, m)
 	switch m := m.(type) {
 	case *placed:
 		b.steerer.SetOwner(now, m.flow, m.agent)
@@ -450,9 +463,9 @@
 		}
 		b.onLoad(now, m.agent, m.service, m.load)
 	case *report:
-		b.onLoad(now, m.agent, m.service, m.load)
-		b.fleet.Report(now, int(m.balancers))
-		b.fetcher.onRevision(m.agent, m.revision)
+		b.onReport(now, src, m)
+	case *checked:
+		b.onReport(now, src, &m.report)
 	case *unanswered:
 		for _, attempt := range m.attempts {
 			b.attempts.AddUnanswered(now, attempt)
@@ -469,6 +482,14 @@
 	}
 }
 
+func (b *Balancer) onReport(now time.Time, src source, m *report) {
+	b.onLoad(now, m.agent, m.service, m.load)
+	b.fleet.Report(now, int(m.balancers))
+	if src.direct() {
+		b.fetcher.onRevision(m.agent, m.revision) // Calls take no detours.
+	}
+}
+
 // onLoad records the load that an agent has reported. If the agent belongs to another service than the one recorded at
 // its address, the recorded agent no longer exists there and is dropped.
 func (b *Balancer) onLoad(now time.Time, agent netip.AddrPort, service flow.ServiceID, l passthrough.Load) {
@@ -477,6 +498,10 @@
 	}
 }
 
+func (b *Balancer) probe() *probe {
+	return &probe{origin: b.link.self, revision: b.state.operatorRevision(), newestAgent: b.state.newestAgent.get()}
+}
+
 // tick probes agents, sends early packets by observed routes, and removes idle flows and unresponsive agents.
 func (b *Balancer) tick(ctx context.Context) error {
 	t := time.NewTicker(tickInterval)
@@ -494,11 +519,13 @@
 		now := time.Now()
 		due := b.steerer.DueProbes(now)
 		if len(due) > 0 {
-			p := &probe{origin: b.link.self, revision: b.state.operatorRevision(), newestAgent: b.state.newestAgent.get()}
+			p := b.probe()
 			for _, a := range due {
+				b.detours.asked(now, a)
 				b.link.send(a, p)
 			}
 		}
+		b.detours.tick(now)
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			b.attempts.Sweep(now)
--- a/internal/passthrough/link.go
+++ b/internal/passthrough/link.go
@@ -14,8 +14,15 @@
 	calls   net.Listener
 	self    netip.AddrPort
 	metrics *metrics
+	// filter reports whether a datagram may be sent; nil allows all.
+	filter LinkFilter
+	// detours is nil if all datagrams are sent directly.
+	detours *detours
 }
 
+// LinkFilter reports whether a datagram between two processes may be sent. Tests use it to cut links.
+type LinkFilter func(from, to netip.AddrPort) bool
+
 // receiveBuffer holds the datagrams of about a second while the process is not scheduled.
 const receiveBuffer = 4 << 20
 
@@ -41,7 +48,26 @@
 	return &link{conn: conn, calls: calls, self: a, metrics: m}, nil
 }
 
+// send sends a message, through a relay if there is a detour to the process.
 func (l *link) send(to netip.AddrPort, m message) {
+	if relay, ok := l.detours.relayTo(to); ok {
+		l.metrics.count(eventDetoured, reasonNone)
+		l.sendVia(relay, to, m)
+		return
+	}
+	l.sendDirect(to, m)
+}
+
+// sendVia sends a message through a relay.
+func (l *link) sendVia(through, to netip.AddrPort, m message) {
+	var buf [maxMessage]byte
+	l.sendDirect(through, &relay{to: to, from: l.self, datagram: m.append(buf[:0])})
+}
+
+func (l *link) sendDirect(to netip.AddrPort, m message) {
+	if l.filter != nil && !l.filter(l.self, to) {
+		return
+	}
 	var buf [maxMessage]byte
 	l.metrics.send(l.conn, m.append(buf[:0]), to)
 }
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -475,5 +475,5 @@
 		m.newestAgent = r.uint64()
 		return m
 	}
-	return nil
+	return r.detourMessage(k)
 }
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -91,6 +91,11 @@
 	return m
 }
 
+// addGauge registers a gauge of an optional feature.
+func (m *metrics) addGauge(name, help string, f func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
+}
+
 func (m *metrics) count(e flowEvent, reason string) {
 	m.events.WithLabelValues(string(e), reason).Inc()
 }
--- /dev/null
+++ b/pkg/detour/planner.go
@@ -0,0 +1,278 @@
+package detour
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// silentAfter is several round trips between zones.
+	silentAfter = 150 * time.Millisecond
+	// silentAsks is how many datagrams without an answer make a peer silent. On a link that loses 5% in each direction,
+	// one of a hundred pairs stays unanswered; it costs a check.
+	silentAsks = 2
+	// lostAsks is how many datagrams in a row must be lost before a detour is used. A link that loses 5% loses three in
+	// a row once in 8,000 times.
+	lostAsks = 3
+	// transitTime is the time that a datagram may be on its way, directly or through a relay.
+	transitTime = 50 * time.Millisecond
+	// checkInterval is the interval between checks of a silent peer.
+	checkInterval = 100 * time.Millisecond
+	// maxChecks is how many checks without an answer show that the peer is down; then it is checked at absentInterval.
+	maxChecks = 6
+	// absentInterval is the interval between checks of a peer that no relay reaches.
+	absentInterval = 2 * time.Second
+	// verifyInterval is the interval between checks of a detour in use.
+	verifyInterval = 500 * time.Millisecond
+	// freshArrival is the age of a direct datagram that was sent just before the check.
+	freshArrival = 2 * transitTime
+	// relayTimeout is how long a relay in use may leave checks unanswered before another one is used.
+	relayTimeout = 2*verifyInterval + 200*time.Millisecond
+	// lostTimeout is how long no relay may reach a peer before its detour ends.
+	lostTimeout = 4 * time.Second
+	// relayAnswerTTL is the age of the last answer of a peer that may be a relay. A peer is probed twice as often.
+	relayAnswerTTL = 1500 * time.Millisecond
+	// checksPerSecond limits the cost of checks for a balancer with many agents.
+	checksPerSecond = 100
+	// maxCheckedPerZone limits how many silent peers of a zone are checked at the same time. A few suffice to find out
+	// that nothing passes to the zone.
+	maxCheckedPerZone = 4
+)
+
+// Planner decides which peers of a process are reached through a relay. It is safe for concurrent use.
+type Planner struct {
+	zone  string
+	table *Table
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*peer
+	order []*peer // by address
+	zones map[string]*zoneState
+	// zoneOrder holds the zones in the order of their first peers.
+	zoneOrder []*zoneState
+	checks    Limiter
+	// pending holds actions that the next call of Tick returns.
+	pending []Action
+}
+
+// NewPlanner returns the planner of a process in a zone, which writes the detours in use into the table.
+func NewPlanner(zone string, table *Table) *Planner {
+	return &Planner{zone: zone, table: table, peers: make(map[netip.AddrPort]*peer), zones: make(map[string]*zoneState), checks: Limiter{Rate: checksPerSecond}}
+}
+
+// SetPeers replaces the peers, with the zone of each. It keeps what is known of those that stay.
+func (p *Planner) SetPeers(zones map[netip.AddrPort]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a := range p.peers {
+		if _, ok := zones[a]; !ok {
+			delete(p.peers, a)
+			p.table.Remove(a)
+		}
+	}
+	old := p.zones
+	p.zones = make(map[string]*zoneState)
+	p.order, p.zoneOrder = p.order[:0], p.zoneOrder[:0]
+	for _, a := range slices.SortedFunc(maps.Keys(zones), netip.AddrPort.Compare) {
+		zone := zones[a]
+		q, ok := p.peers[a]
+		if !ok || q.zone != zone {
+			p.table.Remove(a)
+			q = &peer{address: a, zone: zone}
+			p.peers[a] = q
+		}
+		p.order = append(p.order, q)
+		z, ok := p.zones[zone]
+		if !ok {
+			z = &zoneState{name: zone}
+			if o, ok := old[zone]; ok {
+				z.there, z.back, z.sharedAt = o.there, o.back, o.sharedAt
+			}
+			p.zones[zone] = z
+			p.zoneOrder = append(p.zoneOrder, z)
+		}
+		z.peers = append(z.peers, q)
+	}
+}
+
+// Asked records that a datagram that requires an answer was sent to a peer.
+func (p *Planner) Asked(now time.Time, a netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if q, ok := p.peers[a]; ok {
+		q.asked(now)
+	}
+}
+
+// Received records a datagram that arrived directly from a peer. isAnswer means that the peer sends it only in reply.
+func (p *Planner) Received(now time.Time, a netip.AddrPort, isAnswer bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q, ok := p.peers[a]
+	if !ok {
+		return
+	}
+	q.undelivered = 0
+	if isAnswer && !q.there.dead {
+		q.answered(now)
+	}
+	if q.back.pass(now) {
+		p.changed(now, q)
+	}
+}
+
+// Checked records the answer to a check that arrived through a relay. age is the time since the peer last received a
+// datagram directly from this process.
+func (p *Planner) Checked(now time.Time, a, relay netip.AddrPort, age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q, ok := p.peers[a]
+	if !ok {
+		return
+	}
+	q.checks = 0
+	if !q.detoured() {
+		q.relay = relay
+	}
+	if q.relay == relay {
+		q.relayedAt = now
+	}
+	q.undelivered++
+	changed := p.judgeThere(now, q, age)
+	if q.undelivered > lostAsks && q.back.fail(now) {
+		changed = true
+		if !q.there.dead {
+			q.lostSince = q.silentSince
+		}
+	}
+	if changed {
+		p.changed(now, q)
+	}
+}
+
+// judgeThere compares the age of the last datagram that arrived at a peer with those that were sent since, and reports
+// whether this changes the way to the peer.
+func (p *Planner) judgeThere(now time.Time, q *peer, age time.Duration) bool {
+	after := now.Add(transitTime - age)
+	if after.Before(q.answeredAt) {
+		after = q.answeredAt
+	}
+	lost, first := q.asks.between(after, now.Add(-transitTime))
+	switch {
+	case lost >= lostAsks:
+		if q.there.fail(now) {
+			q.lostSince = first
+			return true
+		}
+	case age < freshArrival:
+		return q.there.pass(now)
+	default:
+		q.there.miss()
+	}
+	return false
+}
+
+// changed applies a change of the directions or the relay of a peer.
+func (p *Planner) changed(now time.Time, q *peer) {
+	if q.there.dead {
+		p.table.Set(q.address, q.relay, time.Time{})
+	} else {
+		p.table.Remove(q.address)
+	}
+	if q.detoured() {
+		p.pending = append(p.pending, Chosen{Peer: q.address, Relay: q.relay, Zone: q.zone, There: q.there.dead, Back: q.back.dead})
+		return
+	}
+	q.answered(now)
+	p.pending = append(p.pending, Ended{Peer: q.address, Zone: q.zone})
+}
+
+// lose ends the detour of a peer that no relay reaches.
+func (p *Planner) lose(now time.Time, q *peer) {
+	q.there, q.back = direction{changedAt: now}, direction{changedAt: now}
+	q.checks = maxChecks
+	p.table.Remove(q.address)
+	p.pending = append(p.pending, Ended{Peer: q.address, Zone: q.zone, Lost: true})
+}
+
+// Tick returns what to do now. It is called every 50 ms.
+func (p *Planner) Tick(now time.Time) []Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, z := range p.zoneOrder {
+		z.checked = 0
+	}
+	for _, q := range p.order {
+		switch {
+		case q.detoured():
+			p.verify(now, q)
+		case q.silent(now):
+			p.checkSilent(now, q)
+		}
+	}
+	for _, z := range p.zoneOrder {
+		p.judgeZone(now, z)
+	}
+	actions := p.pending
+	p.pending = nil
+	return actions
+}
+
+// checkSilent checks a peer that does not answer.
+func (p *Planner) checkSilent(now time.Time, q *peer) {
+	interval := checkInterval
+	if q.checks >= maxChecks {
+		interval = absentInterval
+	} else {
+		z := p.zones[q.zone]
+		z.checked++
+		if z.checked > maxCheckedPerZone {
+			return
+		}
+	}
+	if now.Sub(q.checkedAt) < interval {
+		return
+	}
+	if relay, ok := p.relayFor(now, q); ok {
+		p.check(now, q, relay)
+	}
+}
+
+// check sends a check with a direct trial before it, if the rate limit allows.
+func (p *Planner) check(now time.Time, q *peer, relay netip.AddrPort) {
+	if !p.checks.Allow(now) {
+		return
+	}
+	q.checkedAt = now
+	q.checks++
+	q.asked(now)
+	p.pending = append(p.pending, Trial{To: q.address}, Check{To: q.address, Relay: relay, AnswerByRelay: q.back.dead})
+}
+
+// verify checks a detour in use, and chooses another relay if the present one does not answer.
+func (p *Planner) verify(now time.Time, q *peer) {
+	if now.Sub(q.relayedAt) > lostTimeout {
+		p.lose(now, q)
+		return
+	}
+	r, known := p.peers[q.relay]
+	if !known || !r.canRelay(now) || q.checks > 0 && now.Sub(q.relayedAt) > relayTimeout && now.Sub(q.checkedAt) >= verifyInterval {
+		relay, ok := p.relayFor(now, q)
+		if ok && relay != q.relay {
+			q.relay = relay
+			p.changed(now, q)
+			p.check(now, q, relay)
+			return
+		}
+	}
+	interval := verifyInterval
+	if q.undelivered > 1 && !q.back.dead {
+		interval = checkInterval // Find out soon whether the way back is down too.
+	}
+	if now.Sub(q.checkedAt) >= interval {
+		p.check(now, q, q.relay)
+	}
+}
--- /dev/null
+++ b/pkg/detour/zone.go
@@ -0,0 +1,148 @@
+package detour
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// lostPeers is how many peers of a zone must be out of direct reach before the whole zone counts as such, or all of
+	// them if there are fewer.
+	lostPeers = 3
+	// shareInterval is the interval between reports of the detours to a zone, which expire after ShareTTL.
+	shareInterval = time.Second
+	// ShareTTL is how long a detour that another process has shared is used.
+	ShareTTL = 2500 * time.Millisecond
+	// AnswerTTL is how long a peer answers through the relay of a check.
+	AnswerTTL = 3 * verifyInterval
+	// maxShared limits the detours in one report to those that fit into one datagram.
+	maxShared = 100
+)
+
+// zoneState is what a planner knows of the links between its zone and another.
+type zoneState struct {
+	name  string
+	peers []*peer
+	// there is the link to the zone, back the one from it.
+	there, back link
+	sharedAt    time.Time
+	// checked counts the silent peers that are being checked.
+	checked int
+}
+
+// link is one direction between two zones.
+type link struct {
+	// down means that nothing passes directly.
+	down bool
+}
+
+// judgeZone finds out whether nothing passes directly to or from a whole zone. Then all of its peers get a detour,
+// without a check of each, and the processes of the own zone are told.
+func (p *Planner) judgeZone(now time.Time, z *zoneState) {
+	if z.name == p.zone {
+		return
+	}
+	p.judgeLink(z, &z.there, peerThere, LinkDown{From: p.zone, To: z.name}, LinkUp{From: p.zone, To: z.name})
+	p.judgeLink(z, &z.back, peerBack, LinkDown{From: z.name, To: p.zone}, LinkUp{From: z.name, To: p.zone})
+	if !z.there.down && !z.back.down {
+		return
+	}
+	for _, q := range z.peers {
+		p.detourUnchecked(now, z, q)
+	}
+	if z.there.down {
+		p.share(now, z)
+	}
+}
+
+// peerThere and peerBack return a direction of a peer.
+func peerThere(q *peer) *direction { return &q.there }
+func peerBack(q *peer) *direction  { return &q.back }
+
+// judgeLink finds out whether a link is down: enough peers have lost what was sent in this direction, most others are
+// silent, and none has answered since.
+func (p *Planner) judgeLink(z *zoneState, l *link, of func(*peer) *direction, down LinkDown, up LinkUp) {
+	lost, silent, since := z.count(of)
+	switch {
+	case !l.down && lost > 0 && lost >= min(lostPeers, len(z.peers)) && 2*(lost+silent) >= len(z.peers) && !z.answeredAfter(since.Add(transitTime)):
+		l.down = true
+		p.pending = append(p.pending, down)
+	case l.down && 2*lost < len(z.peers):
+		l.down = false
+		p.pending = append(p.pending, up)
+	}
+}
+
+// count returns how many peers have lost datagrams in a direction, how many others are silent, and since when datagrams
+// are lost.
+func (z *zoneState) count(of func(*peer) *direction) (lost, silent int, since time.Time) {
+	for _, q := range z.peers {
+		switch {
+		case of(q).dead:
+			lost++
+			if since.IsZero() || q.lostSince.Before(since) {
+				since = q.lostSince
+			}
+		case q.unanswered > 0:
+			silent++
+		}
+	}
+	return lost, silent, since
+}
+
+// answeredAfter reports whether a peer has answered directly after a time.
+func (z *zoneState) answeredAfter(t time.Time) bool {
+	for _, q := range z.peers {
+		if q.answeredAt.After(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// detourUnchecked uses a detour to a silent peer because a link between its zone and the own one is down.
+func (p *Planner) detourUnchecked(now time.Time, z *zoneState, q *peer) {
+	there, back := z.there.down && q.there.canFail(now), z.back.down && q.back.canFail(now)
+	if q.unanswered == 0 || !there && !back {
+		return
+	}
+	if !q.detoured() {
+		relay, ok := p.relayFor(now, q)
+		if !ok {
+			return
+		}
+		q.lostSince, q.relay, q.relayedAt = q.silentSince, relay, now
+	}
+	if there {
+		q.there.fail(now)
+	}
+	if back {
+		q.back.fail(now)
+	}
+	p.changed(now, q)
+}
+
+// share tells processes of the own zone the relays to a zone.
+func (p *Planner) share(now time.Time, z *zoneState) {
+	if now.Sub(z.sharedAt) < shareInterval {
+		return
+	}
+	z.sharedAt = now
+	var s Share
+	for _, q := range z.peers {
+		if q.there.dead && len(s.Detours) < maxShared {
+			s.Detours = append(s.Detours, Detour{To: q.address, Relay: q.relay})
+		}
+	}
+	own, ok := p.zones[p.zone]
+	if !ok {
+		return
+	}
+	s.To = make([]netip.AddrPort, 0, len(own.peers))
+	for _, q := range own.peers {
+		if !q.detoured() {
+			s.To = append(s.To, q.address)
+		}
+	}
+	p.pending = append(p.pending, s)
+}
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -74,6 +74,7 @@
 	unreported      int       // flows placed since the last report
 	unansweredSince time.Time // when the oldest unanswered message was sent; zero if there is none
 	lastSentAt      time.Time
+	detoured        bool // reached through a relay
 }
 
 // NewSteerer returns the steerer of a balancer in the given zone.
@@ -202,6 +203,14 @@
 	}
 }
 
+const (
+	// detourCost is the cost of a flow to an agent behind a detour, in requests per slot: more than those that an agent
+	// with a full backend server queues, so that others lack room first.
+	detourCost = 4
+	// detouredSuspectTimeout replaces suspectTimeout for agents behind a detour, which are checked every 500 ms.
+	detouredSuspectTimeout = 800 * time.Millisecond
+)
+
 // suspectCost ranks suspect agents behind all others.
 const suspectCost = 1e6
 
@@ -211,6 +220,9 @@
 		l.InProgress = 0
 	}
 	c := l.cost(st.unreported, st.sameZone)
+	if st.detoured {
+		c += detourCost
+	}
 	if st.suspect(now) {
 		c += suspectCost
 	}
@@ -218,7 +230,21 @@
 }
 
 func (st *agentState) suspect(now time.Time) bool {
-	return !st.unansweredSince.IsZero() && now.Sub(st.unansweredSince) > suspectTimeout
+	timeout := suspectTimeout
+	if st.detoured {
+		timeout = detouredSuspectTimeout
+	}
+	return !st.unansweredSince.IsZero() && now.Sub(st.unansweredSince) > timeout
+}
+
+// SetDetoured records whether an agent is reached through a relay. Such an agent gets new flows only when those of
+// others wait longer.
+func (s *Steerer) SetDetoured(agent netip.AddrPort, detoured bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st, ok := s.agents[agent]; ok {
+		st.detoured = detoured
+	}
 }
 
 func (s *Steerer) recordSent(now time.Time, agent netip.AddrPort) {
