--- a/internal/passthrough/detour_message.go
+++ b/internal/passthrough/detour_message.go
@@ -81,26 +81,43 @@
 	return b
 }
 
-// detourMessage decodes a message of Detours, or returns nil if it is of another kind.
+// detourMessage decodes a message of Detours.
 func (r *reader) detourMessage(k messageKind) message {
-	switch k {
+	switch k { //nolint:exhaustive // the other kinds are decoded by message
 	case kindRelay:
-		m := &relay{to: r.address(), from: r.address(), forwarded: r.next(1)[0] == 1}
-		m.datagram = r.rest
-		return m
+		return r.relay()
 	case kindCheck:
-		return &check{probe: probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64()}, answerByRelay: r.next(1)[0] == 1}
+		return r.check()
 	case kindChecked:
-		m := &checked{report: report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}}
-		m.balancers = binary.BigEndian.Uint16(r.next(2))
-		m.age = r.milliseconds()
-		return m
-	case kindShare:
-		m := &share{}
-		for range r.next(1)[0] {
-			m.detours = append(m.detours, detour.Detour{To: r.address(), Relay: r.address()})
-		}
-		return m
+		return r.checked()
+	default:
+		return r.share()
 	}
-	return nil
+}
+
+func (r *reader) relay() *relay {
+	m := &relay{to: r.address(), from: r.address(), forwarded: r.next(1)[0] == 1}
+	m.datagram = r.rest
+	return m
+}
+
+func (r *reader) check() *check {
+	m := &check{probe: probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64()}}
+	m.answerByRelay = r.next(1)[0] == 1
+	return m
+}
+
+func (r *reader) checked() *checked {
+	m := &checked{report: report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}}
+	m.balancers = binary.BigEndian.Uint16(r.next(2))
+	m.age = r.milliseconds()
+	return m
+}
+
+func (r *reader) share() *share {
+	m := &share{}
+	for range r.next(1)[0] {
+		m.detours = append(m.detours, detour.Detour{To: r.address(), Relay: r.address()})
+	}
+	return m
 }
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -474,6 +474,8 @@
 		m.restarted = r.next(1)[0] == 1
 		m.newestAgent = r.uint64()
 		return m
+	case kindRelay, kindCheck, kindChecked, kindShare:
+		return r.detourMessage(k)
 	}
-	return r.detourMessage(k)
+	return nil
 }
--- a/pkg/detour/planner.go
+++ b/pkg/detour/planner.go
@@ -29,10 +29,10 @@
 	verifyInterval = 500 * time.Millisecond
 	// freshArrival is the age of a direct datagram that was sent just before the check.
 	freshArrival = 2 * transitTime
-	// relayTimeout is how long a relay in use may leave checks unanswered before another one is used.
-	relayTimeout = 2*verifyInterval + 200*time.Millisecond
-	// lostTimeout is how long no relay may reach a peer before its detour ends.
-	lostTimeout = 4 * time.Second
+	// relayChecks is how many checks in a row a relay in use may leave unanswered before another one is used.
+	relayChecks = 2
+	// lostChecks is how many checks in a row must be unanswered before a detour ends because no relay reaches the peer.
+	lostChecks = 8
 	// relayAnswerTTL is the age of the last answer of a peer that may be a relay. A peer is probed twice as often.
 	relayAnswerTTL = 1500 * time.Millisecond
 	// checksPerSecond limits the cost of checks for a balancer with many agents.
@@ -254,12 +254,13 @@
 
 // verify checks a detour in use, and chooses another relay if the present one does not answer.
 func (p *Planner) verify(now time.Time, q *peer) {
-	if now.Sub(q.relayedAt) > lostTimeout {
+	due := now.Sub(q.checkedAt) >= verifyInterval
+	if due && q.checks >= lostChecks {
 		p.lose(now, q)
 		return
 	}
 	r, known := p.peers[q.relay]
-	if !known || !r.canRelay(now) || q.checks > 0 && now.Sub(q.relayedAt) > relayTimeout && now.Sub(q.checkedAt) >= verifyInterval {
+	if !known || !r.canRelay(now) || due && q.checks >= relayChecks {
 		relay, ok := p.relayFor(now, q)
 		if ok && relay != q.relay {
 			q.relay = relay
--- a/pkg/detour/planner_test.go
+++ b/pkg/detour/planner_test.go
@@ -33,12 +33,15 @@
 	zone    string
 }
 
-func newNetwork(agentsPerZone int) *network {
+// perZone is the number of agents in each zone.
+const perZone = 8
+
+func newNetwork() *network {
 	n := &network{now: time.Unix(1000, 0), zones: make(map[netip.AddrPort]string), arrivals: make(map[netip.AddrPort]*Arrivals), down: make(map[netip.AddrPort]bool)}
 	n.balancer = host{netip.MustParseAddrPort("10.0.0.1:7000"), "a"}
 	n.drops = func(_, _ host) bool { return false }
 	for i, zone := range []string{"a", "b", "c"} {
-		for j := range agentsPerZone {
+		for j := range perZone {
 			a := netip.MustParseAddrPort(fmt.Sprintf("10.%d.1.%d:7000", i, j+1))
 			n.zones[a], n.arrivals[a] = zone, NewArrivals(n.now)
 		}
@@ -138,11 +141,9 @@
 	return func(f, t host) bool { return f.zone == from && t.zone == to }
 }
 
-const perZone = 8
-
 // The load is that of one entry host whose kept flows belong to agents in a zone that its packets no longer reach.
 func TestOneWay(t *testing.T) {
-	n := newNetwork(perZone)
+	n := newNetwork()
 	n.run(2 * time.Second)
 	assert.Equal(t, n.checks, 0)
 	n.drops = cut("a", "c")
@@ -166,7 +167,7 @@
 // Guards against relays for packets that arrive although no answer does: the agents have to answer through relays, and
 // what is sent to them goes directly.
 func TestOneWayBack(t *testing.T) {
-	n := newNetwork(perZone)
+	n := newNetwork()
 	n.run(time.Second)
 	n.drops = cut("c", "a")
 	n.run(1500 * time.Millisecond)
@@ -180,7 +181,7 @@
 }
 
 func TestBridgeCut(t *testing.T) {
-	n := newNetwork(perZone)
+	n := newNetwork()
 	n.run(time.Second)
 	n.drops = func(f, t host) bool { return cut("a", "c")(f, t) || cut("c", "a")(f, t) }
 	n.run(1500 * time.Millisecond)
@@ -193,7 +194,7 @@
 // Guards against a zone that gets detours because some of its hosts are cut off: the others answer.
 func TestNodeCut(t *testing.T) {
 	const count = lostPeers + 1
-	n := newNetwork(perZone)
+	n := newNetwork()
 	n.run(time.Second)
 	n.drops = func(f, t host) bool {
 		return f == n.balancer && t.zone == "c" && t.address.Addr().As4()[3] <= count
@@ -207,7 +208,7 @@
 
 // Guards against detours around a host that has failed or is paused, and around all hosts when the own one is cut off.
 func TestNoDetourAroundFailedHosts(t *testing.T) {
-	n := newNetwork(perZone)
+	n := newNetwork()
 	n.run(time.Second)
 	for a, zone := range n.zones {
 		n.down[a] = zone == "c"
@@ -226,7 +227,7 @@
 // Guards against detours on links that lose some packets: with 5% lost in each direction, a minute needs none.
 func TestLossy(t *testing.T) {
 	for seed := range uint64(5) {
-		n := newNetwork(perZone)
+		n := newNetwork()
 		r := rand.New(rand.NewPCG(seed, 1))
 		n.drops = func(f, t host) bool { return f.zone != t.zone && r.Float64() < 0.05 }
 		n.run(time.Minute)
@@ -237,7 +238,7 @@
 
 // Guards against a detour that ends and starts with each trial, on a link that passes half of the packets.
 func TestHalfLost(t *testing.T) {
-	n := newNetwork(perZone)
+	n := newNetwork()
 	r := rand.New(rand.NewPCG(1, 1))
 	n.drops = func(f, t host) bool { return f.zone == "a" && t.zone == "c" && r.Float64() < 0.5 }
 	n.run(30 * time.Second)
@@ -246,7 +247,7 @@
 
 // Guards against a detour that stays with a relay that has failed.
 func TestRelayFails(t *testing.T) {
-	n := newNetwork(perZone)
+	n := newNetwork()
 	n.run(time.Second)
 	n.drops = cut("a", "c")
 	n.run(time.Second)
@@ -262,7 +263,7 @@
 }
 
 func TestRelaysShareTheLoad(t *testing.T) {
-	n := newNetwork(perZone)
+	n := newNetwork()
 	n.run(time.Second)
 	n.drops = cut("a", "c")
 	n.run(time.Second)
