feat: balancers of a zone that is not heard elsewhere are not ready

A cut may drop everything that one zone sends to all others.

Silence alone cannot tell this from a failure of all other zones. Balancers there check the agents of the zone, since these do not answer them, and the checks arrive: the agents report them to the balancers of their zone. These become not ready once eight datagrams to other zones stay unanswered for 300 ms and trials to agents that were not asked fail as well. Any answer from another zone ends the state.

The reports go to all balancers that an agent remembers.

Agents out of reach that have not been asked get trials at once, so that the rate limit does not delay the judgement of a zone.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -133,7 +133,7 @@
 	}
 	a.link.filter = cfg.LinkFilter
 	if d := newDetours(a.link, cfg.Features, cfg.Logger); d != nil {
-		a.detours = &agentDetours{detours: d, arrivals: detour.NewArrivals(time.Now())}
+		a.detours = &agentDetours{detours: d, arrivals: detour.NewArrivals(time.Now()), zone: cfg.Zone}
 	}
 	a.announcer = announcer{
 		id: cfg.ID, entry: a.registrar.entry, seeds: cfg.Seeds, link: a.link, observed: &a.state.observed, logger: cfg.Logger,
@@ -214,7 +214,7 @@
 		a.cfg.Logger.Warn("message dropped", "error", err)
 		return
 	}
-	a.detours.received(now, src)
+	a.detours.received(now, src, m)
 	switch m := m.(type) {
 	case *forward:
 		a.onBalancerMessage(now, m.origin)
@@ -235,6 +235,7 @@
 		a.onBalancerMessage(now, m.origin)
 		a.newestAgent.add(m.newestAgent)
 		a.detours.answer(now, src, m, a.report(now))
+		a.detours.reportOutsideCheck(now, m)
 	case *share:
 		a.detours.use(now, m)
 	}
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -119,7 +119,7 @@
 	}
 	b.link.filter = cfg.LinkFilter
 	if d := newDetours(b.link, cfg.Features, cfg.Logger); d != nil {
-		b.detours = &balancerDetours{detours: d, planner: detour.NewPlanner(cfg.Zone, &d.table), setDetoured: b.steerer.SetDetoured, probe: b.probe}
+		b.detours = &balancerDetours{detours: d, planner: detour.NewPlanner(cfg.Zone, &d.table), zone: cfg.Zone, setDetoured: b.steerer.SetDetoured, probe: b.probe}
 	}
 	b.http, err = newHTTPServer(cfg.HTTP)
 	if err != nil {
@@ -133,9 +133,9 @@
 func (b *Balancer) agentsPause() time.Duration { return passthrough.AgentsPause(b.fleet.Balancers()) }
 
 // Ready reports whether the platform may send packets to the balancer. A balancer that reaches no agent is not ready,
-// so that callers are sent to other balancers.
+// so that callers are sent to other balancers. The same applies while nothing from its zone reaches other zones.
 func (b *Balancer) Ready() bool {
-	return b.hasLoaded() && !b.leaving.Load() && !b.steerer.Isolated(time.Now())
+	return b.hasLoaded() && !b.leaving.Load() && !b.steerer.Isolated(time.Now()) && !b.detours.unheard()
 }
 
 // followedPrefixes is the number of store prefixes that a balancer follows.
--- a/internal/passthrough/detour_message.go
+++ b/internal/passthrough/detour_message.go
@@ -15,6 +15,7 @@
 	kindCheck
 	kindChecked
 	kindShare
+	kindCheckedFromOutside
 )
 
 // relay carries a datagram for another process. The receiver sends it on once.
@@ -29,6 +30,8 @@
 // check is a probe that arrives through a relay. The agent answers directly and through the relay.
 type check struct {
 	probe
+	// zone is the zone of the balancer.
+	zone string
 	// answerByRelay means that nothing that the agent sends directly arrives at the balancer.
 	answerByRelay bool
 }
@@ -45,6 +48,12 @@
 	detours []detour.Detour
 }
 
+// checkedFromOutside tells a balancer that a balancer of another zone checks the agent, so that what others send arrives
+// and what the agent sends does not.
+type checkedFromOutside struct {
+	agent netip.AddrPort
+}
+
 func (m *relay) append(b []byte) []byte {
 	b = header(b, kindRelay)
 	b = appendAddress(b, m.to)
@@ -58,7 +67,12 @@
 	b = appendAddress(b, m.origin)
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	b = binary.BigEndian.AppendUint64(b, m.newestAgent)
-	return appendFlag(b, m.answerByRelay)
+	b = appendFlag(b, m.answerByRelay)
+	return appendText(b, m.zone)
+}
+
+func (m *checkedFromOutside) append(b []byte) []byte {
+	return appendAddress(header(b, kindCheckedFromOutside), m.agent)
 }
 
 func (m *checked) append(b []byte) []byte {
@@ -90,6 +104,8 @@
 		return r.check()
 	case kindChecked:
 		return r.checked()
+	case kindCheckedFromOutside:
+		return &checkedFromOutside{agent: r.address()}
 	default:
 		return r.share()
 	}
@@ -104,6 +120,7 @@
 func (r *reader) check() *check {
 	m := &check{probe: probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64()}}
 	m.answerByRelay = r.next(1)[0] == 1
+	m.zone = r.text()
 	return m
 }
 
--- a/internal/passthrough/detours.go
+++ b/internal/passthrough/detours.go
@@ -100,6 +100,7 @@
 type balancerDetours struct {
 	*detours
 	planner *detour.Planner
+	zone    string
 	// setDetoured tells the placement of flows which agents are behind a detour, probe returns a probe of the balancer.
 	setDetoured func(agent netip.AddrPort, detoured bool)
 	probe       func() *probe
@@ -128,6 +129,8 @@
 		return
 	}
 	switch m.(type) {
+	case *checkedFromOutside:
+		d.planner.CheckedFromOutside(now, src.address)
 	case *placed, *report:
 		d.planner.Received(now, src.address, true)
 	default:
@@ -142,6 +145,9 @@
 	}
 }
 
+// unheard reports whether balancers of other zones serve callers better, because nothing reaches other zones from here.
+func (d *balancerDetours) unheard() bool { return d != nil && d.planner.Unheard() }
+
 // tick carries out what the planner decides.
 func (d *balancerDetours) tick(now time.Time) {
 	if d == nil {
@@ -157,7 +163,7 @@
 	case detour.Trial:
 		d.link.sendDirect(action.To, d.probe())
 	case detour.Check:
-		d.link.sendVia(action.Relay, action.To, &check{probe: *d.probe(), answerByRelay: action.AnswerByRelay})
+		d.link.sendVia(action.Relay, action.To, &check{probe: *d.probe(), zone: d.zone, answerByRelay: action.AnswerByRelay})
 	case detour.Share:
 		m := &share{detours: action.Detours}
 		for _, to := range action.To {
@@ -175,6 +181,8 @@
 		}
 		d.link.metrics.count(eventDetourEnded, reason)
 		d.logger.Info("detour ended", "agent", action.Peer, "zone", action.Zone, "reason", reason)
+	case detour.ZoneUnheard:
+		d.logger.Warn("zone unheard", "zone", action.Zone, "unheard", action.Unheard)
 	case detour.LinkDown:
 		d.logger.Warn("link down", "from", action.From, "to", action.To)
 	case detour.LinkUp:
@@ -198,12 +206,51 @@
 type agentDetours struct {
 	*detours
 	arrivals *detour.Arrivals
+	zone     string
+	// outsideReportedAt is when the balancers were last told about a check from another zone. Only the reader of the link
+	// uses it.
+	outsideReportedAt time.Time
+}
+
+// outsideReportInterval is the interval between reports of checks from other zones.
+const outsideReportInterval = 500 * time.Millisecond
+
+// reportOutsideCheck tells the balancers that one of another zone checks this agent, because it does not hear it. The
+// balancers include those that have not sent anything for some seconds: they may be busy with probes of silent agents.
+func (d *agentDetours) reportOutsideCheck(now time.Time, m *check) {
+	if !d.isOutsideReportDue(now, m) {
+		return
+	}
+	for _, b := range d.arrivals.Senders(maxUnansweredReports) {
+		d.link.send(b, &checkedFromOutside{agent: d.link.self})
+	}
 }
 
-// received records a datagram that was received directly.
-func (d *agentDetours) received(now time.Time, src source) {
-	if d != nil && src.direct() {
-		d.arrivals.Add(now, src.address)
+// isOutsideReportDue reports whether balancers must be told that a check came from another zone.
+func (d *agentDetours) isOutsideReportDue(now time.Time, m *check) bool {
+	if d == nil || m.zone == d.zone || now.Sub(d.outsideReportedAt) < outsideReportInterval {
+		return false
+	}
+	d.outsideReportedAt = now
+	return true
+}
+
+// received records a message that was received directly from a balancer.
+func (d *agentDetours) received(now time.Time, src source, m message) {
+	if d == nil || !src.direct() {
+		return
+	}
+	var origin netip.AddrPort
+	switch m := m.(type) {
+	case *forward:
+		origin = m.origin
+	case *search:
+		origin = m.origin
+	case *probe:
+		origin = m.origin
+	}
+	if origin == src.address {
+		d.arrivals.Add(now, origin)
 	}
 }
 
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -474,7 +474,7 @@
 		m.restarted = r.next(1)[0] == 1
 		m.newestAgent = r.uint64()
 		return m
-	case kindRelay, kindCheck, kindChecked, kindShare:
+	case kindRelay, kindCheck, kindChecked, kindShare, kindCheckedFromOutside:
 		return r.detourMessage(k)
 	}
 	return nil
--- a/pkg/detour/action.go
+++ b/pkg/detour/action.go
@@ -2,7 +2,8 @@
 
 import "net/netip"
 
-// Action is what a process does for its planner: Check, Trial, Share, Chosen, Ended, LinkDown or LinkUp.
+// Action is what a process does for its planner: Check, Trial, Share, Chosen, Ended, LinkDown, LinkUp or
+// ZoneUnheard.
 type Action interface{ isAction() }
 
 // Check asks a peer through a relay whether it receives what is sent directly.
@@ -48,10 +49,17 @@
 // LinkUp reports that packets pass directly from one zone to another again.
 type LinkUp struct{ From, To string }
 
-func (Check) isAction()    {}
-func (Trial) isAction()    {}
-func (Share) isAction()    {}
-func (Chosen) isAction()   {}
-func (Ended) isAction()    {}
-func (LinkDown) isAction() {}
-func (LinkUp) isAction()   {}
+// ZoneUnheard reports that nothing that the own zone sends reaches another zone, or that this is over.
+type ZoneUnheard struct {
+	Zone    string
+	Unheard bool
+}
+
+func (Check) isAction()       {}
+func (Trial) isAction()       {}
+func (Share) isAction()       {}
+func (Chosen) isAction()      {}
+func (Ended) isAction()       {}
+func (LinkDown) isAction()    {}
+func (LinkUp) isAction()      {}
+func (ZoneUnheard) isAction() {}
--- a/pkg/detour/arrivals.go
+++ b/pkg/detour/arrivals.go
@@ -46,6 +46,20 @@
 	return now.Sub(a.started)
 }
 
+// Senders returns at most n senders that are remembered.
+func (a *Arrivals) Senders(n int) []netip.AddrPort {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	all := make([]netip.AddrPort, 0, min(n, len(a.last)))
+	for from := range a.last {
+		if len(all) == n {
+			break
+		}
+		all = append(all, from)
+	}
+	return all
+}
+
 // Sweep forgets senders from which nothing has arrived for a minute.
 func (a *Arrivals) Sweep(now time.Time) {
 	a.mu.Lock()
--- a/pkg/detour/peer.go
+++ b/pkg/detour/peer.go
@@ -18,9 +18,8 @@
 	// checkedAt is when the last check was sent, checks how many in a row have not been answered.
 	checkedAt time.Time
 	checks    int
-	// relay is the one of the last answered check, which arrived at relayedAt.
-	relay     netip.AddrPort
-	relayedAt time.Time
+	// relay is the one of the detour, or else of the last answered check.
+	relay netip.AddrPort
 	// undelivered counts answers through relays since the last direct datagram of the peer.
 	undelivered int
 	// lostSince is when the first datagram that did not arrive was sent.
--- a/pkg/detour/planner.go
+++ b/pkg/detour/planner.go
@@ -54,6 +54,9 @@
 	// zoneOrder holds the zones in the order of their first peers.
 	zoneOrder []*zoneState
 	checks    Limiter
+	outside   outside
+	// linksDown means that a link to or from another zone was down at the last call of Tick.
+	linksDown bool
 	// pending holds actions that the next call of Tick returns.
 	pending []Action
 }
@@ -89,7 +92,7 @@
 		if !ok {
 			z = &zoneState{name: zone}
 			if o, ok := old[zone]; ok {
-				z.there, z.back, z.sharedAt = o.there, o.back, o.sharedAt
+				z.thereDown, z.backDown, z.sharedAt = o.thereDown, o.backDown, o.sharedAt
 			}
 			p.zones[zone] = z
 			p.zoneOrder = append(p.zoneOrder, z)
@@ -103,7 +106,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if q, ok := p.peers[a]; ok {
-		q.asked(now)
+		p.asked(now, q)
+	}
+}
+
+func (p *Planner) asked(now time.Time, q *peer) {
+	q.asked(now)
+	if q.zone != p.zone {
+		p.outside.asked(now)
 	}
 }
 
@@ -116,6 +126,9 @@
 		return
 	}
 	q.undelivered = 0
+	if q.zone != p.zone {
+		p.outside.answered()
+	}
 	if isAnswer && !q.there.dead {
 		q.answered(now)
 	}
@@ -134,12 +147,10 @@
 		return
 	}
 	q.checks = 0
+	p.outside.answered()
 	if !q.detoured() {
 		q.relay = relay
 	}
-	if q.relay == relay {
-		q.relayedAt = now
-	}
 	q.undelivered++
 	changed := p.judgeThere(now, q, age)
 	if q.undelivered > lostAsks && q.back.fail(now) {
@@ -205,17 +216,25 @@
 	for _, z := range p.zoneOrder {
 		z.checked = 0
 	}
+	unreached := false
 	for _, q := range p.order {
 		switch {
 		case q.detoured():
+			unreached = true
 			p.verify(now, q)
 		case q.silent(now):
+			unreached = true
 			p.checkSilent(now, q)
 		}
 	}
-	for _, z := range p.zoneOrder {
-		p.judgeZone(now, z)
+	if unreached || p.linksDown {
+		p.linksDown = false
+		for _, z := range p.zoneOrder {
+			p.judgeZone(now, z)
+			p.linksDown = p.linksDown || z.thereDown || z.backDown
+		}
 	}
+	p.judgeOutside(now)
 	actions := p.pending
 	p.pending = nil
 	return actions
@@ -248,10 +267,24 @@
 	}
 	q.checkedAt = now
 	q.checks++
-	q.asked(now)
+	p.asked(now, q)
 	p.pending = append(p.pending, Trial{To: q.address}, Check{To: q.address, Relay: relay, AnswerByRelay: q.back.dead})
 }
 
+// probe sends trials to at most n peers that have no unanswered datagram.
+func (p *Planner) probe(now time.Time, peers []*peer, n int) {
+	for _, q := range peers {
+		if n == 0 {
+			return
+		}
+		if q.unanswered == 0 && !q.detoured() {
+			n--
+			p.asked(now, q)
+			p.pending = append(p.pending, Trial{To: q.address})
+		}
+	}
+}
+
 // verify checks a detour in use, and chooses another relay if the present one does not answer.
 func (p *Planner) verify(now time.Time, q *peer) {
 	due := now.Sub(q.checkedAt) >= verifyInterval
--- a/pkg/detour/planner_test.go
+++ b/pkg/detour/planner_test.go
@@ -22,6 +22,8 @@
 	// drops reports whether a datagram is lost between two hosts, given by address and zone.
 	drops    func(from, to host) bool
 	balancer host
+	// onlyDown asks only hosts that have failed, as a balancer does whose probes are used up by these.
+	onlyDown bool
 	checks   int
 	chosen   int
 	links    []Action
@@ -94,7 +96,7 @@
 	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(50 * time.Millisecond) {
 		i := 0
 		for _, q := range n.planner.order {
-			if i++; (n.now.UnixMilli()/50+int64(i))%4 == 0 {
+			if i++; (n.now.UnixMilli()/50+int64(i))%4 == 0 && (!n.onlyDown || n.down[q.address]) {
 				n.planner.Asked(n.now, q.address)
 				n.ask(q.address)
 			}
@@ -111,7 +113,7 @@
 				n.chosen++
 			case LinkDown, LinkUp:
 				n.links = append(n.links, action)
-			case Ended:
+			case Ended, ZoneUnheard:
 			}
 		}
 	}
@@ -180,6 +182,44 @@
 	assert.DeepEqual(t, n.links[1:], []Action{LinkUp{From: "c", To: "a"}})
 }
 
+// Guards against callers whose kept flows belong to agents in other zones, when nothing that their own zone sends reaches
+// these: a balancer there serves them. If the other zones have failed instead, no agent is checked from there.
+func TestUnheardZone(t *testing.T) {
+	for _, failed := range []bool{false, true} {
+		n := newNetwork()
+		n.run(time.Second)
+		n.drops = func(f, t host) bool { return f.zone == "a" && t.zone != "a" }
+		if failed {
+			for a, zone := range n.zones {
+				n.down[a] = zone != "a"
+			}
+		} else {
+			n.planner.CheckedFromOutside(n.now.Add(300*time.Millisecond), n.planner.order[0].address)
+		}
+		n.run(time.Second)
+		assert.Equal(t, n.planner.Unheard(), !failed)
+		clear(n.down)
+		n.drops = cut("", "")
+		n.run(300 * time.Millisecond)
+		assert.Assert(t, !n.planner.Unheard())
+	}
+}
+
+// Guards against callers that are sent away because probes go to failed hosts only: a trial finds the others.
+func TestZoneIsHeardBesideFailedHosts(t *testing.T) {
+	n := newNetwork()
+	n.run(time.Second)
+	for i, q := range n.planner.order {
+		n.down[q.address] = q.zone != "a" && i%perZone > 0
+	}
+	n.onlyDown = true
+	for range 20 {
+		n.planner.CheckedFromOutside(n.now, n.planner.order[0].address)
+		n.run(100 * time.Millisecond)
+		assert.Assert(t, !n.planner.Unheard())
+	}
+}
+
 func TestBridgeCut(t *testing.T) {
 	n := newNetwork()
 	n.run(time.Second)
--- a/pkg/detour/zone.go
+++ b/pkg/detour/zone.go
@@ -9,6 +9,8 @@
 	// lostPeers is how many peers of a zone must be out of direct reach before the whole zone counts as such, or all of
 	// them if there are fewer.
 	lostPeers = 3
+	// zoneProbes is how many peers get a trial at a time while a link may be down, so that all are known soon.
+	zoneProbes = 4
 	// shareInterval is the interval between reports of the detours to a zone, which expire after ShareTTL.
 	shareInterval = time.Second
 	// ShareTTL is how long a detour that another process has shared is used.
@@ -23,34 +25,29 @@
 type zoneState struct {
 	name  string
 	peers []*peer
-	// there is the link to the zone, back the one from it.
-	there, back link
-	sharedAt    time.Time
+	// thereDown means that nothing passes directly to the zone, backDown that nothing passes from it.
+	thereDown, backDown bool
+	sharedAt            time.Time
 	// checked counts the silent peers that are being checked.
 	checked int
 }
 
-// link is one direction between two zones.
-type link struct {
-	// down means that nothing passes directly.
-	down bool
-}
-
 // judgeZone finds out whether nothing passes directly to or from a whole zone. Then all of its peers get a detour,
 // without a check of each, and the processes of the own zone are told.
 func (p *Planner) judgeZone(now time.Time, z *zoneState) {
 	if z.name == p.zone {
 		return
 	}
-	p.judgeLink(z, &z.there, peerThere, LinkDown{From: p.zone, To: z.name}, LinkUp{From: p.zone, To: z.name})
-	p.judgeLink(z, &z.back, peerBack, LinkDown{From: z.name, To: p.zone}, LinkUp{From: z.name, To: p.zone})
-	if !z.there.down && !z.back.down {
+	p.judgeLink(now, z, &z.thereDown, peerThere, LinkDown{From: p.zone, To: z.name}, LinkUp{From: p.zone, To: z.name})
+	p.judgeLink(now, z, &z.backDown, peerBack, LinkDown{From: z.name, To: p.zone}, LinkUp{From: z.name, To: p.zone})
+	if !z.thereDown && !z.backDown {
 		return
 	}
+	p.probe(now, z.peers, zoneProbes)
 	for _, q := range z.peers {
 		p.detourUnchecked(now, z, q)
 	}
-	if z.there.down {
+	if z.thereDown {
 		p.share(now, z)
 	}
 }
@@ -61,16 +58,24 @@
 
 // judgeLink finds out whether a link is down: enough peers have lost what was sent in this direction, most others are
 // silent, and none has answered since.
-func (p *Planner) judgeLink(z *zoneState, l *link, of func(*peer) *direction, down LinkDown, up LinkUp) {
+func (p *Planner) judgeLink(now time.Time, z *zoneState, isDown *bool, of func(*peer) *direction, down LinkDown, up LinkUp) {
 	lost, silent, since := z.count(of)
-	switch {
-	case !l.down && lost > 0 && lost >= min(lostPeers, len(z.peers)) && 2*(lost+silent) >= len(z.peers) && !z.answeredAfter(since.Add(transitTime)):
-		l.down = true
-		p.pending = append(p.pending, down)
-	case l.down && 2*lost < len(z.peers):
-		l.down = false
-		p.pending = append(p.pending, up)
+	if *isDown {
+		if 2*lost < len(z.peers) {
+			*isDown = false
+			p.pending = append(p.pending, up)
+		}
+		return
+	}
+	if lost == 0 || lost < min(lostPeers, len(z.peers)) || z.answeredAfter(since.Add(transitTime)) {
+		return
+	}
+	if 2*(lost+silent) < len(z.peers) {
+		p.probe(now, z.peers, zoneProbes)
+		return
 	}
+	*isDown = true
+	p.pending = append(p.pending, down)
 }
 
 // count returns how many peers have lost datagrams in a direction, how many others are silent, and since when datagrams
@@ -102,7 +107,7 @@
 
 // detourUnchecked uses a detour to a silent peer because a link between its zone and the own one is down.
 func (p *Planner) detourUnchecked(now time.Time, z *zoneState, q *peer) {
-	there, back := z.there.down && q.there.canFail(now), z.back.down && q.back.canFail(now)
+	there, back := z.thereDown && q.there.canFail(now), z.backDown && q.back.canFail(now)
 	if q.unanswered == 0 || !there && !back {
 		return
 	}
@@ -111,7 +116,7 @@
 		if !ok {
 			return
 		}
-		q.lostSince, q.relay, q.relayedAt = q.silentSince, relay, now
+		q.lostSince, q.relay = q.silentSince, relay
 	}
 	if there {
 		q.there.fail(now)
