fix: what agents send unasked does not show that a zone is heard

With one ready balancer the routers keep the callers of the zone there. Only answers end the state now. TestUnheardZone fails without the change.

--- a/pkg/detour/planner.go
+++ b/pkg/detour/planner.go
@@ -117,6 +117,15 @@
 	}
 }
 
+func (p *Planner) answered(now time.Time, q *peer) {
+	if q.zone != p.zone {
+		p.outside.answered()
+	}
+	if !q.there.dead {
+		q.answered(now)
+	}
+}
+
 // Received records a datagram that arrived directly from a peer. isAnswer means that the peer sends it only in reply.
 func (p *Planner) Received(now time.Time, a netip.AddrPort, isAnswer bool) {
 	p.mu.Lock()
@@ -126,11 +135,8 @@
 		return
 	}
 	q.undelivered = 0
-	if q.zone != p.zone {
-		p.outside.answered()
-	}
-	if isAnswer && !q.there.dead {
-		q.answered(now)
+	if isAnswer {
+		p.answered(now, q)
 	}
 	if q.back.pass(now) {
 		p.changed(now, q)
--- a/pkg/detour/planner_test.go
+++ b/pkg/detour/planner_test.go
@@ -197,6 +197,8 @@
 			n.planner.CheckedFromOutside(n.now.Add(300*time.Millisecond), n.planner.order[0].address)
 		}
 		n.run(time.Second)
+		n.planner.Received(n.now, n.planner.order[perZone].address, false) // An announcement is no answer.
+		n.run(50 * time.Millisecond)
 		assert.Equal(t, n.planner.Unheard(), !failed)
 		clear(n.down)
 		n.drops = cut("", "")
--- a/pkg/detour/unheard.go
+++ b/pkg/detour/unheard.go
@@ -7,7 +7,8 @@
 
 const (
 	// unheardAsks and unheardAfter are how many datagrams to other zones must stay unanswered, and for how long, before
-	// nothing counts as reaching them. Any answer from another zone starts the count again.
+	// nothing counts as reaching them. Any answer from another zone starts the count again;
+	// what agents send unasked, such as announcements to seeds, does not.
 	unheardAsks  = 8
 	unheardAfter = 300 * time.Millisecond
 	// unheardTTL is how long the report of an agent that it is checked from another zone counts. Agents without an answer
