--- a/pkg/passthrough/agent_rank.go
+++ b/pkg/passthrough/agent_rank.go
@@ -11,6 +11,14 @@
 // reportTTL is how long a reported load counts; after that the agent counts as idle.
 const reportTTL = time.Second
 
+const (
+	// detourCost is the cost of a flow to an agent behind a detour, in requests per slot: more than those that an agent
+	// with a full backend server queues, so that others lack room first.
+	detourCost = 4
+	// detourWay is the same as a time, for agents that are ranked by expected time.
+	detourWay = 200 * time.Millisecond
+)
+
 // suspectCost ranks suspect agents behind all others.
 const suspectCost = 1e6
 
@@ -94,7 +102,11 @@
 	if now.Sub(st.reportedAt) > reportTTL {
 		l.InProgress = 0
 	}
-	return l.cost(st.unreported, sameZone)
+	c := l.cost(st.unreported, sameZone)
+	if st.detoured {
+		c += detourCost
+	}
+	return c
 }
 
 // server returns what is known of the backend server of an agent, seen from a zone.
@@ -105,12 +117,14 @@
 		Placed: st.unreported, ServiceTime: l.ServiceTime, Wait: l.Wait, Age: min(now.Sub(st.reportedAt), reportTTL), Idle: now.Sub(st.placedAt),
 		FailurePercent: int(l.FailurePercent),
 	}
-	if st.zone == zone {
-		return sv
+	if st.zone != zone {
+		var ok bool
+		if sv.Way, ok = s.ways.Extra(zone, st.zone); !ok {
+			sv.Way = unknownWay
+		}
 	}
-	var ok bool
-	if sv.Way, ok = s.ways.Extra(zone, st.zone); !ok {
-		sv.Way = unknownWay
+	if st.detoured {
+		sv.Way += detourWay
 	}
 	return sv
 }
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -54,6 +54,7 @@
 	unansweredSince time.Time // when the oldest unanswered message was sent; zero if there is none
 	placedAt        time.Time // when a flow was last placed
 	lastSentAt      time.Time
+	detoured        bool // reached through a relay
 }
 
 // NewSteerer returns the steerer of a balancer in the given zone.
@@ -85,8 +86,25 @@
 	s.agents, s.views = agents, views
 }
 
+// detouredSuspectTimeout replaces suspectTimeout for agents behind a detour, which are checked every 500 ms.
+const detouredSuspectTimeout = 800 * time.Millisecond
+
 func (st *agentState) suspect(now time.Time) bool {
-	return !st.unansweredSince.IsZero() && now.Sub(st.unansweredSince) > suspectTimeout
+	timeout := suspectTimeout
+	if st.detoured {
+		timeout = detouredSuspectTimeout
+	}
+	return !st.unansweredSince.IsZero() && now.Sub(st.unansweredSince) > timeout
+}
+
+// SetDetoured records whether an agent is reached through a relay. Such an agent gets new flows only when those of
+// others wait longer.
+func (s *Steerer) SetDetoured(agent netip.AddrPort, detoured bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st, ok := s.agents[agent]; ok {
+		st.detoured = detoured
+	}
 }
 
 func (s *Steerer) recordSent(now time.Time, agent netip.AddrPort) {
@@ -130,7 +148,7 @@
 	if st.service != service {
 		return false
 	}
-	if s.byTime && !st.unansweredSince.IsZero() {
+	if s.byTime && !st.detoured && !st.unansweredSince.IsZero() {
 		s.ways.Add(st.zone, now.Sub(st.unansweredSince))
 	}
 	st.load, st.reported, st.reportedAt = l, true, now
