feat: flow records, resets of flows that were lost with a backend server

After a loss of all power, or a crash of a backend server, nobody remembers its open flows: callers that keep them find out by losing a request, which is gone for good if it is not idempotent.

With the feature flow_records an agent writes the kept flows of its backend server to the store and, when it starts beside a certainly later run, resets them at once. It also resets the flows of an earlier run when the backend server has restarted, and those of one whose process has ended without notice.

Off by default.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -75,6 +75,7 @@
 	fetcher    *stateFetcher
 	metrics    *metrics
 	backend    backendState
+	records    *flowRecords // nil without the feature
 	// firstHeartbeat is the first heartbeat if its backend server looks as old as the agent.
 	firstHeartbeat atomic.Pointer[BackendHeartbeat]
 	balancers      recentBalancers
@@ -119,6 +120,9 @@
 	})
 	a.fetcher.metrics = a.metrics
 	a.admitter.SetAnswerObserver(func(d time.Duration) { a.metrics.answers.Observe(d.Seconds()) })
+	if cfg.Features.Has(FlowRecords) {
+		a.records = newFlowRecords(a)
+	}
 	a.SetDrainPeriod(cfg.DrainPeriod)
 	var err error
 	if a.outbound, err = listenUDP(cfg.Outbound); err != nil {
@@ -175,6 +179,11 @@
 	g.Go(a.runQueue)
 	g.Go(a.awaitDepartures)
 	g.Go(a.checkAbsence)
+	if a.records != nil {
+		g.Go(a.records.run)
+		g.Go(a.records.runResets)
+		g.Go(a.records.watchCrash)
+	}
 	g.Go(func(ctx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -236,6 +245,9 @@
 		a.cfg.Logger.Warn("packet dropped", "reason", "malformed", "error", err)
 		return
 	}
+	if a.records.refuseLost(now, seg) {
+		return
+	}
 	if seg.IsOpening() {
 		a.onOpening(now, seg, m)
 		return
@@ -280,6 +292,7 @@
 	for _, p := range deliver {
 		a.logAccepted(now, p.Segment, p.Origin, p.Delay)
 		a.notifyPlaced(now, p.Segment.Flow(), p.Origin, true)
+		a.records.onDelivered(now, p.Segment)
 		a.deliver(p.Packet)
 	}
 	for _, p := range passOn {
@@ -323,6 +336,7 @@
 		if seg.IsOpening() {
 			a.logAccepted(now, seg, m.origin, m.delay)
 		}
+		a.records.onDelivered(now, seg)
 		a.deliver(m.packet)
 	case passthrough.Queued:
 		a.metrics.count(eventQueued, reasonNone)
@@ -383,6 +397,7 @@
 		a.cfg.Logger.Warn("packet dropped", "reason", "malformed", "source", "backend", "error", err)
 		return
 	}
+	a.records.onServerPacket(now)
 	if seg.Has(passthrough.FlagRejected) {
 		a.onRejected(now, seg, packet)
 		return
--- a/internal/passthrough/backend.go
+++ b/internal/passthrough/backend.go
@@ -110,6 +110,23 @@
 	return true
 }
 
+// lastRun returns the run of the newest heartbeat and when it was received.
+func (s *backendState) lastRun() (backendRun, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.received {
+		return backendRun{}, time.Time{}
+	}
+	return s.newest.run(), s.lastSeenAt
+}
+
+// isReady reports whether the newest heartbeat shows a backend server that is not about to stop.
+func (s *backendState) isReady() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.received && !s.left && !s.newest.Draining
+}
+
 func (s *backendState) hasLeft() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,11 +140,13 @@
 		return false
 	}
 	now := time.Now()
+	_, oldAt := a.backend.lastRun()
 	old, updated := a.backend.update(now, b)
 	if !updated {
 		a.cfg.Logger.Info("heartbeat skipped", "backend", b.ID, "reason", "older", "seq", b.Seq, "started", b.Started)
 		return true
 	}
+	a.records.onHeartbeat(now, b, old, oldAt)
 	a.registrar.setRun(b.run())
 	if old.ID == "" && b.startedWithAgent(now, a.announcer.started) {
 		a.firstHeartbeat.Store(&b)
--- a/internal/passthrough/departure.go
+++ b/internal/passthrough/departure.go
@@ -32,6 +32,7 @@
 	wait(ctx, absenceDelay)
 	if a.awaitNoListener(ctx, func() bool { return !a.backendSeen() }) {
 		a.admitter.SetBackendGone(time.Now(), 0)
+		a.records.onAbsent()
 		a.cfg.Logger.Info("backend server is absent", "address", a.cfg.Backend)
 	}
 	return nil
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -28,6 +28,8 @@
 	eventSearched flowEvent = "searched"
 	// eventDenied counts searched flows that an agent's backend server does not hold.
 	eventDenied flowEvent = "denied"
+	// eventRecorded counts writes of the record of open flows.
+	eventRecorded flowEvent = "recorded"
 )
 
 // reasonBackendEnded is the reason for the reset of a flow whose backend server has ended.
--- a/internal/passthrough/registrar.go
+++ b/internal/passthrough/registrar.go
@@ -191,6 +191,16 @@
 	return r.entry.Draining
 }
 
+// currentLease returns the lease of the entry, or 0 if there is none.
+func (r *registrar) currentLease() store.LeaseID {
+	r.calls.Lock()
+	defer r.calls.Unlock()
+	if r.removed {
+		return 0
+	}
+	return r.lease
+}
+
 // listed reports whether the store has accepted an entry of this process.
 func (r *registrar) listed() bool { return r.written.Load() }
 
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -366,6 +366,7 @@
 			lf.established = true
 		}
 		lf.window.advance(seg)
+		lf.use.record(now, seg)
 		lf.ended = lf.ended || seg.Has(FlagFinish) || seg.Has(FlagReset)
 		return lf
 	})
--- a/pkg/passthrough/local_flow.go
+++ b/pkg/passthrough/local_flow.go
@@ -14,6 +14,7 @@
 	established bool           // the backend server sent more than the answer to the opening packet
 	notHeld     bool           // the flow is unknown to the backend server
 	ended       bool           // the backend server has sent the end of its data or a reset
+	use         flowUse
 }
 
 // owner is an agent that reported that its backend server has a flow.
