feat: a silent draining agent does not keep flows from being reset after an outage

Their entries stay for the 12 s of their lease, no search is denied by all agents, and callers wait for their deadlines. With flow_records a balancer counts such an agent out when it has not answered for 1 s since the balancer started, eight times as many agents have denied the flow, and all of these have restarted with their backend servers.

--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -96,6 +96,9 @@
 // NewBalancer returns a balancer with its sockets bound.
 func NewBalancer(cfg BalancerConfig) (*Balancer, error) {
 	b := &Balancer{cfg: cfg, steerer: passthrough.NewSteerer(cfg.Zone), draining: make(chan struct{})}
+	if cfg.Features.Has(FlowRecords) {
+		b.steerer.AllowSilentDraining()
+	}
 	b.state = localState{layout: cfg.Layout, logger: cfg.Logger, changed: b.refresh}
 	b.fetcher = newStateFetcher(&b.state, true, cfg.Logger)
 	b.metrics = newMetrics("balancer", gauges{
--- a/pkg/passthrough/kept_flows.go
+++ b/pkg/passthrough/kept_flows.go
@@ -8,6 +8,9 @@
 	// minKeptAnswers is the number of answered requests from which a flow counts as kept open. A flow for each request
 	// never reaches it.
 	minKeptAnswers = 2
+	// minKeptIdle is how long a flow without a packet after its first answer counts as kept open. A flow for each request
+	// ends at once.
+	minKeptIdle = time.Second
 	// runMargin is longer than a heartbeat takes to reach the agent. A flow that was opened so long before a heartbeat
 	// was received belongs to the run of the heartbeat, or to an earlier one.
 	runMargin = 500 * time.Millisecond
@@ -31,17 +34,21 @@
 	}
 }
 
+// isKept reports whether the caller keeps the flow open for further requests; unused is the time since its last packet.
+func (u flowUse) isKept(now time.Time, unused time.Duration) bool {
+	return now.Sub(u.opened) >= minKeptAge && (u.answers >= minKeptAnswers || u.answers > 0 && unused >= minKeptIdle)
+}
+
 // isOpen reports whether the flow is open at the backend server, as far as its packets show.
 func (lf localFlow) isOpen() bool { return lf.accepted && !lf.ended && !lf.notHeld && !lf.probed }
 
-// KeptFlows returns the open flows that their callers have kept for several requests and that had a packet within the
+// KeptFlows returns the open flows that their callers keep for several requests and that had a packet within the
 // idle timeout. They were opened before the given time, at which the current run of the backend server sent a heartbeat,
 // so that none belongs to a later run.
 func (ad *Admitter) KeptFlows(now, heartbeat time.Time, idle time.Duration) []OpenFlow {
 	var kept []OpenFlow
 	ad.flows.Each(now, func(f FlowID, lf localFlow, unused time.Duration) {
-		if lf.isOpen() && unused <= idle && lf.use.answers >= minKeptAnswers && now.Sub(lf.use.opened) >= minKeptAge &&
-			heartbeat.Sub(lf.use.opened) >= runMargin {
+		if lf.isOpen() && unused <= idle && lf.use.isKept(now, unused) && heartbeat.Sub(lf.use.opened) >= runMargin {
 			kept = append(kept, OpenFlow{Flow: f, Seq: lf.window.next})
 		}
 	})
--- a/pkg/passthrough/search.go
+++ b/pkg/passthrough/search.go
@@ -79,20 +79,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	denied := s.searches.deny(now, f, agent, restarted)
-	if len(denied) < len(s.agents) || len(s.agents) == 0 || !s.searchesAllServices() {
+	if !s.searchesAllServices() {
 		return SomeDeny
 	}
-	outcome := AllRestarted
-	for a := range s.agents {
-		restarted, ok := denied[a]
-		if !ok {
-			return SomeDeny
-		}
-		if !restarted {
-			outcome = AllDeny
-		}
+	outcome := s.denial(now, denied)
+	if outcome != SomeDeny {
+		s.searches.flows.Delete(f)
 	}
-	s.searches.flows.Delete(f)
 	return outcome
 }
 
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -48,6 +48,8 @@
 	zone     string
 	flows    Table[flowOwner]
 	searches searchLimiter
+	// silentDraining is set by AllowSilentDraining.
+	silentDraining bool
 
 	mu     sync.Mutex
 	agents map[netip.AddrPort]*agentState
