--- a/pkg/passthrough/kept_flows.go
+++ b/pkg/passthrough/kept_flows.go
@@ -56,12 +56,13 @@
 }
 
 // EndFlows marks the flows as ended that were opened at the backend server before a run of it ended, and returns those
-// that were open and had a packet within the idle timeout. heartbeat is when a heartbeat of that run was received, or a
+// that were open and had a packet within the idle timeout. A flow of which the backend server has only answered the opening
+// packet may be open at another one. heartbeat is when a heartbeat of that run was received, or a
 // time at which the process had ended.
 func (ad *Admitter) EndFlows(now, heartbeat time.Time, idle time.Duration) []OpenFlow {
 	var open []OpenFlow
 	ad.flows.Each(now, func(f FlowID, lf localFlow, unused time.Duration) {
-		if lf.isOpen() && unused <= idle && heartbeat.Sub(lf.use.opened) >= runMargin {
+		if lf.isOpen() && lf.established && unused <= idle && heartbeat.Sub(lf.use.opened) >= runMargin {
 			open = append(open, OpenFlow{Flow: f, Seq: lf.window.next})
 		}
 	})
