--- a/pkg/flowrecord/policy.go
+++ b/pkg/flowrecord/policy.go
@@ -10,7 +10,7 @@
 	// minInterval is the minimum interval between the writes of a record.
 	minInterval = 4 * time.Second
 	// maxInterval bounds the interval in a fleet that is too large for records to be current.
-	maxInterval = 10 * time.Minute
+	maxInterval = 15 * time.Minute
 	// storeWritesPerSecond is the rate of writes to the store, by all its clients together, above which records are
 	// written at longer intervals.
 	storeWritesPerSecond = 30
