--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -502,6 +502,7 @@
 				b.link.send(a, p)
 			}
 		}
+		b.resetDueDenials(now)
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			b.attempts.Sweep(now)
--- a/internal/passthrough/owner_search.go
+++ b/internal/passthrough/owner_search.go
@@ -59,25 +59,36 @@
 // has just listed the agents, since the leases of some may have expired before, unless all hosts have restarted.
 func (b *Balancer) onDenied(now time.Time, m *denied) {
 	b.newestAgent.add(m.newestAgent)
-	outcome := b.steerer.Deny(now, m.flow, m.agent, m.restarted)
-	if outcome == passthrough.SomeDeny {
-		return
+	b.steerer.SetDeniedAck(now, m.flow, m.ack)
+	if outcome := b.steerer.Deny(now, m.flow, m.agent, m.restarted); outcome != passthrough.SomeDeny {
+		b.resetDenied(now, m.flow, m.ack, outcome)
+	}
+}
+
+// resetDueDenials resets the flows whose denial is complete because a draining agent has been silent for long enough.
+func (b *Balancer) resetDueDenials(now time.Time) {
+	for _, d := range b.steerer.DueDenials(now) {
+		b.resetDenied(now, d.Flow, d.Ack, passthrough.AllRestarted)
 	}
+}
+
+// resetDenied resets a flow that all agents have denied, unless one that this balancer does not know may own it.
+func (b *Balancer) resetDenied(now time.Time, f passthrough.FlowID, ack uint32, outcome passthrough.Denial) {
 	reason := reasonNone
 	switch {
 	case outcome != passthrough.AllRestarted && !b.agents.listedFor(now, settlingPeriod):
 		reason = "agents_unsettled"
 	case !b.agents.covers(b.newestAgent.get()):
 		reason = "agents_outdated"
-	case b.state.lostAgent(now, b.answerTimeout(m.flow)):
+	case b.state.lostAgent(now, b.answerTimeout(f)):
 		reason = "agent_lost"
 	}
 	if reason != reasonNone {
 		b.metrics.count(eventDropped, reason)
-		b.cfg.Logger.Warn("flow not reset", "flow", m.flow.String(), "reason", reason, "newest_agent", b.newestAgent.get())
+		b.cfg.Logger.Warn("flow not reset", "flow", f.String(), "reason", reason, "newest_agent", b.newestAgent.get())
 		return
 	}
-	b.refuse(passthrough.NewSegment(m.flow, passthrough.FlagAck, 0, m.ack, 0), "no_owner", b.state.Table())
+	b.refuse(passthrough.NewSegment(f, passthrough.FlagAck, 0, ack, 0), "no_owner", b.state.Table())
 }
 
 // answerTimeout returns how long the caller of a flow waits for an answer.
--- a/pkg/passthrough/kept_flows_test.go
+++ b/pkg/passthrough/kept_flows_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
@@ -152,3 +153,25 @@
 		})
 	}
 }
+
+// Load: callers of lost flows that have retransmitted several times, so that the next retransmission is 1.6 s away. Guards
+// against flows that wait for it although nothing is missing for the reset any more, and against a second reset.
+func TestSteererDueDenials(t *testing.T) {
+	const agents, draining = 10, 9
+	s := passthrough.NewSteerer("zone-0")
+	s.AllowSilentDraining()
+	s.SetViews(views(agents, draining))
+	s.DueProbes(start)
+	now := start.Add(900 * time.Millisecond)
+	for f := range 2 {
+		s.Search(now, flowOf(f), service)
+		for i := range draining - f { // One agent has not denied the second flow.
+			s.SetDeniedAck(now, flowOf(f), 77)
+			assert.Equal(t, s.Deny(now, flowOf(f), address(i), true), passthrough.SomeDeny)
+		}
+	}
+	assert.Equal(t, len(s.DueDenials(now)), 0)
+	now = start.Add(time.Second)
+	assert.DeepEqual(t, s.DueDenials(now), []passthrough.DeniedFlow{{Flow: flowOf(0), Ack: 77}}, cmp.AllowUnexported(passthrough.FlowID{}))
+	assert.Equal(t, len(s.DueDenials(now)), 0)
+}
--- a/pkg/passthrough/search.go
+++ b/pkg/passthrough/search.go
@@ -126,6 +126,8 @@
 	count int
 	// denied holds the agents whose backend servers do not hold the flow, and whether both have just started.
 	denied map[netip.AddrPort]bool
+	// ack is what the caller's last searched packet acknowledged.
+	ack uint32
 }
 
 // allow reports whether a search that visits the given number of agents may start, and returns how many searches for the
--- a/pkg/passthrough/silent_draining.go
+++ b/pkg/passthrough/silent_draining.go
@@ -50,3 +50,49 @@
 func (st *agentState) silentWhileDraining(now time.Time) bool {
 	return !st.inService && !st.reported && !st.unansweredSince.IsZero() && now.Sub(st.unansweredSince) >= silentDrainingPeriod
 }
+
+// DeniedFlow is a flow whose search has been denied.
+type DeniedFlow struct {
+	Flow FlowID
+	// Ack is what the caller's last searched packet acknowledged.
+	Ack uint32
+}
+
+// SetDeniedAck records what the caller acknowledged in a packet of a flow that an agent has denied.
+func (s *Steerer) SetDeniedAck(now time.Time, f FlowID, ack uint32) {
+	if _, ok := s.searches.flows.Get(now, f); !ok {
+		return
+	}
+	s.searches.flows.Update(now, f, func(v flowSearch, _ bool) flowSearch {
+		v.ack = ack
+		return v
+	})
+}
+
+// DueDenials returns the flows that count as denied because a draining agent has been silent for long enough, and forgets
+// them. Without it, each would wait for the next retransmission of its caller, up to 1.6 s.
+func (s *Steerer) DueDenials(now time.Time) []DeniedFlow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silent := 0
+	for _, st := range s.agents {
+		if st.silentWhileDraining(now) {
+			silent++
+		}
+	}
+	more := silent > s.silent
+	s.silent = silent
+	if !s.silentDraining || !more {
+		return nil
+	}
+	var due []DeniedFlow
+	s.searches.flows.Each(now, func(f FlowID, v flowSearch, unused time.Duration) {
+		if unused <= flowSearchTTL && s.denial(now, v.denied) == AllRestarted {
+			due = append(due, DeniedFlow{Flow: f, Ack: v.ack})
+		}
+	})
+	for _, d := range due {
+		s.searches.flows.Delete(d.Flow)
+	}
+	return due
+}
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -52,6 +52,7 @@
 	silentDraining bool
 
 	mu     sync.Mutex
+	silent int // the number of silent draining agents at the last DueDenials
 	agents map[netip.AddrPort]*agentState
 	views  map[string]*flow.View
 	// probeTokens is the number of probes that could be sent at probedAt.
