--- a/pkg/passthrough/silent_draining.go
+++ b/pkg/passthrough/silent_draining.go
@@ -74,6 +74,9 @@
 func (s *Steerer) DueDenials(now time.Time) []DeniedFlow {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.silentDraining {
+		return nil
+	}
 	silent := 0
 	for _, st := range s.agents {
 		if st.silentWhileDraining(now) {
@@ -82,7 +85,7 @@
 	}
 	more := silent > s.silent
 	s.silent = silent
-	if !s.silentDraining || !more {
+	if !more {
 		return nil
 	}
 	var due []DeniedFlow
