--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -101,6 +101,9 @@
 	if cfg.Features.Has(LearnedCapacity) {
 		b.steerer.UseExpectedTime()
 	}
+	if cfg.Features.Has(FlowRecords) {
+		b.steerer.AllowSilentDraining()
+	}
 	b.state = localState{layout: cfg.Layout, logger: cfg.Logger, changed: b.refresh}
 	b.fetcher = newStateFetcher(&b.state, true, cfg.Logger)
 	b.metrics = newMetrics("balancer", gauges{
@@ -504,6 +507,7 @@
 			}
 		}
 		b.detours.tick(now)
+		b.resetDueDenials(now)
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			b.attempts.Sweep(now)
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -30,6 +30,8 @@
 	eventDenied flowEvent = "denied"
 	// eventRequest counts requests by outcome.
 	eventRequest flowEvent = "request"
+	// eventRecorded counts writes of the record of open flows.
+	eventRecorded flowEvent = "recorded"
 )
 
 // reasonBackendEnded is the reason for the reset of a flow whose backend server has ended.
--- a/pkg/passthrough/local_flow.go
+++ b/pkg/passthrough/local_flow.go
@@ -15,6 +15,7 @@
 	notHeld     bool           // the flow is unknown to the backend server
 	ended       bool           // the backend server has sent the end of its data or a reset
 	callerEnded bool           // the caller has sent the end of its data or a reset
+	use         flowUse
 }
 
 // owner is an agent that reported that its backend server has a flow.
@@ -50,7 +51,7 @@
 	return netip.AddrPort{}, false
 }
 
-// isOpen reports whether the backend server holds the flow and its caller may send requests on it.
-func (lf localFlow) isOpen() bool {
+// takesRequests reports whether the backend server holds the flow and its caller may send requests on it.
+func (lf localFlow) takesRequests() bool {
 	return lf.established && !lf.ended && !lf.callerEnded && !lf.notHeld
 }
--- a/pkg/passthrough/open_flows.go
+++ b/pkg/passthrough/open_flows.go
@@ -14,9 +14,9 @@
 // change counts a flow that has been opened or has ended.
 func (o *openFlows) change(before, after localFlow) {
 	switch {
-	case after.isOpen() && !before.isOpen():
+	case after.takesRequests() && !before.takesRequests():
 		o.n.Add(1)
-	case before.isOpen() && !after.isOpen():
+	case before.takesRequests() && !after.takesRequests():
 		o.n.Add(-1)
 	}
 }
@@ -25,7 +25,7 @@
 func (o *openFlows) recount(now time.Time, flows *Table[localFlow], idle time.Duration) {
 	var n int32
 	flows.Each(now, func(_ FlowID, lf localFlow, unused time.Duration) {
-		if lf.isOpen() && unused <= idle {
+		if lf.takesRequests() && unused <= idle {
 			n++
 		}
 	})
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -22,8 +22,11 @@
 	zone     string
 	flows    Table[flowOwner]
 	searches searchLimiter
+	// silentDraining is set by AllowSilentDraining.
+	silentDraining bool
 
 	mu     sync.Mutex
+	silent int // the number of silent draining agents at the last DueDenials
 	agents map[netip.AddrPort]*agentState
 	// byTime makes new flows go by expected time; see UseExpectedTime.
 	byTime bool
