fix: an answered request does not count as failed when the end of its flow overtakes the answer

The tracker took it for an end without an answer. It now waits for the answer, whose status decides.

The new test failed before: ended and failed at the end of the flow.

--- a/pkg/passthrough/requests.go
+++ b/pkg/passthrough/requests.go
@@ -143,6 +143,9 @@
 func (t *requestTracker) onServerPacket(now time.Time, seg Segment, failed bool) requestOutcome {
 	f, known := t.flows[seg.Flow()]
 	ends := seg.Has(FlagReset) || seg.Has(FlagFinish)
+	if known && f.finishOvertakes(seg) {
+		return requestOutcome{}
+	}
 	if !known {
 		if seg.Size() == 0 || ends {
 			return requestOutcome{}
@@ -166,6 +169,12 @@
 	return o
 }
 
+// finishOvertakes reports whether a packet is the end of an answer that has not arrived yet. A short packet overtakes
+// longer ones that the backend server has sent just before it.
+func (f *trackedFlow) finishOvertakes(seg Segment) bool {
+	return f.state.started() && seg.Has(FlagFinish) && seg.Size() == 0 && f.hasServer && isAfter(seg.Seq(), f.serverNext)
+}
+
 // advanceServer applies the sequence numbers of a packet and reports whether it has new data.
 func (f *trackedFlow) advanceServer(seg Segment) bool {
 	end := seg.Seq() + uint32(seg.Size()) //nolint:gosec // a packet is shorter than 64 KiB
--- a/pkg/passthrough/requests_test.go
+++ b/pkg/passthrough/requests_test.go
@@ -159,6 +159,23 @@
 	}
 }
 
+// Guards against answered requests that count as failed because the end of the flow arrives before the answer, and
+// against a failed one that counts as answered.
+func TestRequestWhoseFinishOvertakesTheAnswer(t *testing.T) {
+	for _, failed := range []bool{false, true} {
+		tr, e := newRequestTracker(), newEndpoints(0)
+		tr.onOpening(at(0), e.opening())
+		tr.onServerPacket(at(1), NewSegment(e.flow, FlagOpen|FlagAck, e.serverSeq-1, e.callerSeq, 0), false)
+		tr.onCallerPacket(at(2), e.request(900))
+		answer := e.answer(800)
+		finish := NewSegment(e.flow, FlagFinish|FlagAck, e.serverSeq, e.callerSeq, 0)
+		assert.Equal(t, tr.onServerPacket(at(42), finish, false), requestOutcome{})
+		assert.Equal(t, tr.onServerPacket(at(43), answer, failed), requestOutcome{ended: true, failed: failed, exact: true, took: 41 * time.Millisecond, processing: 1})
+		assert.Equal(t, tr.inProgress(), 0)
+		assert.Equal(t, tr.onServerPacket(at(243), finish, false), requestOutcome{})
+	}
+}
+
 // Guards against requests without an answer, or callers without a request, that occupy the backend server for good.
 func TestRequestsExpire(t *testing.T) {
 	tr, hanging, silent := newRequestTracker(), newEndpoints(0), newEndpoints(1)
