--- a/pkg/passthrough/agent_rank.go
+++ b/pkg/passthrough/agent_rank.go
@@ -118,10 +118,7 @@
 		FailurePercent: int(l.FailurePercent),
 	}
 	if st.zone != zone {
-		var ok bool
-		if sv.Way, ok = s.ways.Extra(zone, st.zone); !ok {
-			sv.Way = unknownWay
-		}
+		sv.Way = s.way(zone, st.zone)
 	}
 	if st.detoured {
 		sv.Way += detourWay
@@ -129,5 +126,22 @@
 	return sv
 }
 
+// way returns how much longer a round trip between two zones takes than one within a zone. The balancer measures only
+// those from its own zone; between two others it takes the longer one of the ways to them.
+func (s *Steerer) way(from, to string) time.Duration {
+	var longest time.Duration
+	for _, zone := range []string{from, to} {
+		if zone == s.zone {
+			continue
+		}
+		d, ok := s.ways.Extra(s.zone, zone)
+		if !ok {
+			d = unknownWay
+		}
+		longest = max(longest, d)
+	}
+	return longest
+}
+
 // unknownWay is the way to another zone that has not been measured yet, a typical one between zones of a region.
 const unknownWay = 2 * time.Millisecond
--- a/pkg/passthrough/placement_test.go
+++ b/pkg/passthrough/placement_test.go
@@ -147,6 +147,11 @@
 			assert.Equal(t, a.Estimate.Way, 10*time.Millisecond)
 		}
 	}
+	for _, a := range s.Explain(now.Add(20*time.Millisecond), "zone-1", flowOf(1), d).Services[0].Agents {
+		if a.Zone == "zone-0" {
+			assert.Equal(t, a.Estimate.Way, 10*time.Millisecond, "seen from the other zone")
+		}
+	}
 	for i := range 40 {
 		e := s.Explain(now.Add(20*time.Millisecond), "", flowOf(i), d)
 		assert.Assert(t, e.Placed)
