feat: kept flows are placed by the demand that open flows have shown

Cause: the utilization of a backend server was its number of open flows times the mean demand of a flow, so a server with callers who send more got as many flows as others.

Change: the utilization is the mean of the requests in progress over 2 s, and for flows opened since, the mean demand. A server without a report for a second counts with half of its free capacity.

--- a/pkg/dispatch/rank_test.go
+++ b/pkg/dispatch/rank_test.go
@@ -175,6 +175,20 @@
 	})
 }
 
+// Guards against servers that have as many flows as others and more work, because some callers send more.
+// Load: equal servers at 79%, kept flows of which one in ten sends half of the requests.
+func TestCallersThatSendMore(t *testing.T) {
+	for seed := range uint64(3) {
+		l := newLoad(1900, 1).kept()
+		l.flowLife, l.length, l.hot = 8*time.Second, 40*time.Second, true
+		cost, expected := run(l, seed, byCost), run(l, seed, byTime())
+		t.Logf("requests per slot: %s", cost)
+		t.Logf("expected time:     %s", expected)
+		assert.Assert(t, expected.inTime >= 0.995)
+		assert.Assert(t, expected.imbalance <= cost.imbalance+imbalanceNoise)
+	}
+}
+
 // Guards against servers that get too much because their reports are missing or show a moment that is long gone.
 // Load: equal servers at 80%; one never reports, and another one not for 6 s.
 func TestMissingReports(t *testing.T) {
@@ -214,7 +228,7 @@
 func TestFailingServerGetsNearlyNothing(t *testing.T) {
 	all := make([]dispatch.Server, 6)
 	for i := range all {
-		all[i] = dispatch.Server{Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 2, Flows: 2, ServiceTime: 30 * time.Millisecond}
+		all[i] = dispatch.Server{Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 2, Flows: 2, MeanInProgress: 2, MeanFlows: 2, ServiceTime: 30 * time.Millisecond}
 	}
 	all[0].FailurePercent = 40
 	var r dispatch.Ranker
@@ -233,9 +247,10 @@
 func TestIdleServerIsExplored(t *testing.T) {
 	all := make([]dispatch.Server, 6)
 	for i := range all {
-		all[i] = dispatch.Server{Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 2, Flows: 2, ServiceTime: 30 * time.Millisecond}
+		all[i] = dispatch.Server{Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 2, Flows: 2, MeanInProgress: 2, MeanFlows: 2, ServiceTime: 30 * time.Millisecond}
 	}
 	all[0].ServiceTime, all[0].InProgress, all[0].Flows, all[0].Idle = 3*time.Second, 0, 0, 5*time.Second
+	all[0].MeanInProgress, all[0].MeanFlows = 0, 0
 	var r dispatch.Ranker
 	count := 0
 	for hash := range uint64(6400) {
@@ -254,11 +269,11 @@
 	all := make([]dispatch.Server, 20)
 	for i := range all {
 		all[i] = dispatch.Server{
-			Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 12, Flows: 100, ServiceTime: 30 * time.Millisecond,
+			Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 12, Flows: 100, MeanInProgress: 12, MeanFlows: 100, ServiceTime: 30 * time.Millisecond,
 			Wait: 60 * time.Millisecond, Age: 400 * time.Millisecond,
 		}
 	}
-	all[0].InProgress, all[0].Flows, all[0].Wait = 0, 0, 0
+	all[0].InProgress, all[0].Flows, all[0].MeanInProgress, all[0].MeanFlows, all[0].Wait = 0, 0, 0, 0, 0
 	var r dispatch.Ranker
 	count := 0
 	const flows = 2000
--- a/pkg/dispatch/replay_test.go
+++ b/pkg/dispatch/replay_test.go
@@ -22,6 +22,7 @@
 	perSecond float64       // requests a second
 	flowLife  time.Duration // mean life of a kept flow; 0 means a flow for each request
 	flowRate  float64       // requests a second of a kept flow
+	hot       bool          // one in ten kept flows sends half of the requests
 	// minAge and maxAge bound the time between two reports of a server to a balancer.
 	minAge, maxAge time.Duration
 	objective      time.Duration
@@ -196,10 +197,12 @@
 	if s.zone != b%r.load.zones {
 		way = r.load.way
 	}
+	since := r.now - v.reportedAt
+	inProgress, flows := dispatch.Smooth(v.server.MeanInProgress, float64(s.busy+s.queued), since), dispatch.Smooth(v.server.MeanFlows, float64(s.flows), since)
 	v.reportedAt, v.accepts = r.now, s.closed == nil || !s.closed(r.now)
 	v.server = dispatch.Server{
 		Key: uint64(i + 1), Zone: strconv.Itoa(s.zone), Way: way, Slots: s.slots, InProgress: s.busy + s.queued, Flows: s.flows,
-		ServiceTime: time.Duration(s.serviceTime * float64(time.Second)),
+		ServiceTime: time.Duration(s.serviceTime * float64(time.Second)), MeanInProgress: inProgress, MeanFlows: flows,
 	}
 	if s.busy == s.slots {
 		v.server.Wait = time.Duration(float64(s.queued+1) * s.serviceTime / float64(s.slots) * float64(time.Second))
@@ -255,15 +258,22 @@
 	r.servers[i].flows++
 	ends := r.now + r.exp(r.load.flowLife.Seconds())
 	r.at(ends, func() { r.servers[i].flows-- })
-	r.requests(i, zone, ends)
+	rate := r.load.flowRate
+	if r.load.hot {
+		rate *= 5.0 / 9
+		if r.rng.IntN(10) == 0 {
+			rate *= 9
+		}
+	}
+	r.requests(i, zone, rate, ends)
 }
 
 // requests sends the requests of a kept flow.
-func (r *replay) requests(i, zone int, ends time.Duration) {
-	r.at(r.now+r.exp(1/r.load.flowRate), func() {
+func (r *replay) requests(i, zone int, rate float64, ends time.Duration) {
+	r.at(r.now+r.exp(1/rate), func() {
 		if r.now < ends {
 			r.request(i, zone, r.now)
-			r.requests(i, zone, ends)
+			r.requests(i, zone, rate, ends)
 		}
 	})
 }
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -25,6 +25,8 @@
 	// InProgress is the number of requests at the server, and Flows that of its open flows, according to its last
 	// report; Flows is 0 if it is not known.
 	InProgress, Flows int
+	// MeanInProgress and MeanFlows are the means of both over the last seconds; see Smooth.
+	MeanInProgress, MeanFlows float64
 	// Placed is the number of flows that the balancer has placed there since the last report.
 	Placed int
 	// ServiceTime is how long the server takes for a request with a free slot, 0 if it is not known, and Wait how long
@@ -70,6 +72,10 @@
 	failureRequests = 24
 	// minFree is the free part of a full server. Some flows go there when all are full.
 	minFree = 0.02
+	// staleAge is the age of a report from which on the server may be in any state; staleFree is then the part of the free
+	// capacity that counts.
+	staleAge  = time.Second
+	staleFree = 0.5
 	// busyUtilization is where the expected wait goes on linearly; near 1 the formula for it has no bound.
 	busyUtilization = 0.95
 	// minInstantWeight is the weight of the wait at the time of the report for a flow that stays for many requests: its
@@ -100,11 +106,11 @@
 		}
 		learned++
 		d.serviceTime += s.ServiceTime.Seconds()
-		running := min(float64(s.InProgress), s.concurrency())
+		running := min(s.MeanInProgress, s.concurrency())
 		d.throughput += running / s.ServiceTime.Seconds()
 		if s.Flows > 0 {
 			inProgress += running
-			flows += float64(max(s.Flows, s.InProgress))
+			flows += max(float64(s.Flows), running)
 			d.perFlow += running / s.ServiceTime.Seconds()
 		}
 	}
@@ -126,23 +132,35 @@
 	}
 	c := s.concurrency()
 	step := service / c
-	steady := steadyWait(c, step, d.perFlow*float64(s.Flows+s.Placed)*step)
+	utilization := s.utilization(c, step, d)
+	steady := steadyWait(c, step, utilization)
 	reported := s.Wait.Seconds()
 	if !s.isLearned() {
 		reported = step * max(0, float64(s.InProgress)+1-c)
 	}
 	// A report tells little about the queue once the requests of that time have been answered.
 	fresh := math.Exp(-s.Age.Seconds() / (reported + service))
-	instant := fresh*reported + (1-fresh)*steady + float64(s.Placed)*step
+	instant := fresh*reported + (1-fresh)*d.kept*steady + float64(s.Placed)*step
 	weight := max(1-d.kept, minInstantWeight)
-	busy := (1-d.kept)*(fresh*float64(s.InProgress)/c+float64(s.Placed)/c) + d.kept*d.perFlow*float64(s.Flows+s.Placed)*step
+	busy := (1-d.kept)*(fresh*float64(s.InProgress)/c+float64(s.Placed)/c) + d.kept*utilization
+	free := 1 - busy
+	if s.Age >= staleAge {
+		free *= staleFree
+	}
 	return Estimate{
 		Service: seconds(service), Queue: seconds(weight*instant + (1-weight)*steady), Way: s.Way,
 		Failure:  seconds(failureRequests * service * float64(s.FailurePercent) / 100),
-		Capacity: 1 / step, Free: min(max(1-busy, minFree), 1), Learned: s.isLearned(),
+		Capacity: 1 / step, Free: min(max(free, minFree), 1), Learned: s.isLearned(),
 	}
 }
 
+// utilization returns the part of the server that its open flows occupy: what they have shown over the last seconds,
+// since some callers send more than others, and what those opened since will ask for.
+func (s *Server) utilization(c, step float64, d demand) float64 {
+	opened := float64(s.Flows+s.Placed) - s.MeanFlows
+	return max(s.MeanInProgress/c+d.perFlow*opened*step, 0)
+}
+
 // steadyWait returns the mean wait in seconds at a utilization, by Sakasegawa's approximation of a queue with c slots;
 // step is the time between two answers of a busy server.
 func steadyWait(c, step, utilization float64) float64 {
@@ -152,4 +170,13 @@
 	return wait + slope*min(max(utilization-busyUtilization, 0), 1-busyUtilization)
 }
 
+// meanPeriod is long enough for several reports and requests of each flow, and shorter than flows live.
+const meanPeriod = 2 * time.Second
+
+// Smooth returns the mean of a reported value over the last seconds, from the mean at the previous report and the time
+// since then.
+func Smooth(mean, value float64, since time.Duration) float64 {
+	return value + (mean-value)*math.Exp(-since.Seconds()/meanPeriod.Seconds())
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/pkg/passthrough/agent_rank.go
+++ b/pkg/passthrough/agent_rank.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// smooth updates the means when a load is reported.
+func (st *agentState) smooth(now time.Time, l Load) {
+	since := now.Sub(st.reportedAt)
+	st.meanInProgress = dispatch.Smooth(st.meanInProgress, float64(l.InProgress), since)
+	st.meanFlows = dispatch.Smooth(st.meanFlows, float64(l.Flows), since)
+}
+
 // cost returns the expected wait in requests per slot.
 func (st *agentState) cost(now time.Time, sameZone bool) float64 {
 	l := st.load
@@ -115,7 +122,7 @@
 	sv := dispatch.Server{
 		Key: key, Zone: st.zone, Slots: int(l.Slots), Limit: int(l.Limit), InProgress: int(l.InProgress), Flows: int(l.Flows),
 		Placed: st.unreported, ServiceTime: l.ServiceTime, Wait: l.Wait, Age: min(now.Sub(st.reportedAt), reportTTL), Idle: now.Sub(st.placedAt),
-		FailurePercent: int(l.FailurePercent),
+		FailurePercent: int(l.FailurePercent), MeanInProgress: st.meanInProgress, MeanFlows: st.meanFlows,
 	}
 	if st.zone != zone {
 		sv.Way = s.way(zone, st.zone)
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -56,8 +56,10 @@
 	unreported      int       // flows placed since the last report
 	unansweredSince time.Time // when the oldest unanswered message was sent; zero if there is none
 	placedAt        time.Time // when a flow was last placed
-	lastSentAt      time.Time
-	detoured        bool // reached through a relay
+	// meanInProgress and meanFlows are the means of the reported values over the last seconds.
+	meanInProgress, meanFlows float64
+	lastSentAt                time.Time
+	detoured                  bool // reached through a relay
 }
 
 // NewSteerer returns the steerer of a balancer in the given zone.
@@ -154,6 +156,7 @@
 	if s.byTime && !st.detoured && !st.unansweredSince.IsZero() {
 		s.ways.Add(st.zone, now.Sub(st.unansweredSince))
 	}
+	st.smooth(now, l)
 	st.load, st.reported, st.reportedAt = l, true, now
 	st.unreported = 0
 	st.unansweredSince = time.Time{}
