--- a/pkg/passthrough/load.go
+++ b/pkg/passthrough/load.go
@@ -20,6 +20,9 @@
 	Wait time.Duration
 	// Flows is the number of open flows; 0 if it is not known.
 	Flows uint16
+	// Refused is the highest priority whose new flows the agent cannot serve before their callers give up, with all lower
+	// ones; 0 if it accepts all. See priority.Level.
+	Refused uint8
 }
 
 // crossZoneCost is the cost of a flow to another zone, in requests ahead of it.
--- a/pkg/passthrough/room.go
+++ b/pkg/passthrough/room.go
@@ -39,6 +39,8 @@
 	// requests follows the requests of all flows; nil if only the first request of a flow counts.
 	requests *requestTracker
 	capacity learnedCapacity
+	// shortage is nil unless requests are ordered by priority.
+	shortage *shortage
 }
 
 func newRoom(started time.Time) room {
@@ -103,20 +105,18 @@
 		return PassOn{ReasonCold} // Its cold request rate is not known without a configuration.
 	}
 	if !p.Unconfigured && r.awaitsLimits(now) {
-		r.queue.enqueue(now, p)
-		return Queued{}
+		return r.enqueue(now, p)
 	}
 	r.capacity.onOpening(now, p.freshPeriod())
 	limit := r.requestLimit()
 	if p.isLate() {
 		limit = r.lateRequestLimit()
 	}
-	if r.inProgress(now) >= limit {
+	if r.inProgress(now)+r.heldAhead(p) >= limit {
 		if p.Path.Len() > 0 && p.Hops < maxBusyHops && !p.isLate() {
 			return PassOn{ReasonBusy}
 		}
-		r.queue.enqueue(now, p)
-		return Queued{}
+		return r.enqueue(now, p)
 	}
 	if !r.coldAllows(now) {
 		return PassOn{ReasonCold}
