fix: a change of speed is no knee, and old requests are work

Two causes: requests older than 700 ms were left out of the learned speed, and the knee was fitted to answers from before and after the change of speed.

A hung request is now left out only once a request that was delivered 700 ms later has been answered.

--- a/pkg/concurrency/estimator.go
+++ b/pkg/concurrency/estimator.go
@@ -131,7 +131,7 @@
 	}
 	if now.Sub(e.fittedAt) >= fitInterval {
 		e.fittedAt = now
-		e.knee.fit()
+		e.speed.busy *= e.knee.fit()
 		e.routes.expire(now)
 	}
 	e.observe(busy, 0)
@@ -150,7 +150,6 @@
 		if c.observe(c.factor, busy, answers, busy/typical) {
 			e.speed = c.since
 			e.slower, e.faster = change{}, change{}
-			e.knee.forget()
 			return
 		}
 	}
--- a/pkg/passthrough/requests.go
+++ b/pkg/passthrough/requests.go
@@ -38,6 +38,9 @@
 	requestAnswering
 	// requestExpected means that an opening packet was delivered and the request is about to follow.
 	requestExpected
+	// requestOvertaken means that the request hangs and one that was delivered hangTimeout later has been answered, so it
+	// does not keep the others waiting.
+	requestOvertaken
 	// requestHung means that the request has had no answer for hangTimeout.
 	requestHung
 	requestProcessing
@@ -48,7 +51,7 @@
 func (s requestState) inProgress() bool { return s >= requestExpected }
 
 // started reports whether the request has been delivered and its answer has not begun.
-func (s requestState) started() bool { return s >= requestHung }
+func (s requestState) started() bool { return s >= requestOvertaken }
 
 // trackedFlow is the record of one flow.
 type trackedFlow struct {
@@ -154,7 +157,8 @@
 	begins := isNew && seg.Size() > 0
 	var o requestOutcome
 	if f.state.started() && (ends || begins && f.isAnswer(seg)) {
-		o = requestOutcome{ended: true, failed: failed || !begins, hung: f.state == requestHung, exact: f.exact, took: now.Sub(f.since), processing: f.processing}
+		t.overtake(f.since)
+		o = requestOutcome{ended: true, failed: failed || !begins, hung: f.state != requestProcessing, exact: f.exact, took: now.Sub(f.since), processing: f.processing}
 	}
 	switch {
 	case f.state == requestClosed:
@@ -166,6 +170,13 @@
 	return o
 }
 
+// overtake marks the hung requests that were delivered hangTimeout before an answered one.
+func (t *requestTracker) overtake(answered time.Time) {
+	for f := t.lists[requestHung].first; f != nil && answered.Sub(f.since) > hangTimeout; f = t.lists[requestHung].first {
+		t.move(f.since, f, requestOvertaken)
+	}
+}
+
 // advanceServer applies the sequence numbers of a packet and reports whether it has new data.
 func (f *trackedFlow) advanceServer(seg Segment) bool {
 	end := seg.Seq() + uint32(seg.Size()) //nolint:gosec // a packet is shorter than 64 KiB
@@ -202,8 +213,10 @@
 		t.move(f.since, f, requestHung)
 		hung++
 	}
-	for f := t.lists[requestHung].first; f != nil && now.Sub(f.since) > requestTimeout; f = t.lists[requestHung].first {
-		t.move(now, f, requestIdle)
+	for _, s := range [...]requestState{requestOvertaken, requestHung} {
+		for f := t.lists[s].first; f != nil && now.Sub(f.since) > requestTimeout; f = t.lists[s].first {
+			t.move(now, f, requestIdle)
+		}
 	}
 	return hung
 }
@@ -223,14 +236,16 @@
 
 // inProgress returns the number of requests in progress, with those expected after a handshake. Call expire first.
 func (t *requestTracker) inProgress() int {
-	return t.lists[requestExpected].n + t.lists[requestHung].n + t.lists[requestProcessing].n
+	return t.lists[requestExpected].n + t.lists[requestOvertaken].n + t.processing()
 }
 
-// processing returns the number of requests that have been delivered and neither been answered nor exceeded hangTimeout.
-func (t *requestTracker) processing() int { return t.lists[requestProcessing].n }
+// processing returns the number of requests that have been delivered and neither been answered nor overtaken.
+func (t *requestTracker) processing() int {
+	return t.lists[requestHung].n + t.lists[requestProcessing].n
+}
 
 // hung returns the number of requests in progress that have had no answer for hangTimeout.
-func (t *requestTracker) hung() int { return t.lists[requestHung].n }
+func (t *requestTracker) hung() int { return t.lists[requestOvertaken].n + t.lists[requestHung].n }
 
 // inProgressAt returns the number of requests in progress to a service address.
 func (t *requestTracker) inProgressAt(address netip.AddrPort) int { return t.routes[address] }
@@ -246,7 +261,7 @@
 
 // oldest returns the age of the oldest request that has been delivered, or 0 if there is none.
 func (t *requestTracker) oldest(now time.Time) time.Duration {
-	for _, s := range [...]requestState{requestHung, requestProcessing} {
+	for _, s := range [...]requestState{requestOvertaken, requestHung, requestProcessing} {
 		if f := t.lists[s].first; f != nil {
 			return now.Sub(f.since)
 		}
--- a/pkg/passthrough/requests_test.go
+++ b/pkg/passthrough/requests_test.go
@@ -174,6 +174,14 @@
 	assert.Equal(t, tr.oldest(at(801)), 800*time.Millisecond)
 	age, ok := tr.age(at(801), hanging.flow)
 	assert.Assert(t, ok && age == 800*time.Millisecond)
+	next := newEndpoints(2)
+	for now := 500; now < 900; now += 100 {
+		assert.Equal(t, tr.processing(), 1)
+		tr.onCallerPacket(at(now), next.request(200))
+		tr.onServerPacket(at(now+20), next.answer(200), false)
+	}
+	assert.Equal(t, tr.processing(), 0, "one that does not keep others waiting")
+	assert.Equal(t, tr.inProgress(), 1)
 	assert.Equal(t, tr.expire(at(2100)), 0)
 	assert.Equal(t, tr.inProgress(), 0)
 }
