feat: agents hold requests of open flows and order them by priority

A request on an open flow goes straight to the backend server and takes its place before a booking whose flow is still being opened. With request_priorities, an agent holds the packets of such a request while more requests than slots are delivered and unanswered, and delivers what waits, on open and new flows, in the order of priority.Queue. Packets of a flow keep their order, copies are absorbed, a reset ends what is held. A request is held for half of its caller's timeout at most, and none is while the expected wait exceeds a second: there the backend server's own refusals let callers go elsewhere. Agents report the highest refused priority with their load; a balancer refuses the first opening packet of a new flow only if all agents of the service refuse its priority.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -79,6 +79,7 @@
 	firstHeartbeat atomic.Pointer[BackendHeartbeat]
 	balancers      recentBalancers
 	returnPaths    passthrough.Table[returnPath] // to pass on packets that the backend server rejects
+	held           heldRequests
 
 	// departure has a value when the backend server has announced that it stops.
 	departure   chan struct{}
@@ -109,6 +110,7 @@
 func NewAgent(cfg AgentConfig) (*Agent, error) {
 	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), admitter: passthrough.NewAdmitter(time.Now()), departure: make(chan struct{}, 1), draining: make(chan struct{})}
 	a.admitter.SetFlowTTL(cfg.FlowTTL)
+	a.prioritize()
 	a.state = localState{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
 	a.fetcher = newStateFetcher(&a.state, false, cfg.Logger)
 	a.registrar = newRegistrar(cfg.Store, cfg.ID, agentEntry{Service: cfg.Service, Zone: cfg.Zone, Address: cfg.Link}, cfg.Logger)
@@ -117,6 +119,8 @@
 		revision: func() float64 { return float64(a.state.operatorRevision()) },
 		flows:    func() float64 { return float64(a.admitter.Flows()) },
 		agents:   func() float64 { return 1 },
+
+		refusedPriority: a.refusedPriority,
 	})
 	a.fetcher.metrics = a.metrics
 	a.observeRequests(cfg.Features)
@@ -242,11 +246,13 @@
 		a.onOpening(now, seg, m)
 		return
 	}
-	d := a.admitter.OnEstablishedPacket(now, seg, m.likelyOwner)
-	if _, ok := d.(passthrough.Deliver); ok {
-		a.onOwnedPacket(now, seg, m)
-	}
-	a.execute(now, seg, m, d)
+	a.orderPacket(now, seg, m, func() {
+		d := a.admitter.OnEstablishedPacket(now, seg, m.likelyOwner)
+		if _, ok := d.(passthrough.Deliver); ok {
+			a.onOwnedPacket(now, seg, m)
+		}
+		a.execute(now, seg, m, d)
+	})
 }
 
 func (a *Agent) onOpening(now time.Time, seg passthrough.Segment, m *forward) {
@@ -255,7 +261,7 @@
 		a.passOn(now, seg, m, passthrough.ReasonOtherService)
 		return
 	}
-	opening := passthrough.OpeningPacket{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, IsRetry: m.isRetry, Unconfigured: m.revision == 0, Packet: m.packet}
+	opening := passthrough.OpeningPacket{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, Priority: a.priority(seg), IsRetry: m.isRetry, Unconfigured: m.revision == 0, Packet: m.packet}
 	d := a.admitter.OnOpeningPacket(now, opening)
 	switch d.(type) {
 	case passthrough.Deliver:
@@ -278,7 +284,15 @@
 // deliverQueued delivers the queued packets that the backend server has capacity for, and passes on those that it
 // cannot take.
 func (a *Agent) deliverQueued(now time.Time) {
+	if a.held.enabled {
+		a.deliverByPriority(now)
+		return
+	}
 	deliver, passOn := a.admitter.Dequeue(now)
+	a.deliverOpenings(now, deliver, passOn)
+}
+
+func (a *Agent) deliverOpenings(now time.Time, deliver []passthrough.OpeningPacket, passOn []passthrough.Rerouted) {
 	for _, p := range deliver {
 		a.logAccepted(now, p.Segment, p.Origin, p.Delay)
 		a.notifyPlaced(now, p.Segment.Flow(), p.Origin, true)
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -350,6 +350,10 @@
 			b.metrics.count(eventDropped, "expired")
 			return
 		}
+		if b.refusesPriority(now, seg, r) {
+			b.refuse(seg, reasonPriority, table)
+			return
+		}
 		if !b.place(now, p, r) {
 			b.refuse(seg, "no_agent", table)
 		}
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -26,7 +26,7 @@
 	// addressSize is the size of an encoded IPv4 address with its port.
 	addressSize = 6
 	// loadSize is the size of an encoded load.
-	loadSize = 12
+	loadSize = 13
 )
 
 // messageKind is the third byte of a datagram.
@@ -189,7 +189,8 @@
 	b = appendFlag(b, l.AcceptsFlows)
 	b = binary.BigEndian.AppendUint16(b, l.Limit)
 	b = appendUnits(b, l.ServiceTime, loadTimeUnit)
-	return appendUnits(b, l.Wait, loadTimeUnit)
+	b = appendUnits(b, l.Wait, loadTimeUnit)
+	return append(b, l.Refused)
 }
 
 // loadTimeUnit is the resolution of the times in a load, of which the longest is 6.5 s.
@@ -420,6 +421,7 @@
 	return passthrough.Load{
 		InProgress: binary.BigEndian.Uint16(b), Slots: binary.BigEndian.Uint16(b[2:]), FailurePercent: b[4], AcceptsFlows: b[5] == 1,
 		Limit: binary.BigEndian.Uint16(b[6:]), ServiceTime: decodeUnits(b[8:], loadTimeUnit), Wait: decodeUnits(b[10:], loadTimeUnit),
+		Refused: b[12],
 	}
 }
 
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -33,6 +33,7 @@
 		Limit:       rapid.Uint16().Draw(t, "limit"),
 		ServiceTime: time.Duration(rapid.Uint16().Draw(t, "service time")) * loadTimeUnit,
 		Wait:        time.Duration(rapid.Uint16().Draw(t, "wait")) * loadTimeUnit,
+		Refused:     rapid.Uint8().Draw(t, "refused"),
 	}
 }
 
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -30,6 +30,13 @@
 	eventDenied flowEvent = "denied"
 	// eventRequest counts requests by outcome.
 	eventRequest flowEvent = "request"
+	// eventRequestHeld counts requests on open flows that wait for capacity, by priority, and eventRequestReleased those
+	// that are delivered, by reason. eventAbsorbed counts retransmissions of held packets.
+	eventRequestHeld     flowEvent = "request_held"
+	eventRequestReleased flowEvent = "request_released"
+	eventAbsorbed        flowEvent = "copy_absorbed"
+	// eventLevelChanged counts changes of the highest refused priority, by its new value.
+	eventLevelChanged flowEvent = "level_changed"
 )
 
 // reasonBackendEnded is the reason for the reset of a flow whose backend server has ended.
@@ -47,6 +54,7 @@
 	unsent   prometheus.Counter
 	answers  prometheus.Histogram
 	waits    prometheus.Histogram
+	holds    prometheus.Histogram
 }
 
 // latencyBuckets are upper bounds in seconds, from a round trip within a zone to the longest deadline of a caller.
@@ -57,6 +65,8 @@
 	revision func() float64
 	flows    func() float64
 	agents   func() float64
+	// refusedPriority may be nil.
+	refusedPriority func() float64
 }
 
 func newMetrics(role string, g gauges) *metrics {
@@ -81,15 +91,21 @@
 	m.waits = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_wait_seconds", Help: "Time that an opening packet waited within the system before it was delivered.", Buckets: latencyBuckets,
 	})
+	m.holds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "bramleymast_hold_seconds", Help: "Time that a request on an open flow waited at its agent for capacity.", Buckets: latencyBuckets,
+	})
 	labels := prometheus.Labels{"role": role}
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels}, f)
 	}
-	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.answers, m.waits,
+	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.answers, m.waits, m.holds,
 		gauge("bramleymast_operator_revision", "Store revision of the newest configuration or zone state.", g.revision),
 		gauge("bramleymast_flows", "Flows that the process remembers.", g.flows),
 		gauge("bramleymast_agents", "Agents that the process knows.", g.agents),
 	)
+	if g.refusedPriority != nil {
+		m.registry.MustRegister(gauge("bramleymast_refused_priority", "Highest priority whose new flows are refused, with all lower ones; 0 if none is.", g.refusedPriority))
+	}
 	return m
 }
 
--- a/internal/passthrough/ownership.go
+++ b/internal/passthrough/ownership.go
@@ -103,14 +103,17 @@
 		a.cfg.Logger.Warn("search dropped", "origin", m.origin, "error", err)
 		return
 	}
-	switch a.admitter.OnSearchedPacket(now, seg, slices.Contains(m.services, a.service)).(type) {
-	case passthrough.Deliver:
-		a.onOwnedPacket(now, seg, &forward{origin: m.origin, revision: m.revision, hops: 1, directory: m.directory, searched: true, packet: m.packet})
-		a.cfg.Logger.Info("searched packet delivered", "flow", seg.Flow().String(), "origin", m.origin)
-		a.deliver(m.packet)
-	case passthrough.Deny:
-		a.deny(now, seg, m.origin)
-	}
+	found := &forward{origin: m.origin, revision: m.revision, hops: 1, directory: m.directory, searched: true, packet: m.packet}
+	a.orderPacket(now, seg, found, func() {
+		switch a.admitter.OnSearchedPacket(now, seg, slices.Contains(m.services, a.service)).(type) {
+		case passthrough.Deliver:
+			a.onOwnedPacket(now, seg, found)
+			a.cfg.Logger.Info("searched packet delivered", "flow", seg.Flow().String(), "origin", m.origin)
+			a.deliver(m.packet)
+		case passthrough.Deny:
+			a.deny(now, seg, m.origin)
+		}
+	})
 }
 
 // deny notifies a balancer that the backend server does not hold a flow.
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -167,12 +167,13 @@
 func (ad *Admitter) Load(now time.Time) Load {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	n := ad.room.inProgress(now) + ad.room.queue.len()
+	n := ad.room.inProgress(now) + ad.room.queue.len() + ad.room.heldRequests()
 	l := Load{
 		InProgress:     uint16(min(n, 1<<15)),             //nolint:gosec // bounded by min
 		Slots:          uint16(min(ad.room.slots, 1<<15)), //nolint:gosec // bounded by min
 		FailurePercent: ad.room.failureRate.percent(now),
 		AcceptsFlows:   !ad.room.draining && !ad.room.zoneOut && !ad.room.reachability.unreachable(now),
+		Refused:        ad.room.refusedPriority(),
 	}
 	ad.room.capacity.report(now, n, &l)
 	return l
@@ -204,6 +205,7 @@
 func (ad *Admitter) recordDelivery(now time.Time, seg Segment) {
 	f := seg.Flow()
 	ad.room.onOpening(now, seg)
+	ad.room.forgetWaiting(f)
 	ad.room.reachability.onDelivered(now)
 	ad.flows.Put(now, f, localFlow{})
 	ad.nextAgents.Delete(f)
@@ -253,6 +255,7 @@
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
 	ad.room.onEnd(now, f)
+	ad.room.forgetWaiting(f)
 }
 
 // OnEstablishedPacket decides on a packet of a flow that is already open. likelyOwner means that the sender has a record
@@ -412,6 +415,7 @@
 	lf, known := ad.flows.Get(now, f)
 	ad.mu.Lock()
 	ad.room.onEnd(now, f)
+	ad.room.forgetWaiting(f)
 	if seg.IsOpening() {
 		ad.room.reachability.onRejected(now)
 	}
--- a/pkg/passthrough/load.go
+++ b/pkg/passthrough/load.go
@@ -18,6 +18,9 @@
 	ServiceTime time.Duration
 	// Wait is how long one more request would wait for a slot; it is meaningful only if ServiceTime is known.
 	Wait time.Duration
+	// Refused is the highest priority whose new flows the agent cannot serve before their callers give up, with all lower
+	// ones; 0 if it accepts all. See priority.Level.
+	Refused uint8
 }
 
 // crossZoneCost is the cost of a flow to another zone, in requests ahead of it.
--- a/pkg/passthrough/room.go
+++ b/pkg/passthrough/room.go
@@ -35,6 +35,8 @@
 	// requests follows the requests of all flows; nil if only the first request of a flow counts.
 	requests *requestTracker
 	capacity learnedCapacity
+	// shortage is nil unless requests are ordered by priority.
+	shortage *shortage
 }
 
 func newRoom() room { return room{pending: make(map[FlowID]pendingRequest), slots: defaultSlots} }
@@ -101,12 +103,11 @@
 	if p.isLate() {
 		limit = r.lateRequestLimit()
 	}
-	if r.inProgress(now) >= limit {
+	if r.inProgress(now)+r.heldAhead(p) >= limit {
 		if p.Path.Len() > 0 && p.Hops < maxBusyHops && !p.isLate() {
 			return PassOn{ReasonBusy}
 		}
-		r.queue.enqueue(now, p)
-		return Queued{}
+		return r.enqueue(now, p)
 	}
 	if !r.coldAllows(now) {
 		return PassOn{ReasonCold}
--- a/pkg/passthrough/room_requests.go
+++ b/pkg/passthrough/room_requests.go
@@ -99,6 +99,9 @@
 }
 
 func (r *room) answered(took time.Duration) {
+	if r.shortage != nil {
+		r.shortage.onAnswer(took)
+	}
 	if r.observeAnswer != nil {
 		r.observeAnswer(took)
 	}
@@ -129,6 +132,9 @@
 		r.trackRequests()
 		r.capacity.setInProgress(now, 0)
 	}
+	if r.shortage != nil {
+		r.shortage.dropHeld()
+	}
 }
 
 func (r *room) sweepRequests(now time.Time, idle time.Duration) {
--- a/pkg/passthrough/wait_queue.go
+++ b/pkg/passthrough/wait_queue.go
@@ -21,6 +21,8 @@
 	Delay time.Duration
 	// Objective is the latency objective of the caller's requests; 0 if there is none.
 	Objective time.Duration
+	// Priority is the rank of the caller's requests; 0 is the highest.
+	Priority int
 	// IsRetry means that an earlier attempt of the caller was not answered.
 	IsRetry bool
 	// Unconfigured means that the balancer has no configuration and used an observed route.
@@ -100,12 +102,29 @@
 }
 
 func (q *waitQueue) remove(f FlowID) {
+	if i := q.index(f); i >= 0 {
+		q.packets = append(q.packets[:i], q.packets[i+1:]...)
+	}
+}
+
+// take removes and returns the packet of a flow, or returns false if its caller has given up.
+func (q *waitQueue) take(now time.Time, f FlowID) (OpeningPacket, bool) {
+	i := q.index(f)
+	if i < 0 || now.Sub(q.packets[i].startedAt) >= attemptTimeout {
+		return OpeningPacket{}, false
+	}
+	p := q.packets[i].dequeued(now)
+	q.remove(f)
+	return p, true
+}
+
+func (q *waitQueue) index(f FlowID) int {
 	for i := range q.packets {
 		if q.packets[i].Segment.Flow() == f {
-			q.packets = append(q.packets[:i], q.packets[i+1:]...)
-			return
+			return i
 		}
 	}
+	return -1
 }
 
 // dequeue removes and returns the packet whose caller has waited for the shortest time. allowFresh and allowLate say
