--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -26,7 +26,7 @@
 	// addressSize is the size of an encoded IPv4 address with its port.
 	addressSize = 6
 	// loadSize is the size of an encoded load.
-	loadSize = 14
+	loadSize = 15
 )
 
 // messageKind is the third byte of a datagram.
@@ -192,7 +192,8 @@
 	b = binary.BigEndian.AppendUint16(b, l.Limit)
 	b = appendUnits(b, l.ServiceTime, loadTimeUnit)
 	b = appendUnits(b, l.Wait, loadTimeUnit)
-	return binary.BigEndian.AppendUint16(b, l.Flows)
+	b = binary.BigEndian.AppendUint16(b, l.Flows)
+	return append(b, l.Refused)
 }
 
 // loadTimeUnit is the resolution of the times in a load, of which the longest is 6.5 s.
@@ -424,7 +425,7 @@
 	return passthrough.Load{
 		InProgress: binary.BigEndian.Uint16(b), Slots: binary.BigEndian.Uint16(b[2:]), FailurePercent: b[4], AcceptsFlows: b[5] == 1,
 		Limit: binary.BigEndian.Uint16(b[6:]), ServiceTime: decodeUnits(b[8:], loadTimeUnit), Wait: decodeUnits(b[10:], loadTimeUnit),
-		Flows: binary.BigEndian.Uint16(b[12:]),
+		Flows: binary.BigEndian.Uint16(b[12:]), Refused: b[14],
 	}
 }
 
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -169,13 +169,14 @@
 func (ad *Admitter) Load(now time.Time) Load {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	n := ad.room.inProgress(now) + ad.room.queue.len()
+	n := ad.room.inProgress(now) + ad.room.queue.len() + ad.room.heldRequests()
 	l := Load{
 		InProgress:     uint16(min(n, 1<<15)),             //nolint:gosec // bounded by min
 		Slots:          uint16(min(ad.room.slots, 1<<15)), //nolint:gosec // bounded by min
 		FailurePercent: ad.room.failureRate.percent(now),
 		AcceptsFlows:   !ad.room.draining && !ad.room.zoneOut && !ad.room.reachability.unreachable(now),
 		Flows:          ad.open.count(),
+		Refused:        ad.room.refusedPriority(),
 	}
 	ad.room.capacity.report(now, n, &l)
 	return l
@@ -207,6 +208,7 @@
 func (ad *Admitter) recordDelivery(now time.Time, seg Segment) {
 	f := seg.Flow()
 	ad.room.onOpening(now, seg)
+	ad.room.forgetWaiting(f)
 	ad.room.reachability.onDelivered(now)
 	ad.flows.Update(now, f, func(before localFlow, _ bool) localFlow {
 		ad.open.change(before, localFlow{})
@@ -263,6 +265,7 @@
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
 	ad.room.onEnd(now, f)
+	ad.room.forgetWaiting(f)
 }
 
 // OnEstablishedPacket decides on a packet of a flow that is already open. likelyOwner means that the sender has a record
@@ -426,6 +429,7 @@
 	lf, known := ad.flows.Get(now, f)
 	ad.mu.Lock()
 	ad.room.onEnd(now, f)
+	ad.room.forgetWaiting(f)
 	if seg.IsOpening() {
 		ad.room.reachability.onRejected(now)
 	}
