--- a/pkg/dispatch/rank_test.go
+++ b/pkg/dispatch/rank_test.go
@@ -297,6 +297,7 @@
 				Slots: int(rapid.Uint16().Draw(t, "slots")), Limit: int(rapid.Uint16().Draw(t, "limit")),
 				InProgress: int(rapid.Uint16().Draw(t, "in progress")), Flows: int(rapid.Uint16().Draw(t, "flows")),
 				Placed: int(rapid.Uint16().Draw(t, "placed")), ServiceTime: ms.Draw(t, "service time"), Wait: ms.Draw(t, "wait"),
+				MeanInProgress: rapid.Float64Range(0, 1e5).Draw(t, "mean in progress"), MeanFlows: rapid.Float64Range(0, 1e5).Draw(t, "mean flows"),
 				Age: ms.Draw(t, "age"), Idle: ms.Draw(t, "idle"), FailurePercent: rapid.IntRange(0, 100).Draw(t, "failures"),
 			}
 		})
