docs: measurements of learned capacity, no log lines of stopping servers

A backend server that stops ends its last flows one by one, and its speed means nothing then; it is not logged.

--- a/internal/passthrough/capacity.go
+++ b/internal/passthrough/capacity.go
@@ -54,9 +54,10 @@
 	at          time.Time
 }
 
-// isDue reports whether the known capacity differs enough from what was last logged.
+// isDue reports whether the known capacity differs enough from what was last logged. That of a backend server which stops
+// matters to nobody.
 func (c capacityLog) isDue(now time.Time, l passthrough.Load) bool {
-	if l.ServiceTime == 0 || now.Sub(c.at) < capacityLogInterval {
+	if l.ServiceTime == 0 || !l.AcceptsFlows || now.Sub(c.at) < capacityLogInterval {
 		return false
 	}
 	ratio := float64(l.ServiceTime) / float64(max(c.serviceTime, 1))
