--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bramleymast/bramleymast/internal/rungroup"
+	"github.com/bramleymast/bramleymast/pkg/detour"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 	"github.com/bramleymast/bramleymast/pkg/store"
@@ -48,10 +49,12 @@
 	ReadyPath string
 	// Features are those that the deployment asks for.
 	Features Features
-	Store    store.Store
-	Layout   Layout
-	Codec    passthrough.Codec
-	Logger   hclog.Logger
+	// LinkFilter drops datagrams to other processes in tests; nil sends all.
+	LinkFilter LinkFilter
+	Store      store.Store
+	Layout     Layout
+	Codec      passthrough.Codec
+	Logger     hclog.Logger
 }
 
 // maxHops limits how many agents a packet visits.
@@ -74,7 +77,9 @@
 	announcer  announcer
 	fetcher    *stateFetcher
 	metrics    *metrics
+	detours    *agentDetours // nil without the feature
 	backend    backendState
+	records    *flowRecords // nil without the feature
 	// firstHeartbeat is the first heartbeat if its backend server looks as old as the agent.
 	firstHeartbeat atomic.Pointer[BackendHeartbeat]
 	balancers      recentBalancers
@@ -125,6 +130,9 @@
 	a.fetcher.metrics = a.metrics
 	a.observeRequests(cfg.Features)
 	a.admitter.SetAnswerObserver(func(d time.Duration) { a.metrics.answers.Observe(d.Seconds()) })
+	if cfg.Features.Has(FlowRecords) {
+		a.records = newFlowRecords(a)
+	}
 	a.SetDrainPeriod(cfg.DrainPeriod)
 	var err error
 	if a.outbound, err = listenUDP(cfg.Outbound); err != nil {
@@ -133,6 +141,10 @@
 	if a.link, err = newLink(cfg.Link, a.metrics); err != nil {
 		return nil, err
 	}
+	a.link.filter = cfg.LinkFilter
+	if d := newDetours(a.link, cfg.Features, cfg.Logger); d != nil {
+		a.detours = &agentDetours{detours: d, arrivals: detour.NewArrivals(time.Now()), zone: cfg.Zone}
+	}
 	a.announcer = announcer{
 		id: cfg.ID, entry: a.registrar.entry, seeds: cfg.Seeds, link: a.link, observed: &a.state.observed, logger: cfg.Logger,
 		newRoute: make(chan struct{}, 1), listed: a.registrar.listed, draining: a.registrar.draining,
@@ -181,6 +193,11 @@
 	g.Go(a.runQueue)
 	g.Go(a.awaitDepartures)
 	g.Go(a.checkAbsence)
+	if a.records != nil {
+		g.Go(a.records.run)
+		g.Go(a.records.runResets)
+		g.Go(a.records.watchCrash)
+	}
 	g.Go(func(ctx context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -199,19 +216,22 @@
 
 // refresh applies the current configuration and zone state to the admitter.
 func (a *Agent) refresh() {
-	s, _ := a.state.Table().ServiceLimits(a.cfg.Service)
-	a.admitter.SetServiceLimits(s)
+	if t := a.state.Table(); t != nil {
+		s, _ := t.ServiceLimits(a.cfg.Service)
+		a.admitter.SetServiceLimits(s)
+	}
 	out, _ := a.state.board.ZoneOut(a.cfg.Zone)
 	a.admitter.SetZoneOut(out)
 }
 
-func (a *Agent) onMessage(_ netip.AddrPort, data []byte) {
-	m, err := decodeMessage(data)
+func (a *Agent) onMessage(from netip.AddrPort, data []byte) {
+	now := time.Now()
+	m, src, err := a.link.detours.open(now, from, data)
 	if err != nil {
 		a.cfg.Logger.Warn("message dropped", "error", err)
 		return
 	}
-	now := time.Now()
+	a.detours.received(now, src, m)
 	switch m := m.(type) {
 	case *forward:
 		a.onBalancerMessage(now, m.origin)
@@ -228,11 +248,20 @@
 		a.fetcher.onRevision(m.origin, m.revision)
 		a.newestAgent.add(m.newestAgent)
 		a.sendReport(now, m.origin)
+	case *check:
+		a.onBalancerMessage(now, m.origin)
+		a.newestAgent.add(m.newestAgent)
+		a.detours.answer(now, src, m, a.report(now))
+		a.detours.reportOutsideCheck(now, m)
+	case *share:
+		a.detours.use(now, m)
 	}
 }
 
-func (a *Agent) sendReport(now time.Time, to netip.AddrPort) {
-	a.link.send(to, &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now)})
+func (a *Agent) sendReport(now time.Time, to netip.AddrPort) { a.link.send(to, a.report(now)) }
+
+func (a *Agent) report(now time.Time) *report {
+	return &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get()}
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
@@ -242,6 +271,9 @@
 		a.cfg.Logger.Warn("packet dropped", "reason", "malformed", "error", err)
 		return
 	}
+	if a.records.refuseLost(now, seg) {
+		return
+	}
 	if seg.IsOpening() {
 		a.onOpening(now, seg, m)
 		return
@@ -296,6 +328,7 @@
 	for _, p := range deliver {
 		a.logAccepted(now, p.Segment, p.Origin, p.Delay)
 		a.notifyPlaced(now, p.Segment.Flow(), p.Origin, true)
+		a.records.onDelivered(now, p.Segment)
 		a.deliver(p.Packet)
 	}
 	for _, p := range passOn {
@@ -339,6 +372,7 @@
 		if seg.IsOpening() {
 			a.logAccepted(now, seg, m.origin, m.delay)
 		}
+		a.records.onDelivered(now, seg)
 		a.deliver(m.packet)
 	case passthrough.Queued:
 		a.metrics.count(eventQueued, reasonNone)
@@ -399,6 +433,7 @@
 		a.cfg.Logger.Warn("packet dropped", "reason", "malformed", "source", "backend", "error", err)
 		return
 	}
+	a.records.onServerPacket(now)
 	if seg.Has(passthrough.FlagRejected) {
 		a.onRejected(now, seg, packet)
 		return
@@ -456,6 +491,7 @@
 		case now := <-t.C:
 			idle := a.state.idleTimeout()
 			a.admitter.Sweep(now, idle)
+			a.detours.sweep(now)
 			a.returnPaths.Sweep(now, func(_ returnPath, unused time.Duration) bool { return unused > idle })
 		}
 	}
--- a/internal/passthrough/held_request.go
+++ b/internal/passthrough/held_request.go
@@ -81,7 +81,7 @@
 	a.held.mu.Lock()
 	d := a.admitter.DequeueByPriority(now)
 	for i := range d.Requests {
-		a.deliverHeld(&d.Requests[i])
+		a.deliverHeld(now, &d.Requests[i])
 	}
 	if d.LevelChanged {
 		a.held.level = d.Level
@@ -94,8 +94,9 @@
 	a.deliverOpenings(now, d.Openings, d.PassOn)
 }
 
-func (a *Agent) deliverHeld(r *passthrough.ReleasedRequest) {
+func (a *Agent) deliverHeld(now time.Time, r *passthrough.ReleasedRequest) {
 	for i := range r.Packets {
+		a.records.onDelivered(now, r.Packets[i].Segment)
 		a.deliver(r.Packets[i].Packet)
 	}
 	first := r.Packets[0]
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -26,7 +26,7 @@
 	// addressSize is the size of an encoded IPv4 address with its port.
 	addressSize = 6
 	// loadSize is the size of an encoded load.
-	loadSize = 13
+	loadSize = 15
 )
 
 // messageKind is the third byte of a datagram.
@@ -111,6 +111,8 @@
 	load     passthrough.Load
 	// balancers is the number of balancers that the agent has received messages from.
 	balancers uint16
+	// newestAgent is the highest one that the agent has received from a balancer; see probe.
+	newestAgent uint64
 }
 
 // announce notifies a seed of an agent that the store does not list.
@@ -190,6 +192,7 @@
 	b = binary.BigEndian.AppendUint16(b, l.Limit)
 	b = appendUnits(b, l.ServiceTime, loadTimeUnit)
 	b = appendUnits(b, l.Wait, loadTimeUnit)
+	b = binary.BigEndian.AppendUint16(b, l.Flows)
 	return append(b, l.Refused)
 }
 
@@ -274,7 +277,8 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(m.service))
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	b = appendLoad(b, m.load)
-	return binary.BigEndian.AppendUint16(b, m.balancers)
+	b = binary.BigEndian.AppendUint16(b, m.balancers)
+	return binary.BigEndian.AppendUint64(b, m.newestAgent)
 }
 
 func (m *announce) append(b []byte) []byte {
@@ -421,7 +425,7 @@
 	return passthrough.Load{
 		InProgress: binary.BigEndian.Uint16(b), Slots: binary.BigEndian.Uint16(b[2:]), FailurePercent: b[4], AcceptsFlows: b[5] == 1,
 		Limit: binary.BigEndian.Uint16(b[6:]), ServiceTime: decodeUnits(b[8:], loadTimeUnit), Wait: decodeUnits(b[10:], loadTimeUnit),
-		Refused: b[12],
+		Flows: binary.BigEndian.Uint16(b[12:]), Refused: b[14],
 	}
 }
 
@@ -459,6 +463,7 @@
 	case kindReport:
 		m := &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
 		m.balancers = binary.BigEndian.Uint16(r.next(2))
+		m.newestAgent = r.uint64()
 		return m
 	case kindAnnounce:
 		return &announce{agent: r.address(), revision: r.uint64(), id: r.text(), service: r.text(), zone: r.text(), addresses: r.addresses()}
@@ -478,6 +483,8 @@
 		m.restarted = r.next(1)[0] == 1
 		m.newestAgent = r.uint64()
 		return m
+	case kindRelay, kindCheck, kindChecked, kindShare, kindCheckedFromOutside:
+		return r.detourMessage(k)
 	}
 	return nil
 }
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -30,6 +30,8 @@
 	eventDenied flowEvent = "denied"
 	// eventRequest counts requests by outcome.
 	eventRequest flowEvent = "request"
+	// eventRecorded counts writes of the record of open flows.
+	eventRecorded flowEvent = "recorded"
 	// eventRequestHeld counts requests on open flows that wait for capacity, by priority, and eventRequestReleased those
 	// that are delivered, by reason. eventAbsorbed counts retransmissions of held packets.
 	eventRequestHeld     flowEvent = "request_held"
@@ -52,9 +54,12 @@
 	packets  prometheus.Counter
 	fetches  *prometheus.CounterVec
 	unsent   prometheus.Counter
+	shares   *prometheus.CounterVec
 	answers  prometheus.Histogram
 	waits    prometheus.Histogram
-	holds    prometheus.Histogram
+	// staleWatches counts watches of the store that were interrupted.
+	staleWatches prometheus.Counter
+	holds        prometheus.Histogram
 }
 
 // latencyBuckets are upper bounds in seconds, from a round trip within a zone to the longest deadline of a caller.
@@ -85,12 +90,18 @@
 	m.unsent = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "bramleymast_unsent_datagrams_total", Help: "Datagrams that the host did not take for sending; they count as lost.",
 	})
+	m.shares = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bramleymast_split_flows_total", Help: "New flows of routes with several services, by the service that got them.",
+	}, []string{"service", "reason"})
 	m.answers = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_answer_seconds", Help: "Time from a request to the first packet of its answer.", Buckets: latencyBuckets,
 	})
 	m.waits = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_wait_seconds", Help: "Time that an opening packet waited within the system before it was delivered.", Buckets: latencyBuckets,
 	})
+	m.staleWatches = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "bramleymast_stale_watches_total", Help: "Watches of the store that lacked a change that other processes knew.",
+	})
 	m.holds = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_hold_seconds", Help: "Time that a request on an open flow waited at its agent for capacity.", Buckets: latencyBuckets,
 	})
@@ -98,7 +109,7 @@
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels}, f)
 	}
-	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.answers, m.waits, m.holds,
+	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.shares, m.answers, m.waits, m.staleWatches, m.holds,
 		gauge("bramleymast_operator_revision", "Store revision of the newest configuration or zone state.", g.revision),
 		gauge("bramleymast_flows", "Flows that the process remembers.", g.flows),
 		gauge("bramleymast_agents", "Agents that the process knows.", g.agents),
@@ -109,10 +120,30 @@
 	return m
 }
 
+// addGauge registers a gauge of an optional feature.
+func (m *metrics) addGauge(name, help string, f func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
+}
+
 func (m *metrics) count(e flowEvent, reason string) {
 	m.events.WithLabelValues(string(e), reason).Inc()
 }
 
+// Reasons why a service of a split route gets a flow: its weight, or no room in the service that the weights gave it to.
+const (
+	reasonWeight = "weight"
+	reasonSpill  = "no_room"
+)
+
+// countShare counts a new flow of a route with several services.
+func (m *metrics) countShare(service string, spilled bool) {
+	reason := reasonWeight
+	if spilled {
+		reason = reasonSpill
+	}
+	m.shares.WithLabelValues(service, reason).Inc()
+}
+
 // send sends a datagram. A datagram that cannot be sent is counted and lost, like one that is lost on the network; its
 // sender retransmits it.
 func (m *metrics) send(conn *net.UDPConn, b []byte, to netip.AddrPort) {
--- a/internal/passthrough/owner_search.go
+++ b/internal/passthrough/owner_search.go
@@ -23,10 +23,7 @@
 		b.metrics.count(eventDropped, "no_route")
 		return
 	}
-	services := []string{r.Service}
-	if old, ok := b.previousService(f, r); ok {
-		services = append(services, old)
-	}
+	services, _ := b.ownerServices(f, r)
 	ids := make([]flow.ServiceID, 0, len(services))
 	for _, s := range services {
 		ids = append(ids, flow.ServiceIDOf(s))
@@ -36,7 +33,7 @@
 		b.metrics.count(eventDropped, "unknown_flow")
 		return
 	}
-	_, directory := b.steerer.OwnerCandidates(now, f, r.Service)
+	_, directory := b.ownerPath(now, f, r)
 	agents := 0
 	for _, g := range groups {
 		agents += len(g)
@@ -58,26 +55,37 @@
 // cut off while a request of the flow runs, until the callers of such requests have given up. And neither does one that
 // has just listed the agents, since the leases of some may have expired before, unless all hosts have restarted.
 func (b *Balancer) onDenied(now time.Time, m *denied) {
-	b.newestAgent.add(m.newestAgent)
-	outcome := b.steerer.Deny(now, m.flow, m.agent, m.restarted)
-	if outcome == passthrough.SomeDeny {
-		return
+	b.agents.expected.add(m.newestAgent)
+	b.steerer.SetDeniedAck(now, m.flow, m.ack)
+	if outcome := b.steerer.Deny(now, m.flow, m.agent, m.restarted); outcome != passthrough.SomeDeny {
+		b.resetDenied(now, m.flow, m.ack, outcome)
 	}
+}
+
+// resetDueDenials resets the flows whose denial is complete because a draining agent has been silent for long enough.
+func (b *Balancer) resetDueDenials(now time.Time) {
+	for _, d := range b.steerer.DueDenials(now) {
+		b.resetDenied(now, d.Flow, d.Ack, passthrough.AllRestarted)
+	}
+}
+
+// resetDenied resets a flow that all agents have denied, unless one that this balancer does not know may own it.
+func (b *Balancer) resetDenied(now time.Time, f passthrough.FlowID, ack uint32, outcome passthrough.Denial) {
 	reason := reasonNone
 	switch {
 	case outcome != passthrough.AllRestarted && !b.agents.listedFor(now, settlingPeriod):
 		reason = "agents_unsettled"
-	case !b.agents.covers(b.newestAgent.get()):
+	case !b.agents.covers(b.agents.expected.get()):
 		reason = "agents_outdated"
-	case b.state.lostAgent(now, b.answerTimeout(m.flow)):
+	case b.state.lostAgent(now, b.answerTimeout(f)):
 		reason = "agent_lost"
 	}
 	if reason != reasonNone {
 		b.metrics.count(eventDropped, reason)
-		b.cfg.Logger.Warn("flow not reset", "flow", m.flow.String(), "reason", reason, "newest_agent", b.newestAgent.get())
+		b.cfg.Logger.Warn("flow not reset", "flow", f.String(), "reason", reason, "newest_agent", b.agents.expected.get())
 		return
 	}
-	b.refuse(passthrough.NewSegment(m.flow, passthrough.FlagAck, 0, m.ack, 0), "no_owner", b.state.Table())
+	b.refuse(passthrough.NewSegment(f, passthrough.FlagAck, 0, ack, 0), "no_owner", b.state.Table())
 }
 
 // answerTimeout returns how long the caller of a flow waits for an answer.
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -66,6 +66,7 @@
 	flows      Table[localFlow]
 	nextAgents Table[netip.AddrPort]
 	owners     Table[[maxOwners]owner]
+	open       openFlows
 
 	mu   sync.Mutex
 	room room
@@ -80,7 +81,7 @@
 
 // NewAdmitter returns the admitter of an agent that started at the given time.
 func NewAdmitter(started time.Time) *Admitter {
-	return &Admitter{room: newRoom(), started: started, flowTTL: FlowTTL}
+	return &Admitter{room: newRoom(started), started: started, flowTTL: FlowTTL}
 }
 
 // SetAnswerObserver sets a function that is called with the time from a request to the first packet of its response. It
@@ -120,7 +121,7 @@
 func (ad *Admitter) SetServiceLimits(s route.ServiceLimits) {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	ad.room.limits = s
+	ad.room.limits, ad.room.limitsKnown = s, true
 }
 
 // SetZoneOut sets whether operators have taken the zone out of service.
@@ -139,6 +140,7 @@
 	}
 	ad.room.draining = draining
 	ad.backendGone.Store(false)
+	ad.room.heard = true
 	ad.room.coldUntil = now.Add(cold)
 	ad.room.reachability.onSeen(now)
 }
@@ -173,6 +175,7 @@
 		Slots:          uint16(min(ad.room.slots, 1<<15)), //nolint:gosec // bounded by min
 		FailurePercent: ad.room.failureRate.percent(now),
 		AcceptsFlows:   !ad.room.draining && !ad.room.zoneOut && !ad.room.reachability.unreachable(now),
+		Flows:          ad.open.count(),
 		Refused:        ad.room.refusedPriority(),
 	}
 	ad.room.capacity.report(now, n, &l)
@@ -207,7 +210,10 @@
 	ad.room.onOpening(now, seg)
 	ad.room.forgetWaiting(f)
 	ad.room.reachability.onDelivered(now)
-	ad.flows.Put(now, f, localFlow{})
+	ad.flows.Update(now, f, func(before localFlow, _ bool) localFlow {
+		ad.open.change(before, localFlow{})
+		return localFlow{}
+	})
 	ad.nextAgents.Delete(f)
 }
 
@@ -228,6 +234,10 @@
 		}
 		return nil, passOn
 	}
+	if ad.room.awaitsLimits(now) {
+		ad.room.queue.expire(now)
+		return nil, nil
+	}
 	for n := ad.room.inProgress(now); ; n++ {
 		p, ok := ad.room.queue.dequeue(now, n < ad.room.requestLimit(), n < ad.room.lateRequestLimit())
 		if !ok {
@@ -313,6 +323,7 @@
 		return Refuse{ReasonAbsent}
 	}
 	ad.recordRequest(now, seg)
+	ad.recordCallerEnd(now, seg)
 	return Deliver{}
 }
 
@@ -389,6 +400,8 @@
 	f := seg.Flow()
 	ad.backendGone.Store(false)
 	ad.flows.Update(now, f, func(lf localFlow, known bool) localFlow {
+		before := lf
+		defer func() { ad.open.change(before, lf) }()
 		switch {
 		case seg.Has(FlagOpen | FlagAck):
 			accepted = !lf.accepted
@@ -399,6 +412,7 @@
 			lf.established = true
 		}
 		lf.window.advance(seg)
+		lf.use.record(now, seg)
 		lf.ended = lf.ended || seg.Has(FlagFinish) || seg.Has(FlagReset)
 		return lf
 	})
@@ -436,6 +450,7 @@
 func (ad *Admitter) Sweep(now time.Time, idle time.Duration) {
 	// A missing record means that the backend server does not hold the flow, so it is kept for as long as flows live.
 	ad.flows.Sweep(now, func(_ localFlow, unused time.Duration) bool { return unused > max(idle, ad.flowTTL) })
+	ad.open.recount(now, &ad.flows, idle)
 	ad.nextAgents.Sweep(now, func(_ netip.AddrPort, unused time.Duration) bool { return unused > idle })
 	ad.owners.Sweep(now, func(_ [maxOwners]owner, unused time.Duration) bool { return unused > idle })
 	ad.mu.Lock()
--- a/pkg/passthrough/priorities.go
+++ b/pkg/passthrough/priorities.go
@@ -100,12 +100,15 @@
 // needs a slot. An opening packet needs a place among the requests in progress, which are then those that its own
 // request follows; held requests of its priority and higher ones take theirs first.
 func (r *room) waitingAllowed(now time.Time) allowedFunc {
-	inProgress, hasSlot := r.inProgress(now), r.hasFreeSlot(now)
+	inProgress, hasSlot, awaitsLimits := r.inProgress(now), r.hasFreeSlot(now), r.awaitsLimits(now)
 	ahead := make(map[int]int)
 	return func(w waitingRequest, h *heldRequest, late bool) bool {
 		if !h.isOpening() {
 			return hasSlot
 		}
+		if awaitsLimits {
+			return false
+		}
 		n, ok := ahead[w.Priority]
 		if !ok {
 			n = r.shortage.ahead(w.Priority)
--- a/pkg/passthrough/requests.go
+++ b/pkg/passthrough/requests.go
@@ -144,6 +144,13 @@
 
 // onServerPacket records a packet of the backend server; failed means that it starts the response to a failed request.
 func (t *requestTracker) onServerPacket(now time.Time, seg Segment, failed bool) requestOutcome {
+	if f, known := t.flows[seg.Flow()]; known && f.finishOvertakes(seg) {
+		return requestOutcome{} // The answer is about to arrive.
+	}
+	return t.onOrderedServerPacket(now, seg, failed)
+}
+
+func (t *requestTracker) onOrderedServerPacket(now time.Time, seg Segment, failed bool) requestOutcome {
 	f, known := t.flows[seg.Flow()]
 	ends := seg.Has(FlagReset) || seg.Has(FlagFinish)
 	if !known {
@@ -177,6 +184,12 @@
 	}
 }
 
+// finishOvertakes reports whether a packet is the end of an answer that has not arrived yet. A short packet overtakes
+// longer ones that the backend server has sent just before it.
+func (f *trackedFlow) finishOvertakes(seg Segment) bool {
+	return f.state.started() && seg.Has(FlagFinish) && seg.Size() == 0 && f.hasServer && isAfter(seg.Seq(), f.serverNext)
+}
+
 // advanceServer applies the sequence numbers of a packet and reports whether it has new data.
 func (f *trackedFlow) advanceServer(seg Segment) bool {
 	end := seg.Seq() + uint32(seg.Size()) //nolint:gosec // a packet is shorter than 64 KiB
--- a/pkg/passthrough/search.go
+++ b/pkg/passthrough/search.go
@@ -79,20 +79,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	denied := s.searches.deny(now, f, agent, restarted)
-	if len(denied) < len(s.agents) || len(s.agents) == 0 || !s.searchesAllServices() {
+	if !s.searchesAllServices() {
 		return SomeDeny
 	}
-	outcome := AllRestarted
-	for a := range s.agents {
-		restarted, ok := denied[a]
-		if !ok {
-			return SomeDeny
-		}
-		if !restarted {
-			outcome = AllDeny
-		}
+	outcome := s.denial(now, denied)
+	if outcome != SomeDeny {
+		s.searches.flows.Delete(f)
 	}
-	s.searches.flows.Delete(f)
 	return outcome
 }
 
@@ -133,6 +126,8 @@
 	count int
 	// denied holds the agents whose backend servers do not hold the flow, and whether both have just started.
 	denied map[netip.AddrPort]bool
+	// ack is what the caller's last searched packet acknowledged.
+	ack uint32
 }
 
 // allow reports whether a search that visits the given number of agents may start, and returns how many searches for the
