fix: an opening packet during a held request no longer ends the agent

Cause: the queue of waiting requests replaces the value of a flow that waits already, but keeps its release time and the count of held requests. If the first opening packet of a flow is late, or its caller uses the port again, while a request of the flow is held and the backend server has no room, the held request becomes an opening without packets. When its release time comes, the agent panics in deliverHeld (index out of range); if it gets capacity first, the count of held requests stays one too high, so that every later request is held and the load is reported too high.

Change: the opening packet removes the held request of its flow before it waits. The caller retransmits what was held.

Test first: TestOpeningDuringHeldRequest failed with a released request without packets (four requests in progress) and with a load of 1 that stays (two in progress); it passes now.

--- a/pkg/passthrough/shortage.go
+++ b/pkg/passthrough/shortage.go
@@ -200,8 +200,12 @@
 	return HeldBehind
 }
 
-// enqueueOpening adds an opening packet that is in the wait queue, or returns false if the queue is full.
+// enqueueOpening adds an opening packet that is in the wait queue, or returns false if the queue is full. It replaces a
+// held request of the flow: the first opening packet may be late, or the caller uses its port again.
 func (s *shortage) enqueueOpening(now time.Time, p OpeningPacket) bool {
+	if h := s.queue.Get(p.Segment.Flow()); h != nil && !(*h).isOpening() {
+		s.remove(p.Segment.Flow())
+	}
 	r := p.waitingRequest(now)
 	s.onWait(now, r.Priority)
 	return s.queue.Push(p.Segment.Flow(), r, &heldRequest{heldAt: now})
