fix: agents behind a detour fetch the configuration from the relay

Cause: an agent that receives a newer revision from a balancer fetches it from that balancer, also when the message came through a relay or when its own messages to the balancer take one. Such a call blocks for a second and fails, and the next one is due by then, usually to another balancer of the same zone. The fetcher makes one call at a time, so calls to balancers that would answer wait, and the agent applies an evacuation or a version seconds late.

Change: the agent calls the relay, which reaches both sides and serves the same state. Without the feature nothing changes.

Test first: TestCallsAvoidDeadWays failed for a relayed probe and for a balancer with a relay for answers.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -235,17 +235,17 @@
 	switch m := m.(type) {
 	case *forward:
 		a.onBalancerMessage(now, m.origin)
-		a.fetcher.onRevision(m.origin, m.revision)
+		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
 		a.onForward(now, m)
 	case *search:
 		a.onBalancerMessage(now, m.origin)
-		a.fetcher.onRevision(m.origin, m.revision)
+		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
 		a.onSearch(now, m)
 	case *owner:
 		a.admitter.SetOwner(now, m.flow, m.agent, m.minAck)
 	case *probe:
 		a.onBalancerMessage(now, m.origin)
-		a.fetcher.onRevision(m.origin, m.revision)
+		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
 		a.newestAgent.add(m.newestAgent)
 		a.sendReport(now, m.origin)
 	case *check:
--- a/internal/passthrough/detours.go
+++ b/internal/passthrough/detours.go
@@ -59,6 +59,18 @@
 
 func (s source) direct() bool { return !s.relay.IsValid() }
 
+// callable returns the process to call for what a balancer knows, whose datagram came from a source: the balancer, or the
+// relay between the two if there is one. Calls take no detours and block until a timeout on a way that is down.
+func (d *detours) callable(src source, balancer netip.AddrPort) netip.AddrPort {
+	if !src.direct() {
+		return src.relay
+	}
+	if relay, ok := d.relayTo(balancer); ok {
+		return relay
+	}
+	return balancer
+}
+
 // open decodes a datagram and returns where it came from. It returns a nil message for a datagram that was sent on, or
 // dropped because this process takes part in no detours.
 func (d *detours) open(now time.Time, from netip.AddrPort, data []byte) (message, source, error) {
--- a/internal/passthrough/detours_test.go
+++ b/internal/passthrough/detours_test.go
@@ -83,3 +83,26 @@
 	}
 	assert.Equal(t, len(*sent), 0)
 }
+
+// Guards against an agent that learns of a new configuration seconds late, because it calls balancers that only relays
+// reach, one after the other.
+func TestCallsAvoidDeadWays(t *testing.T) {
+	relayAddress, balancer := netip.MustParseAddrPort("10.0.0.2:7000"), netip.MustParseAddrPort("10.0.0.3:7000")
+	for _, test := range []struct {
+		relayed, answersByRelay bool
+		want                    netip.AddrPort
+	}{{false, false, balancer}, {true, false, relayAddress}, {false, true, relayAddress}} {
+		l, _ := newTestLink(t, NewFeatures(Detours))
+		a := &Agent{link: l, admitter: passthrough.NewAdmitter(time.Now())}
+		a.fetcher = newStateFetcher(&a.state, false, hclog.NewNullLogger())
+		if test.answersByRelay {
+			l.detours.table.Set(balancer, relayAddress, time.Time{})
+		}
+		from, datagram := balancer, (&probe{origin: balancer, revision: 7}).append(nil)
+		if test.relayed {
+			from, datagram = relayAddress, (&relay{to: l.self, from: balancer, forwarded: true, datagram: datagram}).append(nil)
+		}
+		a.onMessage(from, datagram)
+		assert.Equal(t, <-a.fetcher.due, test.want)
+	}
+}
