fix: a check from before a cut does not show that a zone is unheard

Cause: the report that an agent was checked from another zone counts for 4 s, whenever the silence began. If a zone is cut off in both directions, or all other zones fail, within 4 s of such a check, its balancers are not ready although they alone reach the agents of the zone.

Change: the check counts only if it arrived after the first datagram without an answer.

Test first: TestCheckBeforeCutShowsNothing failed, and passes now.

--- a/pkg/detour/planner_test.go
+++ b/pkg/detour/planner_test.go
@@ -207,6 +207,20 @@
 	}
 }
 
+// Guards against callers that are sent away from the only zone that still works, because one of its agents was checked
+// from another zone shortly before these were cut off in both directions.
+func TestCheckBeforeCutShowsNothing(t *testing.T) {
+	n := newNetwork()
+	n.run(time.Second)
+	n.planner.CheckedFromOutside(n.now, n.planner.order[0].address)
+	n.run(200 * time.Millisecond)
+	n.drops = func(f, t host) bool { return (f.zone == "a") != (t.zone == "a") }
+	for range 40 {
+		n.run(100 * time.Millisecond)
+		assert.Assert(t, !n.planner.Unheard())
+	}
+}
+
 // Guards against callers that are sent away because probes go to failed hosts only: a trial finds the others.
 func TestZoneIsHeardBesideFailedHosts(t *testing.T) {
 	n := newNetwork()
--- a/pkg/detour/unheard.go
+++ b/pkg/detour/unheard.go
@@ -45,9 +45,10 @@
 
 func (o *outside) answered() { o.unanswered, o.triedAt = 0, time.Time{} }
 
-// suspected reports whether the own zone seems to be unheard.
+// suspected reports whether the own zone seems to be unheard. A check from before the silence does not show that what
+// others send arrives now.
 func (o *outside) suspected(now time.Time) bool {
-	return o.unanswered >= unheardAsks && now.Sub(o.since) >= unheardAfter && !o.checkedAt.IsZero() && now.Sub(o.checkedAt) < unheardTTL
+	return o.unanswered >= unheardAsks && now.Sub(o.since) >= unheardAfter && o.checkedAt.After(o.since) && now.Sub(o.checkedAt) < unheardTTL
 }
 
 // CheckedFromOutside records the report of an agent that a balancer of another zone checks it.
