fix: a flow record is written again after its lease has expired

Cause: the record is under the lease of the agent's entry. When that expires, as it may while the store is down, the registrar gets another one and writes the entry again, but the policy still counts the record as written: it comes back only when a tenth of the kept flows has changed. After a loss of power meanwhile, no idle flow is reset.

Change: a record under another lease than the current one counts as expired.

--- a/internal/passthrough/flow_records.go
+++ b/internal/passthrough/flow_records.go
@@ -46,6 +46,7 @@
 	// The fields below belong to run.
 	policy         flowrecord.Policy
 	revision       store.Revision
+	lease          store.LeaseID          // of the record; 0 if this process has written none
 	inherited      []passthrough.OpenFlow // of the record of an earlier process beside the same run
 	inheritedUntil time.Time
 }
@@ -151,14 +152,18 @@
 	if run == (backendRun{}) {
 		return
 	}
-	flows := fr.current(now, heartbeat)
-	if !fr.policy.Due(now, flows) {
-		return
-	}
 	lease := fr.a.registrar.currentLease()
 	if lease == 0 {
 		return
 	}
+	if fr.lease != 0 && fr.lease != lease {
+		fr.policy.OnExpired()
+		fr.lease = 0
+	}
+	flows := fr.current(now, heartbeat)
+	if !fr.policy.Due(now, flows) {
+		return
+	}
 	value := flowrecord.Record{
 		Service: fr.a.cfg.Service, Backend: fr.a.cfg.Backend, Run: flowrecord.Run{ID: run.ID, StartedMS: run.StartedMS}, Flows: flows,
 	}.Append(nil)
@@ -207,7 +212,7 @@
 	if err != nil {
 		return err
 	}
-	fr.revision = revision
+	fr.revision, fr.lease = revision, lease
 	return nil
 }
 
--- a/pkg/flowrecord/policy.go
+++ b/pkg/flowrecord/policy.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// OnExpired records that the store no longer holds the record.
+func (p *Policy) OnExpired() { p.written = nil }
+
 // OnFailed records that the store has not accepted a record, or that this is not known.
 func (p *Policy) OnFailed(now time.Time) {
 	p.triedAt = now
