fix: a run without a start is no evidence that its flows were lost

Cause: a heartbeat without the start time is accepted, since not every backend server sends it. If one of another writer arrives before one of the first three heartbeats of the real run, the latter counts as that of a later run, and the flows opened 500 ms before the former are reset although their backend server lives.

Change: the outcome is uncertain then, as for equal starts.

Test first: TestRunWithoutStartIsNoEvidence failed with lost.

--- a/pkg/flowrecord/policy.go
+++ b/pkg/flowrecord/policy.go
@@ -123,14 +123,15 @@
 // heartbeat with the given sequence number as the first one that the agent received.
 //
 // Two runs cannot listen at one address, so a later run shows that the recorded one has ended. An earlier start is no
-// evidence: the heartbeat may be a delayed one, or the clock was set back.
+// evidence: the heartbeat may be a delayed one, or the clock was set back. Neither is a recorded run without a start,
+// which a heartbeat of another writer may have named.
 func (r Record) Compare(service string, run Run, firstSeq uint64) Loss {
 	switch {
 	case r.Service != service || r.Run == (Run{}):
 		return Foreign
 	case r.Run == run:
 		return SameRun
-	case run.StartedMS <= r.Run.StartedMS || firstSeq > maxFirstSeq:
+	case r.Run.StartedMS <= 0 || run.StartedMS <= r.Run.StartedMS || firstSeq > maxFirstSeq:
 		return Uncertain
 	}
 	return Lost
--- a/pkg/flowrecord/record_test.go
+++ b/pkg/flowrecord/record_test.go
@@ -103,6 +103,13 @@
 	return fs
 }
 
+// Guards against the reset of open flows at a backend server that sends one of its first heartbeats after one of another
+// writer without a start.
+func TestRunWithoutStartIsNoEvidence(t *testing.T) {
+	r := flowrecord.Record{Service: "orders", Run: flowrecord.Run{ID: "other"}}
+	assert.Equal(t, r.Compare("orders", flowrecord.Run{ID: "orders-1", StartedMS: 9000}, 2), flowrecord.Uncertain)
+}
+
 func ExampleRecord_Compare() {
 	r := flowrecord.Record{Service: "orders", Run: flowrecord.Run{ID: "orders-1", StartedMS: 1000}}
 	fmt.Println(r.Compare("orders", flowrecord.Run{ID: "orders-1", StartedMS: 1000}, 40))
