fix: a request that hangs counts as one when others wait for slots

Cause: hasFreeSlot adds the hung requests to those in process.

Change: a count of its own for requests that were delivered and not answered.

Test first: TestHungRequestTakesOneSlot failed with a held request; it passes now.

--- a/pkg/passthrough/priorities.go
+++ b/pkg/passthrough/priorities.go
@@ -93,7 +93,7 @@
 // them busy while an answer and the next request cross.
 func (r *room) hasFreeSlot(now time.Time) bool {
 	r.expireRequests(now)
-	return r.requests.processing()+r.requests.hung() < r.lateRequestLimit()
+	return r.requests.delivered() < r.lateRequestLimit()
 }
 
 // waitingAllowed returns a function that reports whether a waiting request may be delivered now. A request on an open flow
--- a/pkg/passthrough/priorities_test.go
+++ b/pkg/passthrough/priorities_test.go
@@ -228,3 +228,16 @@
 	}
 	assert.Assert(t, passthrough.NewSteerer("a").Admits(start, service, 2))
 }
+
+// Guards against requests that are held beside free slots: a request without an answer for a while takes one slot.
+func TestHungRequestTakesOneSlot(t *testing.T) {
+	ad := newPriorityAdmitter(4, 0, 1, 2, 3)
+	now := start.Add(time.Second)
+	for i := range 2 {
+		assert.Equal(t, deliverRequest(ad, now, dataPacket(i, 0, 1)), passthrough.NotHeld)
+	}
+	now = now.Add(time.Second)
+	for i := 2; i < 4; i++ {
+		assert.Equal(t, deliverRequest(ad, now, dataPacket(i, 0, 1)), passthrough.NotHeld)
+	}
+}
--- a/pkg/passthrough/requests.go
+++ b/pkg/passthrough/requests.go
@@ -257,6 +257,9 @@
 	return t.lists[requestHung].n + t.lists[requestProcessing].n
 }
 
+// delivered returns the number of requests that have been delivered and not been answered, whether overtaken or not.
+func (t *requestTracker) delivered() int { return t.lists[requestProcessing].n + t.hung() }
+
 // hung returns the number of requests in progress that have had no answer for hangTimeout.
 func (t *requestTracker) hung() int { return t.lists[requestOvertaken].n + t.lists[requestHung].n }
 
