fix: flows that ended with a run leave the load report at once

Change: the counter follows, as for any other end.

Test first: TestFlowsOfAnEarlierRunDoNotCount failed with 1 flow.

--- a/pkg/passthrough/kept_flows.go
+++ b/pkg/passthrough/kept_flows.go
@@ -70,7 +70,9 @@
 	for _, o := range open {
 		ad.flows.Update(now, o.Flow, func(lf localFlow, _ bool) localFlow {
 			if lf.isOpen() && heartbeat.Sub(lf.use.opened) >= runMargin {
+				before := lf
 				lf.ended = true
+				ad.open.change(before, lf)
 				ended = append(ended, o)
 			}
 			return lf
--- a/pkg/passthrough/open_flows_test.go
+++ b/pkg/passthrough/open_flows_test.go
@@ -35,3 +35,13 @@
 	ad.Sweep(start.Add(time.Minute), 10*time.Second)
 	assert.Equal(t, ad.Load(start).Flows, uint16(0))
 }
+
+// Guards against a new run of a backend server that looks full because the flows of the earlier run still count.
+func TestFlowsOfAnEarlierRunDoNotCount(t *testing.T) {
+	ad := newAdmitter(4)
+	openAt(ad, start, 1, 2)
+	now := start.Add(time.Second)
+	assert.Equal(t, ad.Load(now).Flows, uint16(1))
+	assert.Equal(t, len(ad.EndFlows(now, now, keptIdle)), 1)
+	assert.Equal(t, ad.Load(now).Flows, uint16(0))
+}
