fix: no refusal by priority before an overload has lasted

Callers retry a refused flow at once, and their tries were used up within some milliseconds.

Cause: the level counted all waiting requests, of which the oldest wait until their callers give up, and rose at once.

Change: a priority is refused only after requests have waited too long for 4.2 s, the time for which a caller tries to open a flow with its retries.

--- a/pkg/priority/level.go
+++ b/pkg/priority/level.go
@@ -7,6 +7,10 @@
 	AllAdmitted = 0
 	// lowestRefusable is the highest priority that a level may refuse, so that some requests are always admitted.
 	lowestRefusable = 1
+	// LastingOverload is how long requests must wait too long before any are refused. It is the time for which a caller
+	// tries to open a flow, with its retries: overload that ends within it costs callers less by a wait than by refusals,
+	// which use up their tries at once.
+	LastingOverload = 4200 * time.Millisecond
 	// gapWeight is the weight of one interval between starts in their mean.
 	gapWeight = 1.0 / 8
 )
@@ -20,6 +24,9 @@
 type Level struct {
 	refused int
 	starts  map[int]*startRate
+	// overloadedSince is since when requests have waited too long, with pauses of less than patience, and overloadedAt when
+	// they last did.
+	overloadedSince, overloadedAt time.Time
 }
 
 // startRate is how often waiting requests of a priority get capacity.
@@ -64,22 +71,35 @@
 
 // Update sets the level by the waiting requests and reports whether it has changed. waiting returns the number of waiting
 // requests of a priority, lowest is the lowest priority that waits, and patience is how long a caller waits. A priority
-// is refused if a further request would wait for longer than patience, and admitted again when it would wait for half
-// of that.
+// is refused if a further request would wait for longer than patience, once one has for LastingOverload, and admitted
+// again when it would wait for half of that.
 func (l *Level) Update(now time.Time, lowest int, patience time.Duration, waiting func(priority int) int) bool {
 	old := l.refused
-	l.refused = AllAdmitted
+	l.refused = l.excess(now, lowest, patience, waiting)
+	if l.refused != AllAdmitted {
+		if now.Sub(l.overloadedAt) > patience {
+			l.overloadedSince = now
+		}
+		l.overloadedAt = now
+	}
+	if old == AllAdmitted && now.Sub(l.overloadedSince) < LastingOverload {
+		l.refused = AllAdmitted
+	}
+	return l.refused != old
+}
+
+// excess returns the highest priority whose requests wait too long, or AllAdmitted.
+func (l *Level) excess(now time.Time, lowest int, patience time.Duration, waiting func(priority int) int) int {
 	for p := lowestRefusable; p <= lowest; p++ {
 		limit := patience
-		if old != AllAdmitted && old <= p {
+		if l.refused != AllAdmitted && l.refused <= p {
 			limit = patience / 2
 		}
 		if l.wait(now, p, waiting(p)) > limit {
-			l.refused = p
-			break
+			return p
 		}
 	}
-	return l.refused != old
+	return AllAdmitted
 }
 
 // wait returns how long one more request would wait behind n others of its priority.
