--- a/pkg/priority/level_test.go
+++ b/pkg/priority/level_test.go
@@ -31,7 +31,7 @@
 func (o *overload) run(t *testing.T, length time.Duration) {
 	t.Helper()
 	refusedAt := make(map[int]bool)
-	for ms := 0; ms < int(length.Milliseconds())+3000; ms++ {
+	for ms := range int(length.Milliseconds()) + 3000 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
 		for _, at := range o.q.RemoveAll(func(r priority.Request, _ time.Time) bool { return now.Sub(r.StartedAt) > callerWait }) {
 			assert.Assert(t, now.Sub(at) > callerWait)
