fix: a rejected copy of an opening packet does not end the record of an open flow

Probable cause, read in the code: the backend server had accepted the first copy of the opening packet and, full meanwhile, returned the second. The agent then forgot the open flow and passed the copy on; it denied the caller's next packet, as all other agents did.

Change: a returned copy is dropped if the backend server has answered an opening packet of the flow within the time in which callers send copies.

TestAdmitterRejectedCopyOfOpening failed before: the copy was passed on.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -389,6 +389,8 @@
 		a.refuse(seg, d.Reason)
 	case passthrough.UnknownFlow:
 		a.onUnknownFlow(now, seg, m)
+	case passthrough.Drop:
+		a.metrics.count(eventDropped, "copy")
 	}
 }
 
--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -29,7 +29,7 @@
 	ReasonOtherService Reason = "other_service"
 )
 
-// Decision is what an agent does with a packet: Deliver, PassOn, Queued, Refuse, Forward, UnknownFlow or Deny.
+// Decision is what an agent does with a packet: Deliver, PassOn, Queued, Refuse, Forward, UnknownFlow, Deny or Drop.
 type Decision interface{ decision() }
 
 // Deliver means that the packet goes to the backend server.
@@ -53,6 +53,9 @@
 // Deny means that the backend server certainly does not hold the flow.
 type Deny struct{}
 
+// Drop means that the packet is not needed.
+type Drop struct{}
+
 func (Deliver) decision()     {}
 func (PassOn) decision()      {}
 func (Queued) decision()      {}
@@ -60,6 +63,7 @@
 func (Forward) decision()     {}
 func (UnknownFlow) decision() {}
 func (Deny) decision()        {}
+func (Drop) decision()        {}
 
 // Admitter decides which packets an agent delivers to its backend server. It is safe for concurrent use.
 type Admitter struct {
@@ -427,6 +431,9 @@
 func (ad *Admitter) OnRejected(now time.Time, seg Segment) Decision {
 	f := seg.Flow()
 	lf, known := ad.flows.Get(now, f)
+	if seg.IsOpening() && known && lf.hasJustOpened(now) {
+		return Drop{}
+	}
 	ad.mu.Lock()
 	ad.room.onEnd(now, f)
 	ad.room.forgetWaiting(f)
--- a/pkg/passthrough/admitter_test.go
+++ b/pkg/passthrough/admitter_test.go
@@ -279,6 +279,24 @@
 	assert.Equal(t, ad.OnRejected(start, requestSegment(1, 9000)), passthrough.Decision(passthrough.UnknownFlow{}))
 }
 
+// Guards against a reset of an open flow after its backend server, which is full meanwhile, has rejected a copy of the
+// opening packet: the agent forgot the flow and denied it, as on a day with a burst.
+func TestAdmitterRejectedCopyOfOpening(t *testing.T) {
+	ad := newAdmitter(2)
+	ad.SetNoPreExisting()
+	ad.OnOpeningPacket(start, openingPacket(1, 0, address(2)))
+	ad.OnServerPacket(start, acceptSegment(1, 5000), false)
+	later := start.Add(200 * time.Millisecond)
+	assert.Equal(t, ad.OnOpeningPacket(later, openingPacket(1, 1, address(2))), passthrough.Decision(passthrough.Deliver{}))
+	assert.Equal(t, ad.OnRejected(later, openingSegment(1, 1)), passthrough.Decision(passthrough.Drop{}))
+	assert.Equal(t, ad.OnSearchedPacket(later, requestSegment(1, 5001), true), passthrough.Decision(passthrough.Deliver{}))
+	assert.Equal(t, ad.OnEstablishedPacket(later, requestSegment(1, 5001), true), passthrough.Decision(passthrough.Deliver{}))
+
+	again := start.Add(20 * time.Second) // The caller uses the port again, and the backend server is full.
+	ad.OnOpeningPacket(again, openingPacket(1, 0, address(2)))
+	assert.Equal(t, ad.OnRejected(again, openingSegment(1, 0)), passthrough.Decision(passthrough.PassOn{Reason: passthrough.ReasonRejected}))
+}
+
 // Guards against more requests in progress than a backend server queues, and against queueing while another agent is
 // free.
 func TestAdmitterBusy(t *testing.T) {
--- a/pkg/passthrough/local_flow.go
+++ b/pkg/passthrough/local_flow.go
@@ -1,6 +1,9 @@
 package passthrough
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // maxOwners limits the owners kept for one flow, which are backend servers that answered transmissions of the same
 // opening packet.
@@ -42,6 +45,12 @@
 	return localFlow{window: lf.window.reopened(isn), accepted: true}
 }
 
+// hasJustOpened reports whether the backend server has answered an opening packet so recently that the caller may still
+// send copies of it. A copy that it rejects, since it is full meanwhile, says nothing about the flow.
+func (lf localFlow) hasJustOpened(now time.Time) bool {
+	return lf.isOpen() && now.Sub(lf.use.opened) < retransmissionPeriod
+}
+
 func findOwner(os [maxOwners]owner, seg Segment) (netip.AddrPort, bool) {
 	for _, o := range os {
 		if o.agent.IsValid() && acknowledges(o.minAck, seg) {
