fix: late copies of an opening packet leave an open flow alone

Two more ways in which an agent forgot a flow that its backend server holds, after which a search denies it: the first copy of the opening packet arrived late (another agent had held it), and the agent took it for a new flow; a queued copy stayed in the queue after a later copy had opened the flow, and was passed on when the agent closed. Without request_priorities the queue kept it, with them not.

Change: within the time in which callers send copies, an opening packet of a flow that has just opened is delivered like a retransmission, and a delivered opening packet takes its copies out of the queue.

Both assertions failed before (UnknownFlow for the next packet; one packet passed on).

--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -196,8 +196,8 @@
 // OnOpeningPacket decides on a packet that opens a flow. Retransmissions of a delivered packet are delivered too.
 func (ad *Admitter) OnOpeningPacket(now time.Time, p OpeningPacket) Decision {
 	seg := p.Segment
-	if lf, ok := ad.flows.Get(now, seg.Flow()); ok && seg.Retransmissions() > 0 && !lf.notHeld {
-		return Deliver{}
+	if lf, ok := ad.flows.Get(now, seg.Flow()); ok && !lf.notHeld && (seg.Retransmissions() > 0 || lf.hasJustOpened(now)) {
+		return Deliver{} // A copy, which another agent may have held for longer than the first one took.
 	}
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
--- a/pkg/passthrough/admitter_test.go
+++ b/pkg/passthrough/admitter_test.go
@@ -292,11 +292,31 @@
 	assert.Equal(t, ad.OnSearchedPacket(later, requestSegment(1, 5001), true), passthrough.Decision(passthrough.Deliver{}))
 	assert.Equal(t, ad.OnEstablishedPacket(later, requestSegment(1, 5001), true), passthrough.Decision(passthrough.Deliver{}))
 
+	late := start.Add(time.Second) // Another agent held the first copy.
+	assert.Equal(t, ad.OnOpeningPacket(late, openingPacket(1, 0, address(2))), passthrough.Decision(passthrough.Deliver{}))
+	assert.Equal(t, ad.OnEstablishedPacket(late, requestSegment(1, 5001), true), passthrough.Decision(passthrough.Deliver{}))
+
 	again := start.Add(20 * time.Second) // The caller uses the port again, and the backend server is full.
 	ad.OnOpeningPacket(again, openingPacket(1, 0, address(2)))
 	assert.Equal(t, ad.OnRejected(again, openingSegment(1, 0)), passthrough.Decision(passthrough.PassOn{Reason: passthrough.ReasonRejected}))
 }
 
+// Guards against a queued copy of an opening packet that is passed on after a later copy has opened the flow: the agent
+// would forget the flow.
+func TestAdmitterQueuedCopyOfOpening(t *testing.T) {
+	ad := newAdmitter(1)
+	for i := range 4 {
+		ad.OnOpeningPacket(start, openingPacket(i, 0))
+		ad.OnServerPacket(start, acceptSegment(i, 1), false)
+	}
+	assert.Equal(t, ad.OnOpeningPacket(start, openingPacket(9, 0)), passthrough.Decision(passthrough.Queued{}))
+	later := start.Add(200 * time.Millisecond) // The others have not sent a request.
+	assert.Equal(t, ad.OnOpeningPacket(later, openingPacket(9, 1)), passthrough.Decision(passthrough.Deliver{}))
+	ad.SetDraining()
+	_, passOn := ad.Dequeue(later)
+	assert.Equal(t, len(passOn), 0)
+}
+
 // Guards against more requests in progress than a backend server queues, and against queueing while another agent is
 // free.
 func TestAdmitterBusy(t *testing.T) {
--- a/pkg/passthrough/priorities.go
+++ b/pkg/passthrough/priorities.go
@@ -173,8 +173,8 @@
 
 // forgetWaiting removes what waits on a flow that is opened anew or that the backend server does not hold.
 func (r *room) forgetWaiting(f FlowID) {
+	r.queue.remove(f)
 	if r.shortage != nil {
 		r.shortage.remove(f)
-		r.queue.remove(f)
 	}
 }
