fix: the check of reported revisions compares a balancer with itself

No process had returned to an older revision: the check of the scripts told reports apart by the position of the balancer in the list that the script passes. The paused balancer, which resumes with revision 1 by design, stands where the third balancer stood before, so it was compared with that one's reports whenever the first poll came before the first exchange of digests.

Reports are now told apart by the control address of the balancer, which is stricter too: a return is found when a script asks another list than before. TestReportedRevisions failed with the position as key ("has returned from revision 5 of orders to the older revision 1, as 127.0.0.1:2 reports") and passes now.

--- a/failure_test.go
+++ b/failure_test.go
@@ -19,12 +19,16 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 	"github.com/rogpeppe/go-internal/testscript"
+	"gotest.tools/v3/assert"
 
+	"github.com/bramleymast/bramleymast/internal/operator"
 	"github.com/bramleymast/bramleymast/internal/standin/backend"
 	"github.com/bramleymast/bramleymast/internal/statusclient"
 	"github.com/bramleymast/bramleymast/pkg/store"
@@ -384,12 +388,30 @@
 // reportedRevisions holds the highest revision that each balancer has reported for itself and for each agent.
 type reportedRevisions map[reportKey]store.Revision
 
-// reportKey identifies the reports of one balancer, by its index in the list of balancers, about one process.
+// reportKey identifies the reports of one balancer, by its control address, about one process.
 type reportKey struct {
-	balancer int
+	balancer netip.AddrPort
 	id       string
 }
 
+// record notes what balancers report, answers[i] coming from balancers[i], and returns the highest revision reported for
+// each process. The error names a process for which a balancer reports an older revision than before.
+func (r reportedRevisions) record(service string, balancers []netip.AddrPort, answers []operator.ProgressReply) (map[string]store.Revision, error) {
+	current := make(map[string]store.Revision)
+	for i, a := range answers {
+		for _, p := range a.Progress {
+			k := reportKey{balancer: balancers[i], id: p.ID}
+			if p.Applied < r[k] {
+				return nil, errors.Errorf("%s has returned from revision %d of %s to the older revision %d, as %v reports",
+					p.ID, r[k], service, p.Applied, balancers[i])
+			}
+			r[k] = p.Applied
+			current[p.ID] = max(current[p.ID], p.Applied)
+		}
+	}
+	return current, nil
+}
+
 var acceptedPattern = regexp.MustCompile(`^accepted: .* at revision (\d+)`)
 
 // setAcceptedRevision sets a variable to the revision at which the last command reported a change as accepted.
@@ -437,17 +459,31 @@
 		ts.Check(err)
 		addresses = append(addresses, a)
 	}
-	seen, current := ts.Value(reportedRevisionsKey{}).(reportedRevisions), make(map[string]store.Revision)
 	answers := statusclient.New(addresses, key).Progress(context.Background(), addresses, "config/contracts/"+service)
-	for i, a := range answers {
-		for _, p := range a.Progress {
-			k := reportKey{balancer: i, id: p.ID}
-			if p.Applied < seen[k] {
-				ts.Fatalf("%s has returned from revision %d of %s to the older revision %d", p.ID, seen[k], service, p.Applied)
-			}
-			seen[k] = p.Applied
-			current[p.ID] = max(current[p.ID], p.Applied)
-		}
-	}
+	current, err := ts.Value(reportedRevisionsKey{}).(reportedRevisions).record(service, addresses, answers)
+	ts.Check(err)
 	return current
 }
+
+// TestReportedRevisions guards the check of the scripts: a balancer that resumes with an older revision is compared with
+// its own earlier reports only, also when the script asks another list of balancers than before.
+func TestReportedRevisions(t *testing.T) {
+	lb1, lb2, lb3 := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2"), netip.MustParseAddrPort("127.0.0.1:3")
+	report := func(revisions ...store.Revision) (answers []operator.ProgressReply) {
+		for _, r := range revisions {
+			answers = append(answers, operator.ProgressReply{Progress: []operator.Progress{{ID: "orders-1", Applied: r}}})
+		}
+		return answers
+	}
+	reported := make(reportedRevisions)
+	_, err := reported.record("orders", []netip.AddrPort{lb1, lb2}, report(1, 1))
+	assert.NilError(t, err)
+	_, err = reported.record("orders", []netip.AddrPort{lb1, lb3}, report(5, 5))
+	assert.NilError(t, err)
+	current, err := reported.record("orders", []netip.AddrPort{lb1, lb2, lb3}, report(5, 1, 5))
+	assert.NilError(t, err)
+	assert.Equal(t, current["orders-1"], store.Revision(5))
+
+	_, err = reported.record("orders", []netip.AddrPort{lb3}, report(1))
+	assert.ErrorContains(t, err, "orders-1 has returned from revision 5 of orders to the older revision 1")
+}
