feat: weak entry hosts rely on strong ones for changes in the store

Entry hosts of one deployment differ in link and processor. Each balancer watches the operator's entries, so each change sends the whole configuration over a link of 10 Mbit/s while callers' packets wait behind it, and each watch that ends without a change is a priced call.

With the feature uneven_hosts, balancers tell agents in their messages when they last had an answer of the store, and agents pass on the newest such time of the strongest class of hosts. Off by default.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramleymast/bramleymast/internal/rungroup"
 	"github.com/bramleymast/bramleymast/pkg/detour"
+	"github.com/bramleymast/bramleymast/pkg/entryhost"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 	"github.com/bramleymast/bramleymast/pkg/store"
@@ -95,6 +96,10 @@
 	// newestAgent is the highest revision that a balancer has sent at which the entry of an agent was created. It is
 	// passed on, so that a balancer finds out that it does not know an agent yet.
 	newestAgent maxRevision
+	// vouchers are those of the balancers, and newest is the highest operator revision that one of them has sent. Both are
+	// passed on, so that weak balancers can rely on strong ones.
+	vouchers entryhost.Vouchers
+	newest   maxRevision
 }
 
 // returnPath is where the last packet of a flow came from and which agents it may visit if the backend server rejects
@@ -235,6 +240,9 @@
 	switch m := m.(type) {
 	case *forward:
 		a.onBalancerMessage(now, m.origin)
+		a.vouchers.Add(now, m.voucher)
+		m.voucher = entryhost.Voucher{} // It ages while the packet is held.
+		a.newest.add(m.revision)
 		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
 		a.onForward(now, m)
 	case *search:
@@ -247,6 +255,8 @@
 		a.onBalancerMessage(now, m.origin)
 		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
 		a.newestAgent.add(m.newestAgent)
+		a.vouchers.Add(now, m.voucher)
+		a.newest.add(m.revision)
 		a.sendReport(now, m.origin)
 	case *check:
 		a.onBalancerMessage(now, m.origin)
@@ -261,7 +271,7 @@
 func (a *Agent) sendReport(now time.Time, to netip.AddrPort) { a.link.send(to, a.report(now)) }
 
 func (a *Agent) report(now time.Time) *report {
-	return &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get()}
+	return &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get(), hosts: entryhost.Report{Voucher: a.vouchers.Strongest(now), Weakest: a.vouchers.Weakest(now), Newest: a.newest.get()}}
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -15,6 +15,7 @@
 	"github.com/bramleymast/bramleymast/internal/rungroup"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/detour"
+	"github.com/bramleymast/bramleymast/pkg/entryhost"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 	"github.com/bramleymast/bramleymast/pkg/route"
@@ -54,11 +55,15 @@
 	ReadyPath string
 	// Features are those that the deployment asks for.
 	Features Features
+	// Capacity is what the host offers; the zero value is unknown.
+	Capacity entryhost.Capacity
 	// LinkFilter drops datagrams to other processes in tests; nil sends all.
 	LinkFilter LinkFilter
 	Store      store.Store
 	// SetWatchTimeout sets how long watches of Store wait for a change.
 	SetWatchTimeout func(d time.Duration)
+	// CloseIdleConnections makes the next call to Store open a connection; nil is allowed.
+	CloseIdleConnections func()
 	// WatchStore is the same store, with a longer watch timeout.
 	WatchStore store.Store
 	Layout     Layout
@@ -79,7 +84,8 @@
 	packets  *net.UDPConn
 	http     *httpServer
 	fetcher  *stateFetcher
-	agents   *follower // follows the entries of the agents
+	duty     *watchDuty // nil without the feature
+	agents   *follower  // follows the entries of the agents
 	fleet    passthrough.FleetSize
 
 	refreshing sync.Mutex // serializes updates of the views by several followers
@@ -112,6 +118,7 @@
 		agents:   func() float64 { return float64(len(b.state.board.Records(board.KindAgent))) },
 	})
 	b.fetcher.metrics = b.metrics
+	b.duty = newWatchDuty(cfg, b.state.operatorRevision, b.metrics)
 	b.agents = &follower{store: cfg.WatchStore, prefix: agentsPrefix, pause: b.agentsPause, logger: cfg.Logger, apply: b.state.applyAgent, changed: b.refresh}
 	b.SetDrainPeriod(cfg.DrainPeriod)
 	var err error
@@ -135,7 +142,9 @@
 	return b, nil
 }
 
-func (b *Balancer) agentsPause() time.Duration { return passthrough.AgentsPause(b.fleet.Balancers()) }
+func (b *Balancer) agentsPause() time.Duration {
+	return b.duty.agentsPause(passthrough.AgentsPause(b.fleet.Balancers()))
+}
 
 // Ready reports whether the platform may send packets to the balancer. A balancer that reaches no agent is not ready,
 // so that callers are sent to other balancers. The same applies while nothing from its zone reaches other zones.
@@ -175,6 +184,7 @@
 		}
 	}
 	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.OperatorPrefix, logger: b.cfg.Logger, apply: b.state.applyOperator, changed: b.refresh, loaded: once(loaded)}
+	b.duty.follow(operator)
 	b.agents.loaded = once(loaded)
 	g.Go(operator.run)
 	g.Go(b.agents.run)
@@ -407,14 +417,14 @@
 	b.detours.asked(now, o.Target)
 	b.link.send(o.Target, &forward{
 		origin: b.link.self, service: flow.ServiceIDOf(o.Service), revision: b.state.operatorRevision(),
-		path: o.Alternatives, directory: o.Directory, delay: p.Delay, objective: r.TargetLatency, isRetry: p.IsRetry, packet: p.Packet,
+		voucher: b.duty.voucher(now), path: o.Alternatives, directory: o.Directory, delay: p.Delay, objective: r.TargetLatency, isRetry: p.IsRetry, packet: p.Packet,
 	})
 	b.recordPlacement(p, d, o)
 	return true
 }
 
 func (b *Balancer) forwardEstablished(now time.Time, seg passthrough.Segment, r route.Route, packet []byte) {
-	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.state.operatorRevision(), packet: packet}
+	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.state.operatorRevision(), voucher: b.duty.voucher(now), packet: packet}
 	m.path, m.directory = b.ownerPath(now, seg.Flow(), r)
 	target, known := b.steerer.Owner(now, seg.Flow())
 	m.likelyOwner = known
@@ -467,6 +477,7 @@
 	b.onLoad(now, m.agent, m.service, m.load)
 	b.fleet.Report(now, int(m.balancers))
 	b.agents.expected.add(m.newestAgent)
+	b.duty.reported(now, m)
 	if src.direct() {
 		b.fetcher.onRevision(m.agent, m.revision) // Calls take no detours.
 	}
@@ -481,7 +492,7 @@
 }
 
 func (b *Balancer) probe() *probe {
-	return &probe{origin: b.link.self, revision: b.state.operatorRevision(), newestAgent: b.state.newestAgent.get()}
+	return &probe{origin: b.link.self, revision: b.state.operatorRevision(), newestAgent: b.state.newestAgent.get(), voucher: b.duty.voucher(time.Now())}
 }
 
 // tick probes agents, sends early packets by observed routes, and removes idle flows and unresponsive agents.
@@ -511,11 +522,12 @@
 			}
 		}
 		b.detours.tick(now)
+		b.duty.tick(now)
 		b.resetDueDenials(now)
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			b.attempts.Sweep(now)
-			b.cfg.SetWatchTimeout(passthrough.ConfigurationWatch(b.fleet.Balancers()))
+			b.cfg.SetWatchTimeout(b.duty.watchTimeout(now, passthrough.ConfigurationWatch(b.fleet.Balancers())))
 			b.steerer.Sweep(now, b.state.idleTimeout())
 			b.state.dropUnresponsive(now, func(a netip.AddrPort) bool { return b.steerer.UnansweredFor(now, a) < unresponsiveTimeout })
 		}
--- a/internal/passthrough/features.go
+++ b/internal/passthrough/features.go
@@ -23,10 +23,12 @@
 	RequestPriorities Feature = "request_priorities"
 	// RouteSplit divides new flows between the services of a route by their weights.
 	RouteSplit Feature = "route_split"
+	// UnevenHosts lets weak entry hosts rely on strong ones for changes in the store.
+	UnevenHosts Feature = "uneven_hosts"
 )
 
 // allFeatures lists the features in the order of the documentation.
-var allFeatures = []Feature{FlowRecords, Detours, LearnedCapacity, RequestPriorities, RouteSplit}
+var allFeatures = []Feature{FlowRecords, Detours, LearnedCapacity, RequestPriorities, RouteSplit, UnevenHosts}
 
 // Features is a set of features; the zero value is empty.
 type Features struct {
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -35,6 +35,10 @@
 	logger hclog.Logger
 	// pause returns how long changes are collected before the next call; nil means that they are not.
 	pause func() time.Duration
+	// rest waits before a watch for as long as other processes watch in place of this one; nil does not wait.
+	rest func(ctx context.Context)
+	// answered is called after an answer of the store has been applied; nil is allowed.
+	answered func(now time.Time)
 	// apply handles a changed entry; an entry that is missing from a complete list is passed as deleted.
 	apply func(e store.Entry)
 	// changed is called after the changes of a response have been applied.
@@ -66,6 +70,9 @@
 	for ctx.Err() == nil {
 		var err error
 		if listed {
+			if f.rest != nil {
+				f.rest(ctx)
+			}
 			at, err = f.watch(ctx, at)
 		} else {
 			at, err = f.list(ctx)
@@ -126,6 +133,7 @@
 	f.at.Store(uint64(page.Revision))
 	now := time.Now()
 	f.listedAt.CompareAndSwap(nil, &now)
+	f.notifyAnswered(now)
 	f.loaded()
 	return page.Revision, nil
 }
@@ -151,9 +159,17 @@
 			wait(ctx, f.pause())
 		}
 	}
+	f.notifyAnswered(time.Now())
 	return max(at, page.Revision), nil
 }
 
+// notifyAnswered notifies that an answer of the store has been applied.
+func (f *follower) notifyAnswered(now time.Time) {
+	if f.answered != nil {
+		f.answered(now)
+	}
+}
+
 // beginWatch returns the context of a watch that interruptStaleWatch can end, and a function that must be called after
 // the watch.
 func (f *follower) beginWatch(ctx context.Context) (watchCtx context.Context, end func()) {
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/bramleymast/bramleymast/pkg/entryhost"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 )
@@ -68,6 +69,8 @@
 	isRetry bool
 	// likelyOwner means that the sender has a record that the receiver owns the flow.
 	likelyOwner bool
+	// voucher is that of the balancer.
+	voucher entryhost.Voucher
 	// searched means that the packet was sent to all agents. It is not encoded.
 	searched bool
 	// path lists the agents to visit next, directory those that keep a record of the owner.
@@ -100,6 +103,7 @@
 	revision uint64
 	// newestAgent is the highest store revision at which an agent entry in the balancer's state was created.
 	newestAgent uint64
+	voucher     entryhost.Voucher
 }
 
 // report notifies a balancer of the load of an agent.
@@ -113,6 +117,8 @@
 	balancers uint16
 	// newestAgent is the highest one that the agent has received from a balancer; see probe.
 	newestAgent uint64
+	// hosts is what the agent has heard of the hosts of balancers.
+	hosts entryhost.Report
 }
 
 // announce notifies a seed of an agent that the store does not list.
@@ -196,6 +202,15 @@
 	return append(b, l.Refused)
 }
 
+// voucherUnit is the resolution of the age of a voucher, of which a byte holds more than the time for which it is valid.
+const voucherUnit = 10 * time.Millisecond
+
+// appendVoucher appends a voucher in two bytes, its age rounded up and limited.
+func appendVoucher(b []byte, v entryhost.Voucher) []byte {
+	age := min((max(v.Age, 0)+voucherUnit-1)/voucherUnit, math.MaxUint8)
+	return append(b, byte(v.Class), byte(age))
+}
+
 // loadTimeUnit is the resolution of the times in a load, of which the longest is 6.5 s.
 const loadTimeUnit = 100 * time.Microsecond
 
@@ -226,6 +241,7 @@
 	b = appendUnits(b, m.delay, time.Millisecond)
 	b = appendUnits(b, m.objective, time.Millisecond)
 	b = append(b, m.flags())
+	b = appendVoucher(b, m.voucher)
 	b = appendPath(b, &m.path)
 	b = appendPath(b, &m.directory)
 	return append(b, m.packet...)
@@ -268,7 +284,8 @@
 	b = header(b, kindProbe)
 	b = appendAddress(b, m.origin)
 	b = binary.BigEndian.AppendUint64(b, m.revision)
-	return binary.BigEndian.AppendUint64(b, m.newestAgent)
+	b = binary.BigEndian.AppendUint64(b, m.newestAgent)
+	return appendVoucher(b, m.voucher)
 }
 
 func (m *report) append(b []byte) []byte {
@@ -278,7 +295,10 @@
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	b = appendLoad(b, m.load)
 	b = binary.BigEndian.AppendUint16(b, m.balancers)
-	return binary.BigEndian.AppendUint64(b, m.newestAgent)
+	b = binary.BigEndian.AppendUint64(b, m.newestAgent)
+	b = appendVoucher(b, m.hosts.Voucher)
+	b = append(b, byte(m.hosts.Weakest))
+	return binary.BigEndian.AppendUint64(b, m.hosts.Newest)
 }
 
 func (m *announce) append(b []byte) []byte {
@@ -384,6 +404,11 @@
 
 func (r *reader) text() string { return string(r.next(int(r.next(1)[0]))) }
 
+func (r *reader) voucher() entryhost.Voucher {
+	b := r.next(2)
+	return entryhost.Voucher{Class: entryhost.Class(b[0]), Age: time.Duration(b[1]) * voucherUnit}
+}
+
 func (r *reader) addresses() []netip.AddrPort {
 	n := r.next(1)[0]
 	if n == 0 {
@@ -449,6 +474,7 @@
 		m.delay, m.objective = r.milliseconds(), r.milliseconds()
 		flags := r.next(1)[0]
 		m.isRetry, m.likelyOwner = flags&forwardIsRetry != 0, flags&forwardLikelyOwner != 0
+		m.voucher = r.voucher()
 		m.path, m.directory = r.path(), r.path()
 		m.packet = r.rest
 		return m
@@ -459,11 +485,12 @@
 		m.minAck = binary.BigEndian.Uint32(r.next(4))
 		return m
 	case kindProbe:
-		return &probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64()}
+		return &probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64(), voucher: r.voucher()}
 	case kindReport:
 		m := &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
 		m.balancers = binary.BigEndian.Uint16(r.next(2))
 		m.newestAgent = r.uint64()
+		m.hosts = entryhost.Report{Voucher: r.voucher(), Weakest: entryhost.Class(r.next(1)[0]), Newest: r.uint64()}
 		return m
 	case kindAnnounce:
 		return &announce{agent: r.address(), revision: r.uint64(), id: r.text(), service: r.text(), zone: r.text(), addresses: r.addresses()}
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/bramleymast/bramleymast/pkg/entryhost"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 )
@@ -37,6 +38,11 @@
 	}
 }
 
+func drawVoucher(t *rapid.T) entryhost.Voucher {
+	age := time.Duration(rapid.IntRange(0, 255).Draw(t, "age")) * voucherUnit
+	return entryhost.Voucher{Class: entryhost.Class(rapid.Byte().Draw(t, "class")), Age: age}
+}
+
 func drawMessage(t *rapid.T) message {
 	f := passthrough.NewFlowID(drawAddress(t, "caller"), drawAddress(t, "service"))
 	switch rapid.IntRange(1, 10).Draw(t, "kind") {
@@ -46,7 +52,7 @@
 			revision: rapid.Uint64().Draw(t, "revision"), hops: rapid.Byte().Draw(t, "hops"),
 			delay:     time.Duration(rapid.Uint16().Draw(t, "delay")) * time.Millisecond,
 			objective: time.Duration(rapid.Uint16().Draw(t, "objective")) * time.Millisecond,
-			isRetry:   rapid.Bool().Draw(t, "is retry"), likelyOwner: rapid.Bool().Draw(t, "likely owner"),
+			isRetry:   rapid.Bool().Draw(t, "is retry"), likelyOwner: rapid.Bool().Draw(t, "likely owner"), voucher: drawVoucher(t),
 			path: drawPath(t, "path"), directory: drawPath(t, "directory"),
 			packet: rapid.SliceOfN(rapid.Byte(), 1, 1231).Draw(t, "packet"),
 		}
@@ -55,7 +61,7 @@
 	case 3:
 		return &owner{flow: f, agent: drawAddress(t, "agent"), minAck: rapid.Uint32().Draw(t, "min ack")}
 	case 4:
-		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision"), newestAgent: rapid.Uint64().Draw(t, "agents revision")}
+		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision"), newestAgent: rapid.Uint64().Draw(t, "agents revision"), voucher: drawVoucher(t)}
 	case 5:
 		m := &announce{agent: drawAddress(t, "agent"), revision: rapid.Uint64().Draw(t, "revision"), id: rapid.StringN(0, -1, maxText).Draw(t, "id"), service: rapid.StringN(0, -1, maxText).Draw(t, "name"), zone: rapid.StringN(0, -1, maxText).Draw(t, "zone")}
 		for range rapid.IntRange(0, maxAnnouncedAddresses).Draw(t, "addresses") {
@@ -83,7 +89,7 @@
 	case 9:
 		return &denied{flow: f, agent: drawAddress(t, "agent"), ack: rapid.Uint32().Draw(t, "ack"), restarted: rapid.Bool().Draw(t, "restarted"), newestAgent: rapid.Uint64().Draw(t, "agents revision")}
 	default:
-		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t), balancers: rapid.Uint16().Draw(t, "balancers"), newestAgent: rapid.Uint64().Draw(t, "newest agent")}
+		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t), balancers: rapid.Uint16().Draw(t, "balancers"), newestAgent: rapid.Uint64().Draw(t, "newest agent"), hosts: entryhost.Report{Voucher: drawVoucher(t), Weakest: entryhost.Class(rapid.Byte().Draw(t, "weakest")), Newest: rapid.Uint64().Draw(t, "newest")}}
 	}
 }
 
