--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -142,9 +142,7 @@
 	return b, nil
 }
 
-func (b *Balancer) agentsPause() time.Duration {
-	return b.duty.agentsPause(passthrough.AgentsPause(b.fleet.Balancers()))
-}
+func (b *Balancer) agentsPause() time.Duration { return passthrough.AgentsPause(b.fleet.Balancers()) }
 
 // Ready reports whether the platform may send packets to the balancer. A balancer that reaches no agent is not ready,
 // so that callers are sent to other balancers. The same applies while nothing from its zone reaches other zones.
--- a/internal/passthrough/watch_duty.go
+++ b/internal/passthrough/watch_duty.go
@@ -131,17 +131,3 @@
 	default: // It is already about to watch.
 	}
 }
-
-// restingPause is by how much a balancer that relies on others collects changes of agent entries longer. Agents report
-// their changes to it too.
-const restingPause = 2
-
-// maxRestingPause bounds the time until such a balancer places flows at an agent that has joined.
-const maxRestingPause = 4 * time.Second
-
-func (d *watchDuty) agentsPause(pause time.Duration) time.Duration {
-	if !d.relies() {
-		return pause
-	}
-	return max(pause, min(restingPause*pause, maxRestingPause))
-}
