fix: an agent keeps an open flow when late copies of its opening packet arrive

Cause, found by reading and shown by the tests: the owner lost its record of the flow, or what its backend server had sent on it, and denied the caller's next packet as all other agents did. - A second copy was delivered; before its answer the first one arrived from another agent and was queued, since the answer had not yet made it a copy.

Change: an opening packet within the time in which callers send copies of one that was delivered, answered or not, is a copy and is delivered. Copies that are taken for new openings leave the record of an open flow in place; the answer of the backend server shows by its initial number whether it is another flow. An opening packet counts no more as a copy only by its number of retransmissions, so that a port that is used again passes admission.

--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -193,14 +193,14 @@
 	return ad.room.reachability.confirmed
 }
 
-// OnOpeningPacket decides on a packet that opens a flow. Retransmissions of a delivered packet are delivered too.
+// OnOpeningPacket decides on a packet that opens a flow. Copies of a delivered packet are delivered too.
 func (ad *Admitter) OnOpeningPacket(now time.Time, p OpeningPacket) Decision {
 	seg := p.Segment
-	if lf, ok := ad.flows.Get(now, seg.Flow()); ok && !lf.notHeld && (seg.Retransmissions() > 0 || lf.hasJustOpened(now)) {
-		return Deliver{} // A copy, which another agent may have held for longer than the first one took.
-	}
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
+	if lf, ok := ad.flows.Get(now, seg.Flow()); ok && lf.expectsCopies(now) {
+		return Deliver{} // A copy, which another agent may have held for longer than the first one took.
+	}
 	d := ad.room.admit(now, p)
 	if _, ok := d.(Deliver); ok {
 		ad.recordDelivery(now, seg)
@@ -208,15 +208,19 @@
 	return d
 }
 
-// recordDelivery records that an opening packet is delivered to the backend server.
+// recordDelivery records that an opening packet is delivered to the backend server. The record of a flow that is open
+// stays until the answer shows whether the packet was a late copy or the caller uses its port again.
 func (ad *Admitter) recordDelivery(now time.Time, seg Segment) {
 	f := seg.Flow()
 	ad.room.onOpening(now, seg)
 	ad.room.forgetWaiting(f)
 	ad.room.reachability.onDelivered(now)
-	ad.flows.Update(now, f, func(before localFlow, _ bool) localFlow {
-		ad.open.change(before, localFlow{})
-		return localFlow{}
+	ad.flows.Update(now, f, func(lf localFlow, _ bool) localFlow {
+		if lf.isNotOpen() {
+			lf = localFlow{}
+		}
+		lf.delivered = now
+		return lf
 	})
 	ad.nextAgents.Delete(f)
 }
@@ -262,9 +266,10 @@
 	return ad.room.queue.unansweredAttempts(now)
 }
 
-// SetNextAgent records the agent to which an opening packet was passed on.
+// SetNextAgent records the agent to which an opening packet was passed on. The packet may be a late copy, so the record of
+// a flow that is open stays.
 func (ad *Admitter) SetNextAgent(now time.Time, f FlowID, agent netip.AddrPort) {
-	ad.flows.Delete(f)
+	ad.flows.DeleteIf(f, localFlow.isNotOpen)
 	ad.nextAgents.Put(now, f, agent)
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
@@ -443,7 +448,7 @@
 	ad.mu.Unlock()
 	switch {
 	case seg.IsOpening():
-		ad.flows.Delete(f)
+		ad.flows.DeleteIf(f, localFlow.isNotOpen)
 		return PassOn{ReasonRejected}
 	case known && lf.established && lf.ownsPacket(seg):
 		ad.flows.Delete(f)
--- a/pkg/passthrough/local_flow.go
+++ b/pkg/passthrough/local_flow.go
@@ -18,6 +18,7 @@
 	notHeld     bool           // the flow is unknown to the backend server
 	ended       bool           // the backend server has sent the end of its data or a reset
 	callerEnded bool           // the caller has sent the end of its data or a reset
+	delivered   time.Time      // when an opening packet was last delivered other than as a copy
 	use         flowUse
 }
 
@@ -33,16 +34,24 @@
 	return lf.accepted && !lf.notHeld && !lf.probed && lf.window.acknowledgedBy(seg)
 }
 
+// isNotOpen reports whether the flow is not open, as far as its packets show.
+func (lf localFlow) isNotOpen() bool { return !lf.isOpen() }
+
+// expectsCopies reports whether an opening packet was delivered so recently that another one is a copy of it.
+func (lf localFlow) expectsCopies(now time.Time) bool {
+	return !lf.notHeld && (now.Sub(lf.delivered) < retransmissionPeriod || now.Sub(lf.use.opened) < retransmissionPeriod)
+}
+
 // reopened returns the record of a flow after the backend server has answered an opening packet. It keeps the record if
 // the answer is a copy of an earlier one.
 func (lf localFlow) reopened(isn uint32) localFlow {
 	switch {
 	case !lf.accepted:
-		return localFlow{window: newSequenceWindow(isn), accepted: true}
+		return localFlow{window: newSequenceWindow(isn), accepted: true, delivered: lf.delivered}
 	case lf.window.opensAt(isn):
 		return lf
 	}
-	return localFlow{window: lf.window.reopened(isn), accepted: true}
+	return localFlow{window: lf.window.reopened(isn), accepted: true, delivered: lf.delivered}
 }
 
 // hasJustOpened reports whether the backend server has answered an opening packet so recently that the caller may still
--- a/pkg/passthrough/table.go
+++ b/pkg/passthrough/table.go
@@ -88,6 +88,16 @@
 	delete(s.entries, f)
 }
 
+// DeleteIf removes a flow if the condition holds for its value.
+func (t *Table[V]) DeleteIf(f FlowID, condition func(v V) bool) {
+	s := t.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.entries[f]; ok && condition(e.value) {
+		delete(s.entries, f)
+	}
+}
+
 // Sweep removes the flows for which expired returns true; idle is the time since the flow's last use.
 func (t *Table[V]) Sweep(now time.Time, expired func(v V, idle time.Duration) bool) {
 	for i := range t.shards {
