test: flows of gigabytes are recognised with losses, retransmissions and restarts

TestSequenceWindowFollowsFlowOfGigabytes draws them around each of the limits, for the owner, its directory, a search and an agent whose backend server answered another copy of the opening packet.

--- a/pkg/passthrough/sequence_test.go
+++ b/pkg/passthrough/sequence_test.go
@@ -84,6 +84,36 @@
 	})
 }
 
+// Guards against the same where the sequence numbers pass half of their range or wrap around: packets are lost and
+// retransmitted, the caller is behind, and the agent restarts.
+func TestSequenceWindowFollowsFlowOfGigabytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLongFlow(rapid.Uint32().Draw(t, "isn"))
+		passed := rapid.SampledFrom([]int{1 << 24, 1 << 31, 1 << 32, 1<<32 + 1<<31}).Draw(t, "passed")
+		const burst, around = 1 << 20, 4 << 20 // bytes; a segment stands for the packets of a burst
+		restartAt := rapid.SampledFrom([]int{0, burst, passed / 2, passed - around/2, passed}).Draw(t, "restart at")
+		for sent := 0; sent < passed+around; {
+			size := burst
+			if sent > passed-around {
+				size = rapid.IntRange(1, 400_000).Draw(t, "size")
+				behind := uint32(rapid.IntRange(0, maxUnacknowledged-1200).Draw(t, "behind"))
+				switch rapid.IntRange(0, 3).Draw(t, "event") {
+				case 0: // a retransmission
+					l.owner.OnServerPacket(start, passthrough.NewSegment(flowOf(1), passthrough.FlagAck, l.next-behind, 2, min(1200, int(behind))), false)
+				case 1: // a packet that follows a lost one
+					l.owner.OnServerPacket(start, passthrough.NewSegment(flowOf(1), passthrough.FlagAck, l.next+1200, 2, 1200), false)
+				}
+				l.check(t, behind)
+			}
+			if sent <= restartAt && sent+size > restartAt {
+				l.restartOwner()
+			}
+			l.send(size)
+			sent += size
+		}
+	})
+}
+
 // Guards against the same after the sequence numbers have wrapped around.
 func TestSequenceWindowWraps(t *testing.T) {
 	l := newLongFlow(1 << 30)
