fix: a packet that was forwarded too often goes back to its balancer

Callers would lose the packets of an open flow until they give up.

Cause: an agent that has passed on a copy of an opening packet forwards later packets of the flow to the next agent. Two that name each other, after two copies took different ways, send a packet to and fro until its hops are used up and then drop it without a word, as each retransmission.

Change: such a packet is one of an unknown flow. It goes back to its balancer, which searches the owner. TestForwardedTooOften failed before: nothing was sent.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -380,11 +380,13 @@
 	case passthrough.PassOn:
 		a.passOn(now, seg, m, d.Reason)
 	case passthrough.Forward:
-		if m.hops < maxHops {
-			m.hops++
-			m.likelyOwner = true
-			a.link.send(d.Owner, m)
+		if m.hops >= maxHops {
+			a.onUnknownFlow(now, seg, m)
+			return
 		}
+		m.hops++
+		m.likelyOwner = true
+		a.link.send(d.Owner, m)
 	case passthrough.Refuse:
 		a.refuse(seg, d.Reason)
 	case passthrough.UnknownFlow:
