fix: a late message of an earlier agent does not drop its successor

The platform uses the addresses of agents again. A balancer that was paused reads the entry of the new agent from the store and then, from its socket, reports of the earlier agent of another service. It dropped the new agent at once, until its entry changes again: the agent gets no flows there, and searches leave it out, so the other agents' denials are complete and the balancer resets flows that its backend server holds.

Change: messages of another service count only after 500 ms while the agent itself has not been heard. Once it has been heard, later messages are newer (the socket keeps their order) and drop it at once as before.

TestSteererLateLoadOfOtherService failed before at the first report.

--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -60,6 +60,9 @@
 	meanInProgress, meanFlows float64
 	lastSentAt                time.Time
 	detoured                  bool // reached through a relay
+	// contradictedAt is when another service was first heard at the address of an agent that has not reported; zero if it
+	// was not.
+	contradictedAt time.Time
 }
 
 // NewSteerer returns the steerer of a balancer in the given zone.
@@ -141,8 +144,23 @@
 	})
 }
 
+// maxLateMessage is how long after the entry of an agent a balancer may still read messages of the earlier agent at its
+// address, which have waited while the balancer was paused.
+const maxLateMessage = 500 * time.Millisecond
+
+// contradicted reports whether a message of another service shows that the agent does not exist any more.
+func (st *agentState) contradicted(now time.Time) bool {
+	if st.reported {
+		return true
+	}
+	if st.contradictedAt.IsZero() {
+		st.contradictedAt = now
+	}
+	return now.Sub(st.contradictedAt) >= maxLateMessage
+}
+
 // SetLoad records the load that an agent of a service has reported. It returns false if the agent recorded at the
-// address belongs to another service.
+// address belongs to another service and does not exist any more.
 func (s *Steerer) SetLoad(now time.Time, agent netip.AddrPort, service flow.ServiceID, l Load) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,7 +169,7 @@
 		return true
 	}
 	if st.service != service {
-		return false
+		return !st.contradicted(now)
 	}
 	if s.byTime && !st.detoured && !st.unansweredSince.IsZero() {
 		s.ways.Add(st.zone, now.Sub(st.unansweredSince))
--- a/pkg/passthrough/steerer_test.go
+++ b/pkg/passthrough/steerer_test.go
@@ -275,6 +275,21 @@
 	assert.Equal(t, o.Target, address(1))
 }
 
+// Guards against an agent that is dropped for good, and left out of searches, because a message of the earlier agent at its
+// address is read after its entry.
+func TestSteererLateLoadOfOtherService(t *testing.T) {
+	other, load := flow.ServiceIDOf("pages"), passthrough.Load{Slots: 2, AcceptsFlows: true}
+	s := passthrough.NewSteerer("zone-0")
+	s.SetViews(views(2))
+	late := start.Add(100 * time.Millisecond)
+	assert.Assert(t, s.SetLoad(start, address(0), other, load) && s.SetLoad(late, address(0), other, load))
+	assert.Assert(t, s.SetLoad(late, address(0), serviceID, load))
+	assert.Assert(t, !s.SetLoad(late, address(0), other, load), "the address is used again")
+
+	assert.Assert(t, s.SetLoad(start, address(1), other, load))
+	assert.Assert(t, !s.SetLoad(start.Add(600*time.Millisecond), address(1), other, load), "the entry is out of date")
+}
+
 // Guards against a balancer that reaches no agent and still accepts callers' packets.
 func TestSteererIsolated(t *testing.T) {
 	s := steerer(2)
