fix: an agent that has just started does not deny a flow after a copy of its opening packet

A caller would see a reset of a flow that its agent's earlier process had opened.

Cause: a late copy of the opening packet, which has waited at another agent, reaches the new process. It knows no packet of the flow, so it takes the answer of the backend server for the first one, and what was sent before the restart for numbers that were never sent. It denies the caller's next packet; without the copy it would have delivered it to find out.

"delivered after a restart of the agent" in TestLateCopiesOfOpening failed before (Deny).

--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -374,6 +374,12 @@
 	return !ad.noPreExisting.Load() && now.Sub(ad.started) < ad.flowTTL
 }
 
+// mayHaveMissedOpening reports whether an opening packet may be a copy of one that was delivered before the agent started,
+// so that the backend server may have sent packets on the flow that the agent does not know.
+func (ad *Admitter) mayHaveMissedOpening(now time.Time) bool {
+	return !ad.noPreExisting.Load() && now.Sub(ad.started) < retransmissionPeriod
+}
+
 // recordRequest updates the requests in progress when a caller's packet of an open flow is delivered.
 func (ad *Admitter) recordRequest(now time.Time, seg Segment) {
 	if !ad.tracksRequests && seg.Size() == 0 && !seg.Has(FlagReset) {
@@ -415,6 +421,7 @@
 		case seg.Has(FlagOpen | FlagAck):
 			accepted = !lf.accepted
 			lf = lf.reopened(seg.Seq())
+			lf.window.complete = lf.window.complete && !ad.mayHaveMissedOpening(now)
 		case !known || lf.probed:
 			lf = localFlow{window: preExistingWindow(seg.Seq()), accepted: true, established: true}
 		default:
--- a/pkg/passthrough/opening_copies_test.go
+++ b/pkg/passthrough/opening_copies_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
+	"github.com/bramleymast/bramleymast/pkg/route"
 )
 
 // copiedFlow is a flow at its owner that receives copies of the opening packet: from the caller, and late ones that other
@@ -154,6 +155,14 @@
 			c.ad.SetDraining()
 			c.arrive(openingPacket(1, 0, address(2)))
 		},
+		"delivered after a restart of the agent": func(c *copiedFlow) {
+			opened(c)
+			c.ad = passthrough.NewAdmitter(c.now)
+			c.ad.SetServiceLimits(route.ServiceLimits{})
+			c.ad.SetBackendState(c.now, 1, false, 0)
+			c.arrive(first)
+			c.handle(false)
+		},
 		"rejected before the second one opens the flow": func(c *copiedFlow) { c.arrive(first); c.arrive(second); c.handle(true); c.handle(false) },
 	} {
 		t.Run(name, func(t *testing.T) {
