refactor: questions about placements in a package of their own

The client, the answer and the HTTP handler of `bramleymast where` move from internal/passthrough to internal/forecast, so that balancers of the QUIC service can answer too.

--- a/internal/cmd/where.go
+++ b/internal/cmd/where.go
@@ -7,14 +7,14 @@
 	"github.com/integrii/flaggy"
 	"github.com/juju/errors"
 
-	"github.com/bramleymast/bramleymast/internal/passthrough"
+	"github.com/bramleymast/bramleymast/internal/forecast"
 	"github.com/bramleymast/bramleymast/pkg/finding"
 )
 
 // whereCommand implements "bramleymast where".
 type whereCommand struct {
 	outputOption
-	question passthrough.WhereQuestion
+	question forecast.Question
 	balancer string
 }
 
@@ -47,9 +47,9 @@
 	if e.printFindings(l) {
 		return ExitBadInput
 	}
-	answer, err := passthrough.AskWhere(ctx, balancer, c.question)
+	answer, err := forecast.Ask(ctx, balancer, c.question)
 	switch {
-	case errors.Is(err, passthrough.ErrBadWhere):
+	case errors.Is(err, forecast.ErrBadQuestion):
 		e.printError(err)
 		return ExitBadInput
 	case err != nil:
--- a/internal/passthrough/where_answer.go
+++ b/internal/forecast/client.go
@@ -1,4 +1,4 @@
-package passthrough
+package forecast
 
 import (
 	"context"
@@ -19,21 +19,16 @@
 )
 
 const (
-	// whereTimeout limits the time until a balancer has answered.
-	whereTimeout = 2 * time.Second
-	// shownAgents is how many agents of a service WhereAnswer.Write shows, so that the answer fits a screen.
+	// answerTimeout limits the time until a balancer has answered.
+	answerTimeout = 2 * time.Second
+	// shownAgents is how many agents of a service Answer.Write shows, so that the answer fits a screen.
 	shownAgents = 10
-	// maxWhereAnswer limits the size of an answer, which has some 400 bytes for each agent.
-	maxWhereAnswer = 16 << 20
+	// maxAnswer limits the size of an answer, which has some 400 bytes for each agent.
+	maxAnswer = 16 << 20
 )
 
-const errNotIPv4 = errors.ConstError("not an IPv4 address")
-
-// ErrBadWhere means that a balancer does not accept the question, such as one about an unknown route.
-const ErrBadWhere = errors.ConstError("the question cannot be answered")
-
-// WhereQuestion asks where a new flow would go.
-type WhereQuestion struct {
+// Question asks where a new flow would go.
+type Question struct {
 	// Address is the service address of the flow.
 	Address string
 	// From is the caller's address, with or without a port; empty means any caller.
@@ -42,14 +37,11 @@
 	Zone string
 }
 
-// WhereAnswer is where a new flow would go, according to a balancer.
-type WhereAnswer struct{ reply whereJSON }
-
-// AskWhere asks the balancer that serves metrics at the given address.
-func AskWhere(ctx context.Context, balancer netip.AddrPort, q WhereQuestion) (WhereAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, whereTimeout)
+// Ask asks the balancer that serves metrics at the given address.
+func Ask(ctx context.Context, balancer netip.AddrPort, q Question) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	u := url.URL{Scheme: "http", Host: balancer.String(), Path: wherePath}
+	u := url.URL{Scheme: "http", Host: balancer.String(), Path: Path}
 	query := url.Values{"address": {q.Address}}
 	for name, value := range map[string]string{"from": q.From, "zone": q.Zone} {
 		if value != "" {
@@ -59,63 +51,70 @@
 	u.RawQuery = query.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return WhereAnswer{}, errors.Trace(err)
+		return Answer{}, errors.Trace(err)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return WhereAnswer{}, errors.Annotatef(err, "cannot reach the balancer at %s", balancer)
+		return Answer{}, errors.Annotatef(err, "cannot reach the balancer at %s", balancer)
 	}
 	defer func() { _ = resp.Body.Close() }() // The body was only read.
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWhereAnswer))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return WhereAnswer{}, errors.Annotatef(err, "cannot read the answer of %s", balancer)
+		return Answer{}, errors.Annotatef(err, "cannot read the answer of %s", balancer)
 	}
-	return decodeWhere(balancer, resp.StatusCode, body)
+	return decode(balancer, resp.StatusCode, body)
 }
 
-func decodeWhere(balancer netip.AddrPort, status int, body []byte) (WhereAnswer, error) {
+func decode(balancer netip.AddrPort, status int, body []byte) (Answer, error) {
 	if status != http.StatusOK {
-		var e whereErrorJSON
+		var e errorJSON
 		if json.Unmarshal(body, &e) != nil || e.Error == "" {
-			return WhereAnswer{}, errors.Errorf("%s answers with status %d; it serves no placements", balancer, status)
+			return Answer{}, errors.Errorf("%s answers with status %d; it serves no placements", balancer, status)
 		}
 		if status == http.StatusServiceUnavailable {
-			return WhereAnswer{}, errors.Errorf("%s: %s", balancer, e.Error)
+			return Answer{}, errors.Errorf("%s: %s", balancer, e.Error)
 		}
-		return WhereAnswer{}, errors.Annotatef(ErrBadWhere, "%s: %s", balancer, e.Error)
+		return Answer{}, errors.Annotatef(ErrBadQuestion, "%s: %s", balancer, e.Error)
 	}
-	var a WhereAnswer
-	err := json.Unmarshal(body, &a.reply)
+	var a Answer
+	err := json.Unmarshal(body, &a)
 	return a, errors.Annotatef(err, "cannot decode the answer of %s", balancer)
 }
 
-// MarshalJSON encodes the whole answer.
-func (a WhereAnswer) MarshalJSON() ([]byte, error) { return json.Marshal(a.reply) }
-
 // Write writes the answer as text, with the best ten agents of each service.
-func (a WhereAnswer) Write(w io.Writer) error {
-	r := a.reply
+func (a Answer) Write(w io.Writer) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "balancer %s in zone %s, configuration at revision %d\n", r.Balancer, r.Zone, r.Revision)
-	fmt.Fprintf(&b, "route    %s, priority %d, objective %s%s\n", r.Route.Address, r.Route.Priority, millisecondsText(r.Route.ObjectiveMS), splitText(r.Route.Split))
-	fmt.Fprintf(&b, "flow     %s%s\n", r.Flow, ownerText(r.Owner))
-	if c := r.Choice; c != nil {
+	fmt.Fprintf(&b, "balancer %s in zone %s, configuration at revision %d\n", a.Balancer, a.Zone, a.Revision)
+	fmt.Fprintf(&b, "route    %s, priority %d, objective %s%s\n", a.Route.Address, a.Route.Priority, millisecondsText(a.Route.ObjectiveMS), splitText(a.Route.Split))
+	fmt.Fprintf(&b, "flow     %s%s\n", a.Flow, ownerText(a.Owner))
+	if c := a.Choice; c != nil {
 		fmt.Fprintf(&b, "goes to  %s of %s: %s\n", c.Agent, c.Service, c.Reason)
 		fmt.Fprintf(&b, "then     %s\n", listText(c.Alternatives))
 	} else {
-		fmt.Fprintf(&b, "refused  %s\n", r.Refusal)
+		fmt.Fprintf(&b, "refused  %s\n", a.Refusal)
 	}
-	for _, s := range r.Services {
+	for _, s := range a.Services {
 		s.write(&b)
 	}
 	_, err := io.WriteString(w, b.String())
 	return errors.Trace(err)
 }
 
-func (s whereServiceJSON) write(b *strings.Builder) {
-	fmt.Fprintf(b, "\nservice %s: %s\n", s.Service, s.Room)
+var (
+	allColumns = []string{
+		"AGENT", "ADDRESS", "ZONE", "EXPECTED", "WAIT", "WAY", "IN PROGRESS", "FLOWS", "LIMIT", "SERVICE TIME", "FAILS", "REPORT",
+	}
+	rankColumns = allColumns[:3]
+)
+
+func (s Service) write(b *strings.Builder) {
+	fmt.Fprintf(b, "\nservice %s: %s\n", s.Name, s.Room)
 	tw := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(tw, "AGENT\tADDRESS\tZONE\tEXPECTED\tWAIT\tWAY\tIN PROGRESS\tFLOWS\tLIMIT\tSERVICE TIME\tFAILS\tREPORT")
+	columns := allColumns
+	if s.ByRank {
+		columns = rankColumns
+	}
+	_, _ = fmt.Fprintln(tw, strings.Join(columns, "\t"))
 	usable, shown := 0, 0
 	excluded := make(map[string]int)
 	for _, a := range s.Agents {
@@ -126,7 +125,7 @@
 		usable++
 		if shown < shownAgents {
 			shown++
-			_, _ = fmt.Fprintln(tw, strings.Join(a.cells(), "\t"))
+			_, _ = fmt.Fprintln(tw, strings.Join(a.cells()[:len(columns)], "\t"))
 		}
 	}
 	_ = tw.Flush() // A strings.Builder takes all.
@@ -136,7 +135,7 @@
 	}
 }
 
-func (a whereAgentJSON) cells() []string {
+func (a Agent) cells() []string {
 	expected, wait, way, service, limit, age := "-", "-", "-", "-", strconv.Itoa(a.Slots), "never"
 	if a.ExpectedMS != nil {
 		expected, wait, way = tenths(*a.ExpectedMS), tenths(a.QueueMS), tenths(a.WayMS)
@@ -165,7 +164,7 @@
 	return strconv.FormatInt(ms, 10) + " ms"
 }
 
-func splitText(split []shareJSON) string {
+func splitText(split []Share) string {
 	if len(split) == 0 {
 		return ""
 	}
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bramleymast/bramleymast/internal/forecast"
 	"github.com/bramleymast/bramleymast/internal/rungroup"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/detour"
@@ -131,7 +132,7 @@
 	}
 	b.http.handleReady(cfg.ReadyPath, b.Ready)
 	b.http.mux.Handle("GET "+metricsPath, b.metrics.handler())
-	b.http.mux.HandleFunc("GET "+wherePath, b.serveWhere)
+	b.http.mux.Handle("GET "+forecast.Path, forecast.Handler(b))
 	return b, nil
 }
 
