feat: where asks balancers of the QUIC service too

`bramleymast where` worked against bramleymast-node only; the demo and `bramleymast balancer` answered 404. Both now answer at /where. An explanation does not count as a use of the flow in the cache. The demo prints the addresses of metrics.

--- a/internal/cmd/where.go
+++ b/internal/cmd/where.go
@@ -22,7 +22,7 @@
 	sc := flaggy.NewSubcommand("where")
 	sc.Description = "explains where a new flow would go now, without sending it"
 	sc.AddPositionalValue(&c.question.Address, "address", 1, true, "service address and port")
-	sc.String(&c.balancer, "b", "balancer", "address and port at which a bramleymast-node balancer serves its metrics (required)")
+	sc.String(&c.balancer, "b", "balancer", "address and port at which a balancer serves its metrics (required)")
 	sc.String(&c.question.From, "f", "from", "caller's address, with its port for a known flow")
 	sc.String(&c.question.Zone, "z", "zone", "zone from which the flow is sent, instead of the balancer's")
 	c.outputOption.declare(sc)
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -236,6 +236,7 @@
 	cl.fabric.AddBalancer(fabric.Balancer{
 		ID: id, Zone: zone, IP: ip, ReadyURL: "http://" + n.HTTPAddress().String() + "/readyz",
 	})
+	cl.progressf("%s in %s serves metrics at %s", id, zone, n.HTTPAddress())
 	return ctx.Err()
 }
 
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"net/netip"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/bramleymast/bramleymast/internal/forecast"
 	"github.com/bramleymast/bramleymast/internal/standin/caller"
 )
 
@@ -71,8 +75,36 @@
 	}
 }
 
+// forecasts reads the progress of a run and asks a balancer about each service once callers use it.
+type forecasts struct {
+	balancer netip.AddrPort
+	services []string
+	answers  []string
+}
+
+var progressAddress = regexp.MustCompile(`(serves metrics|service .*) at ([0-9.:]+[0-9])`)
+
+func (f *forecasts) Write(line []byte) (int, error) {
+	if m := progressAddress.FindSubmatch(line); m != nil && string(m[1]) == "serves metrics" {
+		f.balancer = netip.MustParseAddrPort(string(m[2]))
+	} else if m != nil {
+		f.services = append(f.services, string(m[2]))
+	}
+	if !strings.Contains(string(line), StopStore{}.String()) {
+		return len(line), nil
+	}
+	for _, s := range f.services {
+		a, err := forecast.Ask(context.Background(), f.balancer, forecast.Question{Address: s})
+		var text strings.Builder
+		_, _ = fmt.Fprintln(&text, err)
+		_ = a.Write(&text)
+		f.answers = append(f.answers, text.String())
+	}
+	return len(line), nil
+}
+
 // Guards against flows that break and requests that are lost or run twice while a balancer is added, a balancer is killed
-// and the store is down.
+// and the store is down. A balancer tells meanwhile where flows would go.
 func TestFlowsSurviveBalancersAndStore(t *testing.T) {
 	d, err := FindDeployment("notas")
 	assert.NilError(t, err)
@@ -85,8 +117,13 @@
 		{Percent: 60, Action: KillBalancer{Index: 1}},
 		{Percent: 80, Action: RestoreStore{}},
 	}}
-	rep, err := Run(context.Background(), Options{Experiment: e, Seed: 1, Duration: 6 * time.Second})
+	var asked forecasts
+	rep, err := Run(context.Background(), Options{Experiment: e, Seed: 1, Duration: 6 * time.Second, Progress: &asked})
 	assert.NilError(t, err)
+	assert.Assert(t, len(asked.answers) > 0)
+	for _, a := range asked.answers {
+		assert.Assert(t, strings.Contains(a, "goes to"), "%s", a)
+	}
 	for _, s := range rep.Services {
 		assert.Assert(t, s.Answered > 0)
 		assert.Equal(t, s.FlowsBrokenPlanned, 0, "%v", s.Breaks)
--- a/internal/forecast/client.go
+++ b/internal/forecast/client.go
@@ -85,7 +85,7 @@
 func (a Answer) Write(w io.Writer) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "balancer %s in zone %s, configuration at revision %d\n", a.Balancer, a.Zone, a.Revision)
-	fmt.Fprintf(&b, "route    %s, priority %d, objective %s%s\n", a.Route.Address, a.Route.Priority, millisecondsText(a.Route.ObjectiveMS), splitText(a.Route.Split))
+	fmt.Fprintf(&b, "route    %s%s, objective %s%s\n", a.Route.Address, priorityText(a.Route.Priority), millisecondsText(a.Route.ObjectiveMS), splitText(a.Route.Split))
 	fmt.Fprintf(&b, "flow     %s%s\n", a.Flow, ownerText(a.Owner))
 	if c := a.Choice; c != nil {
 		fmt.Fprintf(&b, "goes to  %s of %s: %s\n", c.Agent, c.Service, c.Reason)
@@ -157,6 +157,13 @@
 
 func tenths(ms float64) string { return strconv.FormatFloat(ms, 'f', 1, 64) + " ms" }
 
+func priorityText(priority int) string {
+	if priority == 0 {
+		return ""
+	}
+	return ", priority " + strconv.Itoa(priority)
+}
+
 func millisecondsText(ms int64) string {
 	if ms == 0 {
 		return "none"
--- a/internal/node/balancer.go
+++ b/internal/node/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bramleymast/bramleymast/internal/balancer"
+	"github.com/bramleymast/bramleymast/internal/forecast"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/store"
 )
@@ -59,6 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.handlers = map[string]http.Handler{"GET " + forecast.Path: forecast.Handler(lb)}
 	lb.OnRevisionGap(c.sendZoneStates)
 	b := &Balancer{components: c, balancer: lb, drainPeriod: cfg.DrainPeriod, drain: make(chan struct{})}
 	if b.drainPeriod <= 0 {
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -51,6 +51,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	for pattern, h := range c.handlers {
+		mux.Handle(pattern, h)
+	}
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -51,6 +52,8 @@
 	registry    *prometheus.Registry
 	control     *control.Process
 	listener    net.Listener
+	// handlers are served beside the metrics, by pattern.
+	handlers map[string]http.Handler
 }
 
 func newComponents(cfg CommonConfig, service string, s store.Store) (*components, error) {
--- a/pkg/board/view.go
+++ b/pkg/board/view.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 
@@ -72,18 +73,70 @@
 	return rs
 }
 
+// Exclusion is why an agent gets no new flows; it is empty for one that gets them.
+type Exclusion string
+
+// Reasons for exclusions.
+const (
+	ExcludedLeft          Exclusion = "has left"
+	ExcludedZoneOut       Exclusion = "zone out of service"
+	ExcludedBackendOut    Exclusion = "backend server out of service"
+	ExcludedNotInContract Exclusion = "zone not in the contract"
+	ExcludedNotRunning    Exclusion = "starting or draining"
+	ExcludedSilent        Exclusion = "does not answer"
+	ExcludedUnreachable   Exclusion = "zone unreachable"
+)
+
+// AgentState is whether an agent of a service gets new flows.
+type AgentState struct {
+	ID          string
+	Zone        string
+	DataAddress netip.AddrPort
+	Excluded    Exclusion
+}
+
+// AgentStates returns the agents of a service in any order, with what View decides about new flows.
+func (b *Board) AgentStates(service string) []AgentState {
+	c, _, known := b.Contract(service)
+	var states []AgentState
+	for _, r := range b.agents(service) {
+		states = append(states, AgentState{
+			ID: r.id, Zone: r.agent.Zone, DataAddress: r.agent.DataAddress, Excluded: b.exclusion(r, known && c.RunsIn(r.agent.Zone)),
+		})
+	}
+	return states
+}
+
+// exclusion returns why an agent gets no new flows.
+func (b *Board) exclusion(r agentRecord, inContract bool) Exclusion {
+	zoneOut, _ := b.ZoneOut(r.agent.Zone)
+	switch {
+	case r.agent.Phase == PhaseLeft:
+		return ExcludedLeft
+	case zoneOut:
+		return ExcludedZoneOut
+	case b.BackendOut(r.id):
+		return ExcludedBackendOut
+	case !inContract:
+		return ExcludedNotInContract
+	case r.agent.Phase != PhaseCold && r.agent.Phase != PhaseReady:
+		return ExcludedNotRunning
+	case r.version.Liveness != Alive:
+		return ExcludedSilent
+	case b.ZoneUnreachable(r.agent.Zone):
+		return ExcludedUnreachable
+	}
+	return ""
+}
+
 // member returns the view member of an agent, or false if it is not in the view.
 func (b *Board) member(r agentRecord, inContract bool, closed func(zone string) bool) (flow.Member, bool) {
 	a := r.agent
 	if a.Phase == PhaseLeft || closed(a.Zone) {
 		return flow.Member{}, false
 	}
-	zoneOut, _ := b.ZoneOut(a.Zone)
-	isRunning := a.Phase == PhaseCold || a.Phase == PhaseReady
-	acceptsFlows := inContract && isRunning && r.version.Liveness == Alive && !zoneOut && !b.BackendOut(r.id)
-	unreachable := b.ZoneUnreachable(a.Zone)
-	ownsFlows := r.version.Liveness != Dead && !unreachable
-	return flow.NewMember(r.id, a.DataAddress, a.Zone, acceptsFlows && !unreachable, ownsFlows), true
+	ownsFlows := r.version.Liveness != Dead && !b.ZoneUnreachable(a.Zone)
+	return flow.NewMember(r.id, a.DataAddress, a.Zone, b.exclusion(r, inContract) == "", ownsFlows), true
 }
 
 // ZoneOutTimes holds since when each zone has been out of service; the zero value is empty and ready to use.
--- a/pkg/flow/cache.go
+++ b/pkg/flow/cache.go
@@ -135,6 +135,17 @@
 	return b.owners[at], true
 }
 
+// peek returns the owner of a flow, or 0, and leaves its last-used time.
+func (c *Cache) peek(hash uint64) ShortID {
+	s, i, tag := c.locate(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b, at := s.find(i, tag); at >= 0 {
+		return b.owners[at]
+	}
+	return 0
+}
+
 // Put stores the owner of a flow. It overwrites the entry of the flow if there is one, and otherwise an empty or the
 // least recently used entry.
 func (c *Cache) Put(now time.Time, hash uint64, owner ShortID) {
--- a/pkg/flow/ranking.go
+++ b/pkg/flow/ranking.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 )
@@ -106,6 +107,18 @@
 	return best
 }
 
+// ranked returns the members that accept flows in the order in which TopRanked returns them.
+func (v *View) ranked(flowHash uint64) []*Member {
+	var all []*Member
+	for i := range v.members {
+		if v.members[i].eligible(true) {
+			all = append(all, &v.members[i])
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *Member) int { return cmp.Compare(b.score(flowHash), a.score(flowHash)) })
+	return all
+}
+
 func (m *Member) eligible(opening bool) bool {
 	if opening {
 		return m.acceptsFlows
--- a/pkg/flow/steerer_test.go
+++ b/pkg/flow/steerer_test.go
@@ -87,6 +87,12 @@
 				assert.Assert(t, ok)
 				assert.Equal(t, d.Member.ID(), c.want)
 				assert.Equal(t, d.Cached, c.want == "owner")
+				if c.opening {
+					e, ok := s.Explain(view, callerAt(i))
+					assert.Assert(t, ok)
+					assert.Equal(t, e.Decision, d)
+					assert.Equal(t, e.Owner.ID(), "owner")
+				}
 			}
 		})
 	}
@@ -108,6 +114,15 @@
 		want := view.TopRanked(flow.NewKey(caller, service).Hash(), opening, flow.Visited{})
 		assert.Equal(t, d.Member, want)
 		assert.Equal(t, ok, want != nil)
+		e, placed := flow.NewSteerer(flow.NewCache(64)).Explain(view, caller)
+		first := view.TopRanked(flow.NewKey(caller, service).Hash(), true, flow.Visited{})
+		assert.Equal(t, e.Member, first)
+		assert.Equal(t, placed, first != nil)
+		var visited flow.Visited
+		for _, m := range e.Ranked {
+			assert.Equal(t, m, view.TopRanked(flow.NewKey(caller, service).Hash(), true, visited))
+			visited.Add(m.ShortID())
+		}
 		if ok {
 			assert.Assert(t, opening && d.Member.AcceptsFlows() || !opening && d.Member.OwnsFlows())
 		}
@@ -145,6 +160,18 @@
 	assert.Assert(t, cached <= cache.Capacity(), "%d flows in %d entries", cached, cache.Capacity())
 }
 
+// Guards against questions of operators that keep an idle flow in the cache.
+func TestExplainIsNoUse(t *testing.T) {
+	cache := flow.NewCache(1)
+	s, view := flow.NewSteerer(cache), flow.NewView(service, []flow.Member{newMember("owner", true, true)})
+	for i := range 10 * cache.Capacity() {
+		s.SetOwner(start.Add(time.Duration(i)*8*time.Second), flow.NewKey(callerAt(i), service), flow.ShortIDOf("owner"))
+		s.Explain(view, callerAt(0))
+	}
+	e, _ := s.Explain(view, callerAt(0))
+	assert.Assert(t, e.Owner == nil)
+}
+
 // Guards against heap allocations per packet.
 func TestSteerDoesNotAllocate(t *testing.T) {
 	view := flow.NewView(service, []flow.Member{newMember("a", true, true), newMember("b", true, true)})
