fix: servers without recent reports attract most of the flows that stay

Cause: a server without a report for a second counted with half of its capacity as free. At a service that is used to 80% the others have a fifth free, so balancers, none of which sees the flows of the others, filled it beyond its capacity. Change: such a server counts with half of what is free at the others on average.

New loads: knee at half of the slots, few samples, cold start, restart of agents, answers that stop; and work by speed of server in the busiest two seconds, which must follow the speed within 15%.

--- a/pkg/dispatch/rank.go
+++ b/pkg/dispatch/rank.go
@@ -59,6 +59,7 @@
 	for i := range servers {
 		r.choices = append(r.choices, Choice{Estimate: servers[i].estimate(d)})
 	}
+	r.correctStale(servers)
 	r.summarizeZones(servers, d)
 	zone := r.chooseZone(f, d)
 	for i := range r.choices {
@@ -69,6 +70,27 @@
 	return r.choices, true
 }
 
+// correctStale bounds the free part of servers without a recent report by what is usual among the others. Nobody knows
+// which flows other balancers have placed there, and at a busy service a server that looks idle attracts nearly all.
+func (r *Ranker) correctStale(servers []Server) {
+	var free, capacity float64
+	for i := range servers {
+		if e := r.choices[i].Estimate; !servers[i].isStale() {
+			free += e.Capacity * e.Free
+			capacity += e.Capacity
+		}
+	}
+	usual := 1.0
+	if capacity > 0 {
+		usual = free / capacity
+	}
+	for i := range servers {
+		if e := &r.choices[i].Estimate; servers[i].isStale() {
+			e.Free = max(staleFree*min(e.Free, usual), minFree)
+		}
+	}
+}
+
 // maxRepulsion keeps weights above 0. otherZoneKey and exploredKey exceed all other differences between keys.
 const (
 	maxRepulsion = 600
--- a/pkg/dispatch/rank_test.go
+++ b/pkg/dispatch/rank_test.go
@@ -44,6 +44,16 @@
 	return l
 }
 
+// seeds returns as many as noise needs: a service with kept flows has a tenth of the flows.
+func (l load) seeds() []uint64 {
+	if l.flowLife > 0 {
+		return []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+	}
+	return []uint64{1}
+}
+
+func byCosts() policy { return byCost }
+
 // inTurn raises the load of each zone by 55% in turn.
 func inTurn(zone int, at time.Duration) float64 {
 	return 1 + 0.55*math.Sin(2*math.Pi*(at.Seconds()/17-float64(zone)/3))
@@ -63,7 +73,7 @@
 	for name, l := range map[string]load{"flow for each request": l, "kept flows": l.kept()} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			cost, expected := run(l, 1, byCost), run(l, 1, byTime())
+			cost, expected := run(l, byCosts, l.seeds()...), run(l, byTime, l.seeds()...)
 			t.Logf("requests per slot: %s", cost)
 			t.Logf("expected time:     %s", expected)
 			check(t, l, cost, expected)
@@ -80,6 +90,9 @@
 		t.Helper()
 		assert.Assert(t, expected.inTime >= cost.inTime-noise)
 		assert.Assert(t, expected.p99 < cost.p99)
+		for speed, work := range expected.bySpeed {
+			assert.Assert(t, math.Abs(work-1) <= 0.15, "speed %.1f in the busiest two seconds: %.2f", speed, work)
+		}
 		if l.flowLife > 0 {
 			assert.Assert(t, expected.inTime > cost.inTime)
 			assert.Assert(t, expected.imbalance <= 1.15, "work follows the speed")
@@ -178,15 +191,13 @@
 // Guards against servers that have as many flows as others and more work, because some callers send more.
 // Load: equal servers at 79%, kept flows of which one in ten sends half of the requests.
 func TestCallersThatSendMore(t *testing.T) {
-	for seed := range uint64(3) {
-		l := newLoad(1900, 1).kept()
-		l.flowLife, l.length, l.hot = 8*time.Second, 40*time.Second, true
-		cost, expected := run(l, seed, byCost), run(l, seed, byTime())
-		t.Logf("requests per slot: %s", cost)
-		t.Logf("expected time:     %s", expected)
-		assert.Assert(t, expected.inTime >= 0.995)
-		assert.Assert(t, expected.imbalance <= cost.imbalance+imbalanceNoise)
-	}
+	l := newLoad(1900, 1).kept()
+	l.flowLife, l.length, l.hot = 8*time.Second, 40*time.Second, true
+	cost, expected := run(l, byCosts, l.seeds()...), run(l, byTime, l.seeds()...)
+	t.Logf("requests per slot: %s", cost)
+	t.Logf("expected time:     %s", expected)
+	assert.Assert(t, expected.inTime >= 0.995)
+	assert.Assert(t, expected.imbalance <= cost.imbalance+imbalanceNoise)
 }
 
 // Guards against servers that get too much because their reports are missing or show a moment that is long gone.
@@ -224,11 +235,106 @@
 	})
 }
 
+// Guards against slots that make a server look free although more requests only slow each other down.
+// Load: every third server gives no more answers beyond 2 of its 4 slots; a wave whose peak needs all capacity.
+func TestKneeAtHalfOfSlots(t *testing.T) {
+	l := newLoad(1250, 1)
+	for i := range l.servers {
+		if i/3%3 == 2 {
+			l.servers[i].knee = 2
+		}
+	}
+	l.peak = wave
+	compare(t, l, func(t *testing.T, _ load, cost, expected result) {
+		t.Helper()
+		assert.Assert(t, expected.inTime >= cost.inTime-noise)
+		assert.Assert(t, expected.imbalance < cost.imbalance)
+	})
+}
+
+// Guards against servers that are favored or avoided while little is known of them.
+// Load: 12 requests a second for 18 servers, so that few of them have the answers for an estimate.
+func TestFewSamples(t *testing.T) {
+	l := newLoad(12, 1)
+	l.length = 100 * time.Second
+	compare(t, l, func(t *testing.T, l load, cost, expected result) {
+		t.Helper()
+		assert.Assert(t, expected.inTime >= cost.inTime-noise)
+		if l.flowLife == 0 {
+			for i := range l.servers {
+				assert.Assert(t, expected.share(i, 0, 100) > 0.5 && expected.share(i, 0, 100) < 1.6, "server %d: %.2f", i, expected.share(i, 0, 100))
+			}
+		}
+	})
+}
+
+// Guards against a rush to, or away from, servers that are cold and of which nothing is known.
+// Load: equal servers at 60% from the first moment, 1.6 times slower for 2 s; some more of these start at 10 s.
+func TestColdStart(t *testing.T) {
+	l := newLoad(1400, 1)
+	for i := range l.servers {
+		start := time.Duration(0)
+		if i < 3 {
+			start = 10 * time.Second
+		}
+		l.servers[i].closed = func(at time.Duration) bool { return at < start }
+		l.servers[i].slowdown = func(at time.Duration) float64 {
+			if at < start+2*time.Second {
+				return 1.6
+			}
+			return 1
+		}
+	}
+	compare(t, l, func(t *testing.T, _ load, cost, expected result) {
+		t.Helper()
+		assert.Assert(t, expected.inTime >= cost.inTime-noise)
+		for i := range 3 {
+			assert.Assert(t, expected.share(i, 10, 11) <= 4, "server %d in the first second: %.2f", i, expected.share(i, 10, 11))
+			assert.Assert(t, expected.share(i, 14, 25) >= 0.7, "server %d afterwards: %.2f", i, expected.share(i, 14, 25))
+		}
+	})
+}
+
+// Guards against a restarted agent that passes for fast or slow, and against work that no longer follows the speed.
+// Load: servers of speed 0.7, 0.7 and 1.7 under a wave; two agents of each speed restart shortly before the peak.
+func TestAgentsRestart(t *testing.T) {
+	l := newLoad(1600, 0.7, 0.7, 1.7)
+	l.peak = wave
+	for _, i := range []int{0, 1, 3, 4, 6, 7} {
+		l.servers[i].restarts = []time.Duration{19 * time.Second}
+	}
+	compare(t, l, func(t *testing.T, l load, cost, expected result) {
+		t.Helper()
+		assert.Assert(t, expected.inTime >= cost.inTime-noise)
+		assert.Assert(t, expected.p99 < cost.p99)
+		for speed, work := range expected.bySpeed {
+			assert.Assert(t, math.Abs(work-1) <= 0.15, "speed %.1f: %.2f", speed, work)
+		}
+		for _, i := range []int{0, 1, 6, 7} { // Their shares are about 0.7 and 1.7.
+			before, after := expected.share(i, 12, 19), expected.share(i, 19, 22)
+			assert.Assert(t, after < 2*before+0.5, "server %d: %.2f before, %.2f after", i, before, after)
+		}
+	})
+}
+
+// Guards against flows to a server that has stopped to answer: few answers must not make it look fast.
+// Load: equal servers at 70%, one of which gives no answers from 6 to 12 s.
+func TestAnswersStop(t *testing.T) {
+	l := newLoad(1680, 1)
+	l.servers[0].stopped = inIncident
+	compare(t, l, func(t *testing.T, _ load, cost, expected result) {
+		t.Helper()
+		assert.Assert(t, expected.inTime >= cost.inTime-noise)
+		assert.Assert(t, expected.share(0, 8, 12) < 0.2, "while it is silent: %.2f", expected.share(0, 8, 12))
+		assert.Assert(t, expected.share(0, 18, 25) > 0.5, "afterwards: %.2f", expected.share(0, 18, 25))
+	})
+}
+
 // Guards against work for servers that fail requests while others do not.
 func TestFailingServerGetsNearlyNothing(t *testing.T) {
 	all := make([]dispatch.Server, 6)
 	for i := range all {
-		all[i] = dispatch.Server{Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 2, Flows: 2, MeanInProgress: 2, MeanFlows: 2, ServiceTime: 30 * time.Millisecond}
+		all[i] = dispatch.Server{Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 2, Flows: 2, MeanBusy: 2, MeanFlows: 2, ServiceTime: 30 * time.Millisecond}
 	}
 	all[0].FailurePercent = 40
 	var r dispatch.Ranker
@@ -247,10 +353,10 @@
 func TestIdleServerIsExplored(t *testing.T) {
 	all := make([]dispatch.Server, 6)
 	for i := range all {
-		all[i] = dispatch.Server{Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 2, Flows: 2, MeanInProgress: 2, MeanFlows: 2, ServiceTime: 30 * time.Millisecond}
+		all[i] = dispatch.Server{Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 2, Flows: 2, MeanBusy: 2, MeanFlows: 2, ServiceTime: 30 * time.Millisecond}
 	}
 	all[0].ServiceTime, all[0].InProgress, all[0].Flows, all[0].Idle = 3*time.Second, 0, 0, 5*time.Second
-	all[0].MeanInProgress, all[0].MeanFlows = 0, 0
+	all[0].MeanBusy, all[0].MeanFlows = 0, 0
 	var r dispatch.Ranker
 	count := 0
 	for hash := range uint64(6400) {
@@ -269,11 +375,11 @@
 	all := make([]dispatch.Server, 20)
 	for i := range all {
 		all[i] = dispatch.Server{
-			Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 12, Flows: 100, MeanInProgress: 12, MeanFlows: 100, ServiceTime: 30 * time.Millisecond,
+			Key: uint64(i + 1), Zone: "a", Slots: 4, InProgress: 12, Flows: 100, MeanBusy: 12, MeanFlows: 100, ServiceTime: 30 * time.Millisecond,
 			Wait: 60 * time.Millisecond, Age: 400 * time.Millisecond,
 		}
 	}
-	all[0].InProgress, all[0].Flows, all[0].MeanInProgress, all[0].MeanFlows, all[0].Wait = 0, 0, 0, 0, 0
+	all[0].InProgress, all[0].Flows, all[0].MeanBusy, all[0].MeanFlows, all[0].Wait = 0, 0, 0, 0, 0
 	var r dispatch.Ranker
 	count := 0
 	const flows = 2000
@@ -297,7 +403,7 @@
 				Slots: int(rapid.Uint16().Draw(t, "slots")), Limit: int(rapid.Uint16().Draw(t, "limit")),
 				InProgress: int(rapid.Uint16().Draw(t, "in progress")), Flows: int(rapid.Uint16().Draw(t, "flows")),
 				Placed: int(rapid.Uint16().Draw(t, "placed")), ServiceTime: ms.Draw(t, "service time"), Wait: ms.Draw(t, "wait"),
-				MeanInProgress: rapid.Float64Range(0, 1e5).Draw(t, "mean in progress"), MeanFlows: rapid.Float64Range(0, 1e5).Draw(t, "mean flows"),
+				MeanBusy: rapid.Float64Range(0, 1e5).Draw(t, "mean in progress"), MeanFlows: rapid.Float64Range(0, 1e5).Draw(t, "mean flows"),
 				Age: ms.Draw(t, "age"), Idle: ms.Draw(t, "idle"), FailurePercent: rapid.IntRange(0, 100).Draw(t, "failures"),
 			}
 		})
@@ -352,11 +458,13 @@
 // share returns how many flows a server got from second from to second to, relative to an equal share.
 func (r result) share(server, from, to int) float64 {
 	var own, all float64
-	for _, second := range r.shares[from:to] {
-		own += second[server]
-		for _, n := range second {
-			all += n
+	for _, replay := range r.shares {
+		for _, second := range replay[from:to] {
+			own += second[server]
+			for _, n := range second {
+				all += n
+			}
 		}
 	}
-	return own * float64(len(r.shares[0])) / all
+	return own * float64(len(r.shares[0][0])) / all
 }
--- a/pkg/dispatch/replay_test.go
+++ b/pkg/dispatch/replay_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
 
+	"github.com/bramleymast/bramleymast/pkg/concurrency"
 	"github.com/bramleymast/bramleymast/pkg/dispatch"
 )
 
@@ -27,6 +29,8 @@
 	minAge, maxAge time.Duration
 	objective      time.Duration
 	length         time.Duration
+	// heavyShare is the share of flows to a second route, whose requests take four times as long.
+	heavyShare float64
 	// peak returns the factor by which the rate of a zone differs from its mean.
 	peak func(zone int, at time.Duration) float64
 }
@@ -42,11 +46,18 @@
 	// silent is when balancers get no reports; nil means never.
 	silent func(at time.Duration) bool
 
-	busy, queued, flows, served int
-	queue                       []func()
-	serviceTime                 float64 // smoothed, in seconds
-	work                        float64 // seconds of work received, at speed 1
-	bins                        []float64
+	// knee is how many requests the server works on without making each of them slower; 0 means all slots.
+	knee int
+	// stopped is when the server gives no answers; nil means never.
+	stopped func(at time.Duration) bool
+	// restarts are the times at which the agent beside the server starts again.
+	restarts []time.Duration
+
+	estimator           *concurrency.Estimator
+	busy, queued, flows int
+	queue               []func()
+	work                float64 // seconds of work received, at speed 1
+	bins                []float64
 }
 
 // policy chooses the server of a flow from what a balancer knows; it returns an index.
@@ -92,14 +103,15 @@
 	p99       time.Duration // of the times to an answer
 	imbalance float64       // work of the busiest server to the mean, by capacity
 	swing     float64       // the same within the worst 500 ms
-	elsewhere float64       // share of flows that went to another zone
-	served    []int
-	// shares is the part of the flows that each server got, by second.
-	shares [][]float64
+	// bySpeed is the work of the servers of each speed to the mean, by capacity, in the busiest two seconds.
+	bySpeed   map[float64]float64
+	elsewhere float64 // share of flows that went to another zone
+	// shares is the number of flows that each server got, by replay and second.
+	shares [][][]float64
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("in time %.4f, p99 %s, busiest/mean %.2f, in 500 ms %.2f, other zone %.2f", r.inTime, r.p99.Round(time.Millisecond), r.imbalance, r.swing, r.elsewhere)
+	return fmt.Sprintf("in time %.4f, p99 %s, busiest/mean %.2f, in 500 ms %.2f, other zone %.2f, by speed %.2f", r.inTime, r.p99.Round(time.Millisecond), r.imbalance, r.swing, r.elsewhere, r.bySpeed)
 }
 
 type timed struct {
@@ -145,11 +157,25 @@
 
 const binLength = 500 * time.Millisecond
 
-func run(l load, seed uint64, choose policy) result {
+// run replays a load with each of the seeds and returns what happened in all replays together.
+func run(l load, choose func() policy, seeds ...uint64) result {
+	all := make([]*replay, 0, len(seeds))
+	for _, seed := range seeds {
+		all = append(all, runOnce(l, seed, choose()))
+	}
+	return resultOf(all)
+}
+
+func runOnce(l load, seed uint64, choose policy) *replay {
 	r := &replay{load: l, rng: rand.New(rand.NewPCG(seed, 2)), servers: slices.Clone(l.servers), choose: choose}
 	bins := int(l.length/binLength) + 1
 	for i := range r.servers {
-		r.servers[i].bins = make([]float64, bins)
+		s := &r.servers[i]
+		s.bins = make([]float64, bins)
+		s.startAgent()
+		for _, at := range s.restarts {
+			r.at(at, s.startAgent)
+		}
 	}
 	r.flows = make([][]float64, int(l.length/time.Second)+1)
 	for i := range r.flows {
@@ -173,9 +199,25 @@
 		r.now = e.at
 		e.run()
 	}
-	return r.result()
+	return r
 }
 
+// startAgent starts the agent of a server, which knows nothing.
+func (s *testServer) startAgent() {
+	s.estimator = &concurrency.Estimator{}
+	s.estimator.SetSlots(s.slots)
+}
+
+// count tells the agent how many requests are in progress.
+func (s *testServer) count(now time.Duration) {
+	s.estimator.SetInProgress(epoch.Add(now), s.busy+s.queued)
+}
+
+var epoch = time.Date(2026, 12, 6, 9, 0, 0, 0, time.UTC)
+
+// routes are the service addresses of light and heavy requests.
+var routes = map[bool]netip.AddrPort{false: netip.MustParseAddrPort("198.18.0.1:443"), true: netip.MustParseAddrPort("198.18.0.2:443")}
+
 func (r *replay) at(at time.Duration, run func()) { heap.Push(&r.agenda, timed{at, run}) }
 
 func (r *replay) exp(mean float64) time.Duration {
@@ -197,16 +239,16 @@
 	if s.zone != b%r.load.zones {
 		way = r.load.way
 	}
-	since := r.now - v.reportedAt
-	inProgress, flows := dispatch.Smooth(v.server.MeanInProgress, float64(s.busy+s.queued), since), dispatch.Smooth(v.server.MeanFlows, float64(s.flows), since)
+	since, before := r.now-v.reportedAt, v.server
 	v.reportedAt, v.accepts = r.now, s.closed == nil || !s.closed(r.now)
 	v.server = dispatch.Server{
 		Key: uint64(i + 1), Zone: strconv.Itoa(s.zone), Way: way, Slots: s.slots, InProgress: s.busy + s.queued, Flows: s.flows,
-		ServiceTime: time.Duration(s.serviceTime * float64(time.Second)), MeanInProgress: inProgress, MeanFlows: flows,
 	}
-	if s.busy == s.slots {
-		v.server.Wait = time.Duration(float64(s.queued+1) * s.serviceTime / float64(s.slots) * float64(time.Second))
+	if e := s.estimator.Estimate(epoch.Add(r.now)); e.IsKnown() {
+		v.server.ServiceTime, v.server.Limit, v.server.Wait = e.ServiceTime, e.Limit, e.Wait(s.busy+s.queued)
 	}
+	v.server.MeanBusy = dispatch.Smooth(before.MeanBusy, v.server.Busy(), since)
+	v.server.MeanFlows = dispatch.Smooth(before.MeanFlows, float64(s.flows), since)
 }
 
 // arrive opens flows of a zone at random times.
@@ -251,8 +293,9 @@
 		r.away++
 	}
 	r.at(r.now+5*time.Millisecond, func() { r.report(b, i, views) })
+	heavy := r.load.heavyShare > 0 && r.rng.Float64() < r.load.heavyShare
 	if r.load.flowLife == 0 {
-		r.request(i, zone, r.now)
+		r.request(i, zone, heavy)
 		return
 	}
 	r.servers[i].flows++
@@ -265,86 +308,160 @@
 			rate *= 9
 		}
 	}
-	r.requests(i, zone, rate, ends)
+	r.requests(i, zone, heavy, rate, ends)
 }
 
 // requests sends the requests of a kept flow.
-func (r *replay) requests(i, zone int, rate float64, ends time.Duration) {
+func (r *replay) requests(i, zone int, heavy bool, rate float64, ends time.Duration) {
 	r.at(r.now+r.exp(1/rate), func() {
 		if r.now < ends {
-			r.request(i, zone, r.now)
-			r.requests(i, zone, rate, ends)
+			r.request(i, zone, heavy)
+			r.requests(i, zone, heavy, rate, ends)
 		}
 	})
 }
 
-func (r *replay) request(i, zone int, since time.Duration) {
-	s := &r.servers[i]
+func (r *replay) request(i, zone int, heavy bool) {
+	s, since := &r.servers[i], r.now
 	work := r.load.work.Seconds() * (0.5 + r.rng.ExpFloat64()*0.5)
+	if heavy {
+		work *= 4
+	}
 	s.bins[int(r.now/binLength)] += work
 	s.work += work
+	inProgress := s.busy + s.queued + 1
+	end := func() {
+		s.estimator.Add(epoch.Add(r.now), concurrency.Answer{Route: routes[heavy], Took: r.now - since, InProgress: inProgress})
+		s.busy--
+		answered := r.now - since
+		if s.zone != zone {
+			answered += r.load.way
+		}
+		r.times = append(r.times, answered)
+		if len(s.queue) > 0 {
+			next := s.queue[0]
+			s.queue = s.queue[1:]
+			s.queued--
+			next()
+		}
+		s.count(r.now)
+	}
 	start := func() {
 		s.busy++
-		took := work / s.speed
-		if s.slowdown != nil {
-			took *= s.slowdown(r.now)
-		}
-		r.at(r.now+time.Duration(took*float64(time.Second)), func() {
-			s.busy--
-			s.served++
-			if s.serviceTime == 0 {
-				s.serviceTime = took
-			}
-			s.serviceTime += (took - s.serviceTime) * 0.05
-			answered := r.now - since
-			if s.zone != zone {
-				answered += r.load.way
-			}
-			r.times = append(r.times, answered)
-			if len(s.queue) > 0 {
-				next := s.queue[0]
-				s.queue = s.queue[1:]
-				s.queued--
-				next()
-			}
-		})
+		r.at(r.now+time.Duration(work/s.speedAt(r.now)*float64(time.Second)), func() { r.unlessStopped(s, end) })
 	}
 	if s.busy < s.slots {
 		start()
+	} else {
+		s.queued++
+		s.queue = append(s.queue, start)
+	}
+	s.count(r.now)
+}
+
+// speedAt returns the speed of a request that starts.
+func (s *testServer) speedAt(at time.Duration) float64 {
+	speed := s.speed
+	if s.slowdown != nil {
+		speed /= s.slowdown(at)
+	}
+	if s.knee > 0 {
+		speed *= min(1, float64(s.knee)/float64(s.busy))
+	}
+	return speed
+}
+
+// unlessStopped runs a function once a server gives answers.
+func (r *replay) unlessStopped(s *testServer, f func()) {
+	if s.stopped != nil && s.stopped(r.now) {
+		r.at(r.now+10*time.Millisecond, func() { r.unlessStopped(s, f) })
 		return
 	}
-	s.queued++
-	s.queue = append(s.queue, start)
+	f()
+}
+
+// capacity returns how many seconds of work a server does in a second.
+func (s *testServer) capacity() float64 {
+	c := s.slots
+	if s.knee > 0 {
+		c = min(c, s.knee)
+	}
+	return s.speed * float64(c)
+}
+
+func resultOf(all []*replay) result {
+	res := result{bySpeed: make(map[float64]float64)}
+	var times []time.Duration
+	n := float64(len(all))
+	for _, r := range all {
+		times = append(times, r.times...)
+		res.elsewhere += r.away / r.placed / n
+		res.shares = append(res.shares, r.flows)
+		imbalance, swing := r.imbalance()
+		res.imbalance += imbalance / n
+		res.swing += swing / n
+		for speed, work := range r.bySpeed() {
+			res.bySpeed[speed] += work / n
+		}
+	}
+	slices.Sort(times)
+	in, _ := slices.BinarySearch(times, all[0].load.objective)
+	res.inTime = float64(in) / float64(len(times))
+	res.p99 = times[len(times)*99/100]
+	return res
 }
 
-func (r *replay) result() result {
-	res := result{elsewhere: r.away / r.placed, shares: r.flows}
-	slices.Sort(r.times)
-	n, _ := slices.BinarySearch(r.times, r.load.objective)
-	res.inTime = float64(n) / float64(len(r.times))
-	res.p99 = r.times[len(r.times)*99/100]
+// imbalance returns the work of the busiest server to the mean, by capacity, in all and within the worst half second.
+func (r *replay) imbalance() (all, worst float64) {
 	capacity, total := 0.0, 0.0
 	for i := range r.servers {
-		s := &r.servers[i]
-		capacity += s.speed * float64(s.slots)
-		total += s.work
-		res.served = append(res.served, s.served)
+		capacity += r.servers[i].capacity()
+		total += r.servers[i].work
 	}
-	mean := total / capacity
 	for i := range r.servers {
 		s := &r.servers[i]
-		res.imbalance = max(res.imbalance, s.work/(s.speed*float64(s.slots))/mean)
+		all = max(all, s.work/s.capacity()/(total/capacity))
 	}
 	for b := 2; b < len(r.servers[0].bins)-1; b++ {
 		sum, top := 0.0, 0.0
 		for i := range r.servers {
 			s := &r.servers[i]
 			sum += s.bins[b]
-			top = max(top, s.bins[b]/(s.speed*float64(s.slots)))
+			top = max(top, s.bins[b]/s.capacity())
 		}
 		if sum > 0 {
-			res.swing = max(res.swing, top/(sum/capacity))
+			worst = max(worst, top/(sum/capacity))
 		}
 	}
-	return res
+	return all, worst
+}
+
+// bySpeed returns the work of the servers of each speed to the mean, by capacity, in the busiest two seconds.
+func (r *replay) bySpeed() map[float64]float64 {
+	const bins = int(2 * time.Second / binLength)
+	worked := func(s *testServer, b int) (sum float64) {
+		for _, w := range s.bins[b : b+bins] {
+			sum += w
+		}
+		return sum
+	}
+	var work, capacity map[float64]float64
+	most, total := 0.0, 0.0
+	for b := range len(r.servers[0].bins) - bins {
+		w, c, all, capacities := make(map[float64]float64), make(map[float64]float64), 0.0, 0.0
+		for i := range r.servers {
+			s := &r.servers[i]
+			w[s.speed] += worked(s, b)
+			c[s.speed] += s.capacity()
+			all += worked(s, b)
+			capacities += s.capacity()
+		}
+		if all > most {
+			work, capacity, most, total = w, c, all, capacities
+		}
+	}
+	for speed := range work {
+		work[speed] /= capacity[speed] * most / total
+	}
+	return work
 }
--- a/pkg/dispatch/server.go
+++ b/pkg/dispatch/server.go
@@ -25,8 +25,8 @@
 	// InProgress is the number of requests at the server, and Flows that of its open flows, according to its last
 	// report; Flows is 0 if it is not known.
 	InProgress, Flows int
-	// MeanInProgress and MeanFlows are the means of both over the last seconds; see Smooth.
-	MeanInProgress, MeanFlows float64
+	// MeanBusy and MeanFlows are the means of Busy and Flows over the last seconds; see Smooth.
+	MeanBusy, MeanFlows float64
 	// Placed is the number of flows that the balancer has placed there since the last report.
 	Placed int
 	// ServiceTime is how long the server takes for a request with a free slot, 0 if it is not known, and Wait how long
@@ -40,6 +40,9 @@
 	FailurePercent int
 }
 
+// isStale reports whether the last report says nothing any more.
+func (s *Server) isStale() bool { return s.Age >= staleAge }
+
 // isLearned reports whether the agent knows how fast its server is.
 func (s *Server) isLearned() bool { return s.ServiceTime > 0 }
 
@@ -51,6 +54,9 @@
 	return float64(max(s.Slots, 1))
 }
 
+// Busy returns the number of requests in progress whose mean shows what the flows bring.
+func (s *Server) Busy() float64 { return float64(s.InProgress) }
+
 // Estimate is what a balancer expects of a backend server for one more flow.
 type Estimate struct {
 	// Service is the time for the request itself, Queue the time until a slot is free, Way that of the way to another
@@ -72,8 +78,8 @@
 	failureRequests = 24
 	// minFree is the free part of a full server. Some flows go there when all are full.
 	minFree = 0.02
-	// staleAge is the age of a report from which on the server may be in any state; staleFree is then the part of the free
-	// capacity that counts.
+	// staleAge is the age of a report from which on the server may be in any state. Its free part is then taken to be
+	// staleFree times that of the other servers.
 	staleAge  = time.Second
 	staleFree = 0.5
 	// busyUtilization is where the expected wait goes on linearly; near 1 the formula for it has no bound.
@@ -106,7 +112,7 @@
 		}
 		learned++
 		d.serviceTime += s.ServiceTime.Seconds()
-		running := min(s.MeanInProgress, s.concurrency())
+		running := min(s.MeanBusy, s.concurrency()) // The limit may have changed since.
 		d.throughput += running / s.ServiceTime.Seconds()
 		if s.Flows > 0 {
 			inProgress += running
@@ -143,14 +149,10 @@
 	instant := fresh*reported + (1-fresh)*d.kept*steady + float64(s.Placed)*step
 	weight := max(1-d.kept, minInstantWeight)
 	busy := (1-d.kept)*(fresh*float64(s.InProgress)/c+float64(s.Placed)/c) + d.kept*utilization
-	free := 1 - busy
-	if s.Age >= staleAge {
-		free *= staleFree
-	}
 	return Estimate{
 		Service: seconds(service), Queue: seconds(weight*instant + (1-weight)*steady), Way: s.Way,
 		Failure:  seconds(failureRequests * service * float64(s.FailurePercent) / 100),
-		Capacity: 1 / step, Free: min(max(free, minFree), 1), Learned: s.isLearned(),
+		Capacity: 1 / step, Free: min(max(1-busy, minFree), 1), Learned: s.isLearned(),
 	}
 }
 
@@ -158,7 +160,7 @@
 // since some callers send more than others, and what those opened since will ask for.
 func (s *Server) utilization(c, step float64, d demand) float64 {
 	opened := float64(s.Flows+s.Placed) - s.MeanFlows
-	return max(s.MeanInProgress/c+d.perFlow*opened*step, 0)
+	return max(s.MeanBusy/c+d.perFlow*opened*step, 0)
 }
 
 // steadyWait returns the mean wait in seconds at a utilization, by Sakasegawa's approximation of a queue with c slots;
--- a/pkg/passthrough/agent_rank.go
+++ b/pkg/passthrough/agent_rank.go
@@ -99,7 +99,8 @@
 // smooth updates the means when a load is reported.
 func (st *agentState) smooth(now time.Time, l Load) {
 	since := now.Sub(st.reportedAt)
-	st.meanInProgress = dispatch.Smooth(st.meanInProgress, float64(l.InProgress), since)
+	reported := dispatch.Server{Slots: int(l.Slots), Limit: int(l.Limit), InProgress: int(l.InProgress)}
+	st.meanBusy = dispatch.Smooth(st.meanBusy, reported.Busy(), since)
 	st.meanFlows = dispatch.Smooth(st.meanFlows, float64(l.Flows), since)
 }
 
@@ -122,7 +123,7 @@
 	sv := dispatch.Server{
 		Key: key, Zone: st.zone, Slots: int(l.Slots), Limit: int(l.Limit), InProgress: int(l.InProgress), Flows: int(l.Flows),
 		Placed: st.unreported, ServiceTime: l.ServiceTime, Wait: l.Wait, Age: min(now.Sub(st.reportedAt), reportTTL), Idle: now.Sub(st.placedAt),
-		FailurePercent: int(l.FailurePercent), MeanInProgress: st.meanInProgress, MeanFlows: st.meanFlows,
+		FailurePercent: int(l.FailurePercent), MeanBusy: st.meanBusy, MeanFlows: st.meanFlows,
 	}
 	if st.zone != zone {
 		sv.Way = s.way(zone, st.zone)
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -56,10 +56,10 @@
 	unreported      int       // flows placed since the last report
 	unansweredSince time.Time // when the oldest unanswered message was sent; zero if there is none
 	placedAt        time.Time // when a flow was last placed
-	// meanInProgress and meanFlows are the means of the reported values over the last seconds.
-	meanInProgress, meanFlows float64
-	lastSentAt                time.Time
-	detoured                  bool // reached through a relay
+	// meanBusy and meanFlows are the means of the reported values over the last seconds.
+	meanBusy, meanFlows float64
+	lastSentAt          time.Time
+	detoured            bool // reached through a relay
 }
 
 // NewSteerer returns the steerer of a balancer in the given zone.
