--- a/pkg/dispatch/rank_test.go
+++ b/pkg/dispatch/rank_test.go
@@ -317,7 +317,7 @@
 	for _, i := range []int{0, 1, 3, 4, 6, 7} {
 		l.servers[i].restarts = []time.Duration{19 * time.Second}
 	}
-	compare(t, l, func(t *testing.T, l load, cost, expected result) {
+	compare(t, l, func(t *testing.T, _ load, cost, expected result) {
 		t.Helper()
 		assert.Assert(t, expected.inTime >= cost.inTime-noise)
 		assert.Assert(t, expected.p99 < cost.p99)
