fix: connections open as soon as a way is back

Its agents connect to a balancer for the configuration at 36.41; the opening packet is lost, the kernel repeats it after a second, when the call has timed out. So 14 of 41 agents, a third of the slots, know no configuration until 37.55 and hold all openings (none accepted, 20 to 35 held each 0.2 s). Balancers wait as long for a seed that was still down.

Change: internal/redial makes another attempt every 100 ms while none is answered.

--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 
+	"github.com/bramleymast/bramleymast/internal/redial"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 	"github.com/bramleymast/bramleymast/pkg/store"
@@ -18,6 +19,9 @@
 const (
 	// fetchTimeout limits a call to another process; a healthy process answers within a round trip.
 	fetchTimeout = time.Second
+	// peerConnectTimeout limits how long a call waits for a connection, so that a host that is down or cut off does not
+	// keep the caller from asking another one.
+	peerConnectTimeout = 300 * time.Millisecond
 	// fetchInterval is the minimum interval between fetches of missing state from other processes.
 	fetchInterval = 100 * time.Millisecond
 	// seedDelay is how long a starting process waits for the store before it queries the seeds.
@@ -106,7 +110,8 @@
 func fetchState(ctx context.Context, from netip.AddrPort, args StateArgs) (StateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", from.String())
+	dialer := redial.Dialer{Timeout: peerConnectTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp4", from.String())
 	if err != nil {
 		return StateReply{}, errors.Annotatef(err, "cannot reach %s", from)
 	}
