fix: lost flows beside silent draining agents are reset after 0.5 s

Callers whose flow is reset then have less than a second of their 3 s left.

Change: five unanswered probes, one every 100 ms, instead of a second. All other conditions stay: never answered this balancer, eight others have denied the flow for each silent one, all of them restarted with their backend servers. The tests of this bound now state 500 ms, with one millisecond less as too short (before: 100 ms less).

--- a/pkg/passthrough/kept_flows_test.go
+++ b/pkg/passthrough/kept_flows_test.go
@@ -118,20 +118,20 @@
 // back. Guards against callers that wait until its lease ends, and against resets while an agent that was not lost is cut
 // off.
 func TestSteererDenyBesideSilentDraining(t *testing.T) {
-	const agents, draining = 10, 9
+	const agents, draining, period = 10, 9, 500 * time.Millisecond
 	for name, c := range map[string]struct {
 		allow, restarted, reported bool
 		closed                     []int
 		wait                       time.Duration
 		want                       passthrough.Denial
 	}{
-		"outage of all hosts":  {true, true, false, []int{draining}, time.Second, passthrough.AllRestarted},
-		"without the feature":  {false, true, false, []int{draining}, time.Second, passthrough.SomeDeny},
-		"silent for too short": {true, true, false, []int{draining}, 900 * time.Millisecond, passthrough.SomeDeny},
-		"not draining":         {true, true, false, nil, time.Second, passthrough.SomeDeny},
-		"has answered":         {true, true, true, []int{draining}, time.Second, passthrough.SomeDeny},
-		"no outage of all":     {true, false, false, []int{draining}, time.Second, passthrough.SomeDeny},
-		"two of ten silent":    {true, true, false, []int{draining, draining - 1}, time.Second, passthrough.SomeDeny},
+		"outage of all hosts":  {true, true, false, []int{draining}, period, passthrough.AllRestarted},
+		"without the feature":  {false, true, false, []int{draining}, period, passthrough.SomeDeny},
+		"silent for too short": {true, true, false, []int{draining}, period - time.Millisecond, passthrough.SomeDeny},
+		"not draining":         {true, true, false, nil, period, passthrough.SomeDeny},
+		"has answered":         {true, true, true, []int{draining}, period, passthrough.SomeDeny},
+		"no outage of all":     {true, false, false, []int{draining}, period, passthrough.SomeDeny},
+		"two of ten silent":    {true, true, false, []int{draining, draining - 1}, period, passthrough.SomeDeny},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := passthrough.NewSteerer("zone-0")
@@ -162,7 +162,7 @@
 	s.AllowSilentDraining()
 	s.SetViews(views(agents, draining))
 	s.DueProbes(start)
-	now := start.Add(900 * time.Millisecond)
+	now := start.Add(499 * time.Millisecond)
 	for f := range 2 {
 		s.Search(now, flowOf(f), service)
 		for i := range draining - f { // One agent has not denied the second flow.
@@ -171,7 +171,7 @@
 		}
 	}
 	assert.Equal(t, len(s.DueDenials(now)), 0)
-	now = start.Add(time.Second)
+	now = start.Add(500 * time.Millisecond)
 	assert.DeepEqual(t, s.DueDenials(now), []passthrough.DeniedFlow{{Flow: flowOf(0), Ack: 77}}, cmp.AllowUnexported(passthrough.FlowID{}))
 	assert.Equal(t, len(s.DueDenials(now)), 0)
 }
--- a/pkg/passthrough/silent_draining.go
+++ b/pkg/passthrough/silent_draining.go
@@ -7,8 +7,9 @@
 
 const (
 	// silentDrainingPeriod is how long a draining agent leaves all messages of a balancer that has just started unanswered
-	// before its denial is not needed any more. Agents answer within milliseconds.
-	silentDrainingPeriod = time.Second
+	// before its denial is not needed any more: five probes, one every suspectProbeInterval. Agents answer within
+	// milliseconds, and callers of lost flows that wait for longer have little time left for another try.
+	silentDrainingPeriod = 5 * suspectProbeInterval
 	// minDenialsPerSilent is how many agents must deny a flow for each draining one that is silent.
 	minDenialsPerSilent = 8
 )
