feat: openings whose callers have fallen silent go last

Change: with request_priorities, late openings go in the order in which their callers were heard last: a copy puts its caller first again. One whose copy at 200 or 600 ms is 50 ms overdue goes after all others and gets no turn out of order. The line flow accepted has caller_silent, the metric the reason silent.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -343,8 +343,12 @@
 func (a *Agent) logAccepted(now time.Time, seg passthrough.Segment, origin netip.AddrPort, waited time.Duration) {
 	a.metrics.waits.Observe(waited.Seconds())
 	load := a.admitter.Load(now)
-	a.metrics.count(eventAccepted, reasonNone)
-	a.cfg.Logger.Info("flow accepted", "flow", seg.Flow().String(), "copies", seg.Retransmissions(), "in_progress", load.InProgress, "slots", load.Slots, "waited_ms", waited.Milliseconds(), "origin", origin)
+	reason := reasonNone
+	if a.held.enabled && passthrough.IsCallerSilent(seg, waited) {
+		reason = reasonSilent
+	}
+	a.metrics.count(eventAccepted, reason)
+	a.cfg.Logger.Info("flow accepted", "flow", seg.Flow().String(), "copies", seg.Retransmissions(), "in_progress", load.InProgress, "slots", load.Slots, "waited_ms", waited.Milliseconds(), "origin", origin, "caller_silent", reason == reasonSilent)
 }
 
 func (a *Agent) deliver(packet []byte) {
--- a/internal/passthrough/held_request.go
+++ b/internal/passthrough/held_request.go
@@ -9,8 +9,12 @@
 	"github.com/bramleymast/bramleymast/pkg/route"
 )
 
-// reasonPriority is the reason for the refusal of a new flow whose priority no agent of the service admits.
-const reasonPriority = "priority"
+const (
+	// reasonPriority is the reason for the refusal of a new flow whose priority no agent of the service admits.
+	reasonPriority = "priority"
+	// reasonSilent means that a flow was accepted although its caller has probably given up.
+	reasonSilent = "silent"
+)
 
 // heldRequests delivers packets in the order of their requests' priorities; the zero value delivers all at once.
 type heldRequests struct {
--- a/pkg/passthrough/priorities_test.go
+++ b/pkg/passthrough/priorities_test.go
@@ -204,6 +204,31 @@
 	assert.Equal(t, ad.OnOpeningPacket(now, opening(10)), passthrough.Decision(passthrough.Queued{}))
 }
 
+// Guards against a place for a caller that sends no more copies of its opening packet, while one waits that does.
+func TestOpeningsOfSilentCallersGoLast(t *testing.T) {
+	ad := newPriorityAdmitter(1, 0, 1)
+	now := start.Add(time.Second)
+	for i := range 2 {
+		deliverRequest(ad, now, dataPacket(i, 0, 1))
+	}
+	arrive := func(i, copies int, at time.Duration) {
+		p := openingPacket(i, copies)
+		p.Objective, p.Priority, p.IsRetry = 300*time.Millisecond, 1, true
+		assert.Equal(t, ad.OnOpeningPacket(now.Add(at), p), passthrough.Decision(passthrough.Queued{}))
+	}
+	const copied, silent = 256, 512 // different callers
+	arrive(copied, 0, 0)
+	arrive(silent, 0, 20*time.Millisecond)
+	arrive(copied, 1, 200*time.Millisecond)
+	for n, want := range []int{copied, silent} {
+		d := answer(ad, now.Add(time.Duration(300+n)*time.Millisecond), n)
+		assert.Equal(t, len(d.Openings), 1)
+		p := d.Openings[0]
+		assert.Equal(t, p.Segment.Flow(), flowOf(want))
+		assert.Equal(t, passthrough.IsCallerSilent(p.Segment, p.Delay), want == silent)
+	}
+}
+
 // Guards against a refusal while an agent may have room: one that admits the priority, that knows no priorities, or whose
 // report is old.
 func TestRefusedOnlyWithoutRoom(t *testing.T) {
--- a/pkg/passthrough/shortage.go
+++ b/pkg/passthrough/shortage.go
@@ -28,6 +28,8 @@
 	maxHeldWait = time.Second
 	// startGapWeight is the weight of one interval between starts of waiting requests in their mean.
 	startGapWeight = 1.0 / 8
+	// copyMargin is how much later than usual a copy of an opening packet may arrive: several round trips.
+	copyMargin = 50 * time.Millisecond
 	// attemptPatience is how long an opening packet may wait so that the request on the flow still follows within the
 	// attempt of its caller.
 	attemptPatience = attemptTimeout - 400*time.Millisecond
@@ -152,16 +154,37 @@
 	}
 }
 
-// waitingRequest returns the request for which an opening packet waits.
+// waitingRequest returns the request for which an opening packet waits. A caller that still waits sends copies of it.
 func (p *OpeningPacket) waitingRequest(now time.Time) priority.Request {
 	r := priority.Request{Priority: p.Priority, Caller: p.Segment.Flow().Caller().Addr(), StartedAt: now.Add(-p.waitTime())}
 	r.ExpiresAt = r.StartedAt.Add(attemptTimeout)
+	copies := min(p.Segment.Retransmissions(), len(retransmissionAges)-1)
+	r.HeardAt = r.StartedAt.Add(retransmissionAges[copies])
+	if next, ok := nextCopyDue(p.Segment); ok {
+		r.HeardBy = r.HeardAt.Add(next)
+	}
 	if !p.IsRetry {
 		r.StartBy = r.StartedAt.Add(p.freshPeriod())
 	}
 	return r
 }
 
+// nextCopyDue returns how long after an opening packet the next copy of it has arrived, or false if there is none.
+func nextCopyDue(seg Segment) (time.Duration, bool) {
+	next := seg.Retransmissions() + 1
+	if next >= len(retransmissionAges) {
+		return 0, false
+	}
+	return retransmissionAges[next] - retransmissionAges[next-1] + copyMargin, true
+}
+
+// IsCallerSilent reports whether the next copy of an opening packet, which has waited for some time, is overdue. Its caller
+// has probably given up, because its request went on another flow.
+func IsCallerSilent(seg Segment, waited time.Duration) bool {
+	next, ok := nextCopyDue(seg)
+	return ok && waited > next
+}
+
 // hold decides whether a packet waits. hasRoom means that the backend server has room for a request, and starts that the
 // packet starts one.
 func (s *shortage) hold(now time.Time, p FlowPacket, hasRoom, starts bool) Held {
--- a/pkg/priority/queue.go
+++ b/pkg/priority/queue.go
@@ -25,6 +25,10 @@
 	Caller netip.Addr
 	// StartedAt is when the caller began to wait.
 	StartedAt time.Time
+	// HeardAt is when the caller last showed that it waits; zero means StartedAt.
+	HeardAt time.Time
+	// HeardBy is when a caller that still waits has shown it again; zero if it shows nothing more.
+	HeardBy time.Time
 	// StartBy is the last time at which the request can start and be answered within its objective. A request without
 	// one, or one that is waiting for longer, is late.
 	StartBy time.Time
@@ -36,13 +40,25 @@
 
 func (r *Request) late(now time.Time) bool { return !now.Before(r.StartBy) }
 
+// silent reports whether the caller has not shown in time that it still waits.
+func (r *Request) silent(now time.Time) bool { return !r.HeardBy.IsZero() && now.After(r.HeardBy) }
+
+func (r *Request) heardAt() time.Time {
+	if r.HeardAt.IsZero() {
+		return r.StartedAt
+	}
+	return r.HeardAt
+}
+
 // Queue holds requests until there is capacity for them; the zero value is empty. It is not safe for concurrent use.
 //
 // Requests that can be answered within their objective go before the others, and higher priorities before lower ones. So
 // a priority and whether a request is late make up its class. A class that has been passed over maxPassedOver times gets
 // the next turn, except late requests with a release time, which get their capacity then. Within a class each caller has
 // one request in each round. Among equal requests the one with the least time left goes first. While at least as many late requests
-// wait as others, the newest goes first instead: otherwise all would be answered at the last moment or late.
+// wait as others, the one whose caller was heard last goes first instead: otherwise all would be answered at the last
+// moment or late, or their callers would have given up. Late requests whose callers are silent go after all others, and
+// get no turn out of order.
 type Queue[K comparable, V any] struct {
 	waiting []waiting[K, V]
 	rounds  map[int]*rounds // by priority
@@ -62,6 +78,7 @@
 // class is what orders requests of different callers.
 type class struct {
 	late     bool
+	silent   bool // the requests are late, and their callers have probably given up
 	priority int
 	// released means that the requests are late and have a release time.
 	released bool
@@ -72,6 +89,9 @@
 	if c.late != other.late {
 		return other.late
 	}
+	if c.silent != other.silent {
+		return other.silent
+	}
 	if c.priority != other.priority {
 		return c.priority < other.priority
 	}
@@ -80,7 +100,7 @@
 
 func (w *waiting[K, V]) class(now time.Time) class {
 	late := w.late(now)
-	return class{late: late, priority: w.Priority, released: late && !w.ReleaseAt.IsZero()}
+	return class{late: late, silent: late && w.silent(now), priority: w.Priority, released: late && !w.ReleaseAt.IsZero()}
 }
 
 // rounds shares the capacity of a priority between callers.
@@ -127,11 +147,12 @@
 	return nil
 }
 
-// Push adds a request, or replaces the value of the one with the same key, which keeps its place. It returns false if
-// the queue is full.
+// Push adds a request, or replaces the value of the one with the same key, whose caller has been heard again and which
+// otherwise keeps its place. It returns false if the queue is full.
 func (q *Queue[K, V]) Push(key K, r Request, v V) bool {
 	if i := q.index(key); i >= 0 {
-		q.waiting[i].value = v
+		w := &q.waiting[i]
+		w.value, w.HeardAt, w.HeardBy = v, r.HeardAt, r.HeardBy
 		return true
 	}
 	if len(q.waiting) >= maxWaiting {
@@ -217,7 +238,7 @@
 	case a.round != b.round:
 		return a.round < b.round
 	case classA.late || q.standing:
-		return a.StartedAt.After(b.StartedAt)
+		return a.heardAt().After(b.heardAt())
 	}
 	return a.StartBy.Before(b.StartBy)
 }
@@ -236,7 +257,7 @@
 	}
 	passed := make(map[class]int)
 	for i := range q.waiting {
-		if c := q.waiting[i].class(now); served.before(c) && !c.released {
+		if c := q.waiting[i].class(now); served.before(c) && !c.released && !c.silent {
 			passed[c] = q.passedOver[c] + 1
 		} else if n, ok := q.passedOver[c]; ok {
 			passed[c] = n
