--- a/internal/cmd/where.go
+++ b/internal/cmd/where.go
@@ -7,14 +7,14 @@
 	"github.com/integrii/flaggy"
 	"github.com/juju/errors"
 
-	"github.com/bramleymast/bramleymast/internal/passthrough"
+	"github.com/bramleymast/bramleymast/internal/forecast"
 	"github.com/bramleymast/bramleymast/pkg/finding"
 )
 
 // whereCommand implements "bramleymast where".
 type whereCommand struct {
 	outputOption
-	question passthrough.WhereQuestion
+	question forecast.Question
 	balancer string
 }
 
@@ -22,7 +22,7 @@
 	sc := flaggy.NewSubcommand("where")
 	sc.Description = "explains where a new flow would go now, without sending it"
 	sc.AddPositionalValue(&c.question.Address, "address", 1, true, "service address and port")
-	sc.String(&c.balancer, "b", "balancer", "address and port at which a bramleymast-node balancer serves its metrics (required)")
+	sc.String(&c.balancer, "b", "balancer", "address and port at which a balancer serves its metrics (required)")
 	sc.String(&c.question.From, "f", "from", "caller's address, with its port for a known flow")
 	sc.String(&c.question.Zone, "z", "zone", "zone from which the flow is sent, instead of the balancer's")
 	c.outputOption.declare(sc)
@@ -47,9 +47,9 @@
 	if e.printFindings(l) {
 		return ExitBadInput
 	}
-	answer, err := passthrough.AskWhere(ctx, balancer, c.question)
+	answer, err := forecast.Ask(ctx, balancer, c.question)
 	switch {
-	case errors.Is(err, passthrough.ErrBadWhere):
+	case errors.Is(err, forecast.ErrBadQuestion):
 		e.printError(err)
 		return ExitBadInput
 	case err != nil:
