fix: silence is counted in probes, attempts to connect are bounded

A balancer sends at most 100 probes a second, so with 100 silent agents each gets one in a second, and half a second without an answer could be one lost probe. A draining agent that is alive would then count as lost, if all other hosts have restarted. And a call without a timeout would open a socket every 100 ms for minutes.

Change: besides the half second, five unanswered probes; at most ten attempts to connect. The test has the case of four probes in a second, and one of a call that gets no answer.

--- a/internal/redial/redial.go
+++ b/internal/redial/redial.go
@@ -7,13 +7,19 @@
 	"time"
 )
 
-// interval is the time between attempts: several round trips between zones. The kernel repeats a lost packet that opens a
-// connection after a second only.
-const interval = 100 * time.Millisecond
+const (
+	// interval is the time between attempts: several round trips between zones. The kernel repeats a lost packet that
+	// opens a connection after a second only.
+	interval = 100 * time.Millisecond
+	// maxAttempts limits the sockets of a call without a timeout. The kernel's own repetitions cover what follows.
+	maxAttempts = 10
+)
 
 // Dialer opens connections; the zero value has no timeout.
 //
-// Load: processes that start together after an outage while their way to others is still down for some tenths of a second.
+// It answers loss and not load: processes that start together after an outage while their way to others is down for some
+// more tenths of a second. A host that only answers slowly completes the first connection in its kernel, whatever its
+// processes do.
 type Dialer struct {
 	// Timeout limits how long opening a connection takes; 0 means that only the context does.
 	Timeout time.Duration
@@ -28,7 +34,8 @@
 }
 
 // DialContext opens a connection. It makes another attempt every 100 ms while the earlier ones are unanswered, and returns
-// the first connection, or the first error, which shows that the address refuses connections or that the time is up.
+// the first connection, or the first error, which shows that the address refuses connections or that the time is up. As
+// with a single attempt, it is up to the caller to try again after a refusal.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -58,7 +65,7 @@
 			go discard(outcomes, attempts-1)
 			return o.conn, o.err
 		case <-t.C:
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && attempts < maxAttempts {
 				attempt()
 			}
 		}
--- a/internal/redial/redial_test.go
+++ b/internal/redial/redial_test.go
@@ -42,6 +42,7 @@
 		"refused":                 {time.Second, 0, 5 * time.Millisecond, true, errRefused, 1},
 		"no answer":               {250 * time.Millisecond, time.Hour, 250 * time.Millisecond, false, context.DeadlineExceeded, 3},
 		"without a limit of time": {0, wayBack, 405 * time.Millisecond, false, nil, 5},
+		"few sockets":             {5 * time.Second, time.Hour, time.Second, false, nil, 10},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/pkg/passthrough/kept_flows_test.go
+++ b/pkg/passthrough/kept_flows_test.go
@@ -114,6 +114,13 @@
 	assert.Assert(t, s.CheckDue(now.Add(2*interval)))
 }
 
+// probe probes agents that do not answer, every 100 ms.
+func probe(s *passthrough.Steerer, times int) {
+	for i := range times {
+		s.DueProbes(start.Add(time.Duration(i) * 100 * time.Millisecond))
+	}
+}
+
 // Load: all callers of kept flows retransmit after an outage of all hosts, one of which was draining and does not come
 // back. Guards against callers that wait until its lease ends, and against resets while an agent that was not lost is cut
 // off.
@@ -122,16 +129,18 @@
 	for name, c := range map[string]struct {
 		allow, restarted, reported bool
 		closed                     []int
+		probes                     int
 		wait                       time.Duration
 		want                       passthrough.Denial
 	}{
-		"outage of all hosts":  {true, true, false, []int{draining}, period, passthrough.AllRestarted},
-		"without the feature":  {false, true, false, []int{draining}, period, passthrough.SomeDeny},
-		"silent for too short": {true, true, false, []int{draining}, period - time.Millisecond, passthrough.SomeDeny},
-		"not draining":         {true, true, false, nil, period, passthrough.SomeDeny},
-		"has answered":         {true, true, true, []int{draining}, period, passthrough.SomeDeny},
-		"no outage of all":     {true, false, false, []int{draining}, period, passthrough.SomeDeny},
-		"two of ten silent":    {true, true, false, []int{draining, draining - 1}, period, passthrough.SomeDeny},
+		"outage of all hosts":  {true, true, false, []int{draining}, 5, period, passthrough.AllRestarted},
+		"without the feature":  {false, true, false, []int{draining}, 5, period, passthrough.SomeDeny},
+		"silent for too short": {true, true, false, []int{draining}, 5, period - time.Millisecond, passthrough.SomeDeny},
+		"too few probes":       {true, true, false, []int{draining}, 4, 2 * period, passthrough.SomeDeny},
+		"not draining":         {true, true, false, nil, 5, period, passthrough.SomeDeny},
+		"has answered":         {true, true, true, []int{draining}, 5, period, passthrough.SomeDeny},
+		"no outage of all":     {true, false, false, []int{draining}, 5, period, passthrough.SomeDeny},
+		"two of ten silent":    {true, true, false, []int{draining, draining - 1}, 5, period, passthrough.SomeDeny},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := passthrough.NewSteerer("zone-0")
@@ -142,7 +151,7 @@
 			if c.reported {
 				s.SetLoad(start, address(draining), serviceID, passthrough.Load{})
 			}
-			s.DueProbes(start)
+			probe(s, c.probes)
 			now := start.Add(c.wait)
 			s.Search(now, flowOf(1), service)
 			got := passthrough.SomeDeny
@@ -161,7 +170,7 @@
 	s := passthrough.NewSteerer("zone-0")
 	s.AllowSilentDraining()
 	s.SetViews(views(agents, draining))
-	s.DueProbes(start)
+	probe(s, 5)
 	now := start.Add(499 * time.Millisecond)
 	for f := range 2 {
 		s.Search(now, flowOf(f), service)
--- a/pkg/passthrough/probes.go
+++ b/pkg/passthrough/probes.go
@@ -49,6 +49,7 @@
 	s.probeTokens -= float64(len(due))
 	for _, a := range due {
 		s.recordSent(now, a)
+		s.agents[a].unansweredProbes++
 	}
 	return due
 }
--- a/pkg/passthrough/silent_draining.go
+++ b/pkg/passthrough/silent_draining.go
@@ -6,10 +6,12 @@
 )
 
 const (
-	// silentDrainingPeriod is how long a draining agent leaves all messages of a balancer that has just started unanswered
-	// before its denial is not needed any more: five probes, one every suspectProbeInterval. Agents answer within
-	// milliseconds, and callers of lost flows that wait for longer have little time left for another try.
-	silentDrainingPeriod = 5 * suspectProbeInterval
+	// silentDrainingPeriod and silentProbes are for how long, and for how many probes, a draining agent leaves all messages
+	// of a balancer that has just started unanswered before its denial is not needed any more. Agents answer within
+	// milliseconds, and callers of lost flows that wait for longer have little time left for another try. Probes are rarer
+	// while many agents are silent, so a lost one does not count as silence.
+	silentDrainingPeriod = 500 * time.Millisecond
+	silentProbes         = 5
 	// minDenialsPerSilent is how many agents must deny a flow for each draining one that is silent.
 	minDenialsPerSilent = 8
 )
@@ -49,7 +51,7 @@
 
 // silentWhileDraining reports whether an agent that accepts no flows has never answered this balancer.
 func (st *agentState) silentWhileDraining(now time.Time) bool {
-	return !st.inService && !st.reported && !st.unansweredSince.IsZero() && now.Sub(st.unansweredSince) >= silentDrainingPeriod
+	return !st.inService && !st.reported && st.unansweredProbes >= silentProbes && now.Sub(st.unansweredSince) >= silentDrainingPeriod
 }
 
 // DeniedFlow is a flow whose search has been denied.
--- a/pkg/passthrough/steerer.go
+++ b/pkg/passthrough/steerer.go
@@ -55,7 +55,9 @@
 	reportedAt      time.Time
 	unreported      int       // flows placed since the last report
 	unansweredSince time.Time // when the oldest unanswered message was sent; zero if there is none
-	placedAt        time.Time // when a flow was last placed
+	// unansweredProbes is the number of probes since then, at least suspectProbeInterval apart.
+	unansweredProbes int
+	placedAt         time.Time // when a flow was last placed
 	// meanBusy and meanFlows are the means of the reported values over the last seconds.
 	meanBusy, meanFlows float64
 	lastSentAt          time.Time
@@ -177,7 +179,7 @@
 	st.smooth(now, l)
 	st.load, st.reported, st.reportedAt = l, true, now
 	st.unreported = 0
-	st.unansweredSince = time.Time{}
+	st.unansweredSince, st.unansweredProbes = time.Time{}, 0
 	return true
 }
 
