--- a/cmd/bramleymast-node/main.go
+++ b/cmd/bramleymast-node/main.go
@@ -27,22 +27,30 @@
 	exitBadInput = 2
 )
 
-// parseArguments returns the role and the features that the command line asks for.
-func parseArguments(args []string) (role string, features passthrough.Features, err error) {
+// arguments holds what the command line asks for.
+type arguments struct {
+	role     string
+	features passthrough.Features
+	// metricsPort is a second port for the metrics; 0 is none.
+	metricsPort uint16
+}
+
+func parseArguments(args []string) (a arguments, err error) {
 	p := flaggy.NewParser("bramleymast-node")
 	p.ShowHelpOnUnexpected, p.ShowVersionWithVersionFlag = false, false
 	var list string
-	p.AddPositionalValue(&role, "role", 1, true, "balancer or agent")
+	p.AddPositionalValue(&a.role, "role", 1, true, "balancer or agent")
 	p.String(&list, "", "features", "comma-separated optional features")
+	p.UInt16(&a.metricsPort, "", "metrics-port", "second port at which the metrics are served")
 	if err := p.ParseArgs(args); err != nil {
-		return "", passthrough.Features{}, err
+		return arguments{}, err
 	}
-	features, err = passthrough.ParseFeatures(list)
-	return role, features, err
+	a.features, err = passthrough.ParseFeatures(list)
+	return a, err
 }
 
 func run(ctx context.Context, args []string) int {
-	role, features, err := parseArguments(args)
+	a, err := parseArguments(args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadInput
@@ -52,16 +60,17 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadInput
 	}
+	s.SetMetricsPort(a.metricsPort)
 	logger, stopLog := newLogger(ctx, s.ID())
 	defer stopLog()
 	var d platform.Daemon
-	switch role {
+	switch a.role {
 	case "balancer":
-		d, err = platform.NewBalancer(s, features, logger)
+		d, err = platform.NewBalancer(s, a.features, logger)
 	case "agent":
-		d, err = platform.NewAgent(s, features, logger)
+		d, err = platform.NewAgent(s, a.features, logger)
 	default:
-		fmt.Fprintln(os.Stderr, "usage: bramleymast-node balancer|agent [--features NAME,...]")
+		fmt.Fprintln(os.Stderr, "usage: bramleymast-node balancer|agent [--features NAME,...] [--metrics-port PORT]")
 		return exitBadInput
 	}
 	if err != nil {
@@ -72,7 +81,7 @@
 	defer stop()
 	stopReload := onReload(func() { reload(s, d, logger) })
 	defer stopReload()
-	logger.Info("started", "role", role)
+	logger.Info("started", "role", a.role)
 	drain := func() {
 		logger.Info("graceful shutdown")
 		d.Drain()
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -35,6 +35,8 @@
 	Link netip.AddrPort
 	// HTTP serves readiness and metrics.
 	HTTP netip.AddrPort
+	// Metrics serves the metrics at a second address; the zero value serves them at HTTP only.
+	Metrics netip.AddrPort
 	// Heartbeats receives the heartbeats of the backend server (HTTP).
 	Heartbeats netip.AddrPort
 	// HeartbeatHandler returns the HTTP handler that passes heartbeats to the receiver.
@@ -95,6 +97,7 @@
 	// newestAgent is the highest revision that a balancer has sent at which the entry of an agent was created. It is
 	// passed on, so that a balancer finds out that it does not know an agent yet.
 	newestAgent maxRevision
+	metricsHTTP *httpServer // nil without a second address for the metrics
 }
 
 // returnPath is where the last packet of a flow came from and which agents it may visit if the backend server rejects
@@ -159,6 +162,7 @@
 	}
 	a.heartbeats.mux.Handle("/", cfg.HeartbeatHandler(a))
 	a.http.mux.Handle("GET "+metricsPath, a.metrics.handler())
+	a.metricsHTTP = a.metrics.newServer(cfg.Metrics, cfg.Logger)
 	return a, nil
 }
 
@@ -186,6 +190,9 @@
 	g.Go(a.registrar.run)
 	g.Go(func(ctx context.Context) error { return a.announcer.run(ctx, a.registrar.backendSeen) })
 	g.Go(a.http.run)
+	if a.metricsHTTP != nil {
+		g.Go(a.metricsHTTP.run)
+	}
 	g.Go(a.heartbeats.run)
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.link.conn, a.onMessage) })
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.outbound, a.onBackendPacket) })
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -45,6 +45,8 @@
 	Link netip.AddrPort
 	// HTTP serves readiness and metrics.
 	HTTP netip.AddrPort
+	// Metrics serves the metrics at a second address; the zero value serves them at HTTP only.
+	Metrics netip.AddrPort
 	// Seeds are link addresses of other processes, from which the balancer fetches state while the store is
 	// unavailable.
 	Seeds []netip.AddrPort
@@ -93,6 +95,8 @@
 	leaving        atomic.Bool
 	draining       chan struct{} // closed when the graceful shutdown starts
 	drainPeriod    atomic.Int64  // as time.Duration
+
+	metricsHTTP *httpServer // nil without a second address for the metrics
 }
 
 // NewBalancer returns a balancer with its sockets bound.
@@ -131,6 +135,7 @@
 	}
 	b.http.handleReady(cfg.ReadyPath, b.Ready)
 	b.http.mux.Handle("GET "+metricsPath, b.metrics.handler())
+	b.metricsHTTP = b.metrics.newServer(cfg.Metrics, cfg.Logger)
 	b.http.mux.HandleFunc("GET "+wherePath, b.serveWhere)
 	return b, nil
 }
@@ -187,6 +192,9 @@
 	})
 	g.Go(func(ctx context.Context) error { return servePeers(ctx, b.link.calls, &b.state) })
 	g.Go(b.http.run)
+	if b.metricsHTTP != nil {
+		g.Go(b.metricsHTTP.run)
+	}
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.link.conn, b.onMessage) })
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.packets, b.receive) })
 	g.Go(func(ctx context.Context) error {
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
@@ -155,3 +156,18 @@
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
+
+// newServer returns a server of the metrics at an address of the operator's choice, or nil if there is none or it is
+// not available. The latter costs these metrics only: they stay at the readiness address, and the process goes on.
+func (m *metrics) newServer(a netip.AddrPort, logger hclog.Logger) *httpServer {
+	if !a.IsValid() {
+		return nil
+	}
+	s, err := newHTTPServer(a)
+	if err != nil {
+		logger.Warn("metrics address not available", "address", a, "error", err)
+		return nil
+	}
+	s.mux.Handle("GET "+metricsPath, m.handler())
+	return s
+}
