feat: a sample of each zone stands for its other detours

With 2,750 agents of a zone behind a cut, a balancer needed half of them to fall silent before it took the link for down, replaced relays that it had merely not asked for 1.5 s, and gave its 100 checks a second to the same 50 agents until their detours ended, so that the last one ended about a minute after the cut; all balancers of a zone chose the same 50.

Now 32 silent agents show that nothing passes to a large zone, 24 detours are verified all the time, which are other agents in each balancer, the other detours use their relays, and end in batches that double when the sample passes. A batch that does not answer stops this. A relay that passes on an answer counts as alive. Zones of up to 24 agents behave as before, but for the order in which agents are checked.

TestSampleIsNotTheZone guards against a sample that passes while half or a quarter of its zone is still cut off.

--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -127,7 +127,7 @@
 	}
 	b.link.filter = cfg.LinkFilter
 	if d := newDetours(b.link, cfg.Features, cfg.Logger); d != nil {
-		b.detours = &balancerDetours{detours: d, planner: detour.NewPlanner(cfg.Zone, &d.table), zone: cfg.Zone, setDetoured: b.steerer.SetDetoured, probe: b.probe}
+		b.detours = &balancerDetours{detours: d, planner: detour.NewPlanner(cfg.Link, cfg.Zone, &d.table), zone: cfg.Zone, setDetoured: b.steerer.SetDetoured, probe: b.probe}
 	}
 	b.http, err = newHTTPServer(cfg.HTTP)
 	if err != nil {
--- a/pkg/detour/direction.go
+++ b/pkg/detour/direction.go
@@ -22,6 +22,8 @@
 	confirmed   int
 	confirmedAt time.Time
 	needed      int
+	// released means that the direction counts as passing because others of the zone pass, without a trial of its own.
+	released bool
 }
 
 // fail records that nothing passes, and reports whether this is new.
@@ -35,10 +37,17 @@
 	} else {
 		d.needed = firstConfirmations
 	}
-	d.dead, d.changedAt = true, now
+	d.dead, d.changedAt, d.released = true, now, false
 	return true
 }
 
+// release takes a dead direction as passing.
+func (d *direction) release(now time.Time) {
+	if d.dead {
+		d.dead, d.changedAt, d.confirmed, d.released = false, now, 0, true
+	}
+}
+
 // pass records that a trial has passed, and reports whether the direct way is used again.
 func (d *direction) pass(now time.Time) bool {
 	if !d.dead || now.Sub(d.confirmedAt) < confirmationInterval {
@@ -48,14 +57,14 @@
 	if d.confirmed < d.needed {
 		return false
 	}
-	d.dead, d.changedAt = false, now
+	d.dead, d.changedAt, d.released = false, now, false
 	return true
 }
 
-// canFail reports whether the direction may be taken as dead because others of the same zone are: it passes now and has
-// not changed lately.
+// canFail reports whether the direction may be taken as dead because others of the same zone are: it passes now, and no
+// trial of its own has shown lately that it does.
 func (d *direction) canFail(now time.Time) bool {
-	return !d.dead && (d.changedAt.IsZero() || now.Sub(d.changedAt) >= relapsePeriod)
+	return !d.dead && (d.released || d.changedAt.IsZero() || now.Sub(d.changedAt) >= relapsePeriod)
 }
 
 // miss records that a trial has not passed.
--- a/pkg/detour/peer.go
+++ b/pkg/detour/peer.go
@@ -26,6 +26,8 @@
 	lostSince time.Time
 	// there is the direction to the peer, back the one from it.
 	there, back direction
+	// sampled means that the peer stands for others of its zone while a link is down.
+	sampled bool
 }
 
 // detoured reports whether datagrams of at least one direction need a relay.
--- a/pkg/detour/planner.go
+++ b/pkg/detour/planner.go
@@ -44,26 +44,34 @@
 
 // Planner decides which peers of a process are reached through a relay. It is safe for concurrent use.
 type Planner struct {
+	// seed lets processes check different peers of a zone first.
+	seed  uint64
 	zone  string
 	table *Table
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
-	order []*peer // by address
+	order []*peer // by zone and address; in each zone it begins with other peers in each process
+	// first is the index in order at which the next call of Tick begins, so that checks are limited for all alike.
+	first int
 	zones map[string]*zoneState
 	// zoneOrder holds the zones in the order of their first peers.
 	zoneOrder []*zoneState
 	checks    Limiter
-	outside   outside
-	// linksDown means that a link to or from another zone was down at the last call of Tick.
+	// others limits the checks of detours that samples stand for.
+	others Limiter
+	// limited counts the checks that the limits have refused.
+	limited int
+	outside outside
+	// linksDown means that a link to or from another zone was down at the last call of Tick, or has come up lately.
 	linksDown bool
 	// pending holds actions that the next call of Tick returns.
 	pending []Action
 }
 
-// NewPlanner returns the planner of a process in a zone, which writes the detours in use into the table.
-func NewPlanner(zone string, table *Table) *Planner {
-	return &Planner{zone: zone, table: table, peers: make(map[netip.AddrPort]*peer), zones: make(map[string]*zoneState), checks: Limiter{Rate: checksPerSecond}}
+// NewPlanner returns the planner of a process with an address in a zone, which writes the detours in use into the table.
+func NewPlanner(self netip.AddrPort, zone string, table *Table) *Planner {
+	return &Planner{seed: addressHash(self), zone: zone, table: table, peers: make(map[netip.AddrPort]*peer), zones: make(map[string]*zoneState), checks: Limiter{Rate: checksPerSecond}, others: Limiter{Rate: othersPerSecond}}
 }
 
 // SetPeers replaces the peers, with the zone of each. It keeps what is known of those that stay.
@@ -87,7 +95,6 @@
 			q = &peer{address: a, zone: zone}
 			p.peers[a] = q
 		}
-		p.order = append(p.order, q)
 		z, ok := p.zones[zone]
 		if !ok {
 			z = &zoneState{name: zone}
@@ -99,6 +106,12 @@
 		}
 		z.peers = append(z.peers, q)
 	}
+	for _, z := range p.zoneOrder {
+		n := p.seed % uint64(len(z.peers))
+		p.order = append(append(p.order, z.peers[n:]...), z.peers[:n]...)
+		z.peers = p.order[len(p.order)-len(z.peers):]
+	}
+	p.first = 0
 }
 
 // Asked records that a datagram that requires an answer was sent to a peer.
@@ -154,6 +167,9 @@
 	}
 	q.checks = 0
 	p.outside.answered()
+	if r, ok := p.peers[relay]; ok && !r.detoured() {
+		r.answered(now)
+	}
 	if !q.detoured() {
 		q.relay = relay
 	}
@@ -222,8 +238,10 @@
 	for _, z := range p.zoneOrder {
 		z.checked = 0
 	}
-	unreached := false
-	for _, q := range p.order {
+	unreached, refused := false, -1
+	for i := range p.order {
+		at := (p.first + i) % len(p.order)
+		q, limited := p.order[at], p.limited
 		switch {
 		case q.detoured():
 			unreached = true
@@ -232,12 +250,16 @@
 			unreached = true
 			p.checkSilent(now, q)
 		}
+		if refused < 0 && p.limited > limited {
+			refused = at
+		}
 	}
+	p.first = max(refused, 0)
 	if unreached || p.linksDown {
 		p.linksDown = false
 		for _, z := range p.zoneOrder {
 			p.judgeZone(now, z)
-			p.linksDown = p.linksDown || z.thereDown || z.backDown
+			p.linksDown = p.linksDown || z.thereDown || z.backDown || z.sampled != nil
 		}
 	}
 	p.judgeOutside(now)
@@ -268,7 +290,7 @@
 
 // check sends a check with a direct trial before it, if the rate limit allows.
 func (p *Planner) check(now time.Time, q *peer, relay netip.AddrPort) {
-	if !p.checks.Allow(now) {
+	if !p.allow(&p.checks, now) {
 		return
 	}
 	q.checkedAt = now
@@ -277,6 +299,15 @@
 	p.pending = append(p.pending, Trial{To: q.address}, Check{To: q.address, Relay: relay, AnswerByRelay: q.back.dead})
 }
 
+// allow takes a token of a limiter and counts refusals.
+func (p *Planner) allow(l *Limiter, now time.Time) bool {
+	ok := l.Allow(now)
+	if !ok {
+		p.limited++
+	}
+	return ok
+}
+
 // probe sends trials to at most n peers that have no unanswered datagram.
 func (p *Planner) probe(now time.Time, peers []*peer, n int) {
 	for _, q := range peers {
@@ -298,6 +329,16 @@
 		p.lose(now, q)
 		return
 	}
+	if s := p.standIn(q); s != nil {
+		if s.detoured() && s.relay != q.relay && s.relay != q.address {
+			q.relay = s.relay
+			p.changed(now, q)
+		}
+		if now.Sub(q.checkedAt) >= verifyInterval && p.allow(&p.others, now) {
+			p.check(now, q, q.relay)
+		}
+		return
+	}
 	r, known := p.peers[q.relay]
 	if !known || !r.canRelay(now) || due && q.checks >= relayChecks {
 		relay, ok := p.relayFor(now, q)
--- a/pkg/detour/planner_test.go
+++ b/pkg/detour/planner_test.go
@@ -19,15 +19,19 @@
 	zones    map[netip.AddrPort]string
 	arrivals map[netip.AddrPort]*Arrivals
 	down     map[netip.AddrPort]bool
+	random   *rand.Rand
 	// drops reports whether a datagram is lost between two hosts, given by address and zone.
 	drops    func(from, to host) bool
 	balancer host
 	// onlyDown asks only hosts that have failed, as a balancer does whose probes are used up by these.
 	onlyDown bool
-	checks   int
-	chosen   int
-	links    []Action
-	shares   []Share
+	// asks is the number of random agents that are asked every 50 ms; 0 asks each agent every 200 ms.
+	asks    int
+	checks  int
+	checked map[netip.AddrPort]int
+	chosen  int
+	links   []Action
+	shares  []Share
 }
 
 type host struct {
@@ -38,17 +42,20 @@
 // perZone is the number of agents in each zone.
 const perZone = 8
 
-func newNetwork() *network {
-	n := &network{now: time.Unix(1000, 0), zones: make(map[netip.AddrPort]string), arrivals: make(map[netip.AddrPort]*Arrivals), down: make(map[netip.AddrPort]bool)}
-	n.balancer = host{netip.MustParseAddrPort("10.0.0.1:7000"), "a"}
+func newNetwork() *network { return newNetworkOf(perZone, "10.0.0.1:7000") }
+
+// newNetworkOf returns a network of three zones with a number of agents in each, and a balancer.
+func newNetworkOf(perZone int, balancer string) *network {
+	n := &network{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 1)), checked: make(map[netip.AddrPort]int), zones: make(map[netip.AddrPort]string), arrivals: make(map[netip.AddrPort]*Arrivals), down: make(map[netip.AddrPort]bool)}
+	n.balancer = host{netip.MustParseAddrPort(balancer), "a"}
 	n.drops = func(_, _ host) bool { return false }
 	for i, zone := range []string{"a", "b", "c"} {
 		for j := range perZone {
-			a := netip.MustParseAddrPort(fmt.Sprintf("10.%d.1.%d:7000", i, j+1))
+			a := netip.MustParseAddrPort(fmt.Sprintf("10.%d.%d.%d:7000", i, 1+j/250, j%250+1))
 			n.zones[a], n.arrivals[a] = zone, NewArrivals(n.now)
 		}
 	}
-	n.planner = NewPlanner("a", &n.table)
+	n.planner = NewPlanner(n.balancer.address, "a", &n.table)
 	n.planner.SetPeers(n.zones)
 	return n
 }
@@ -78,6 +85,7 @@
 
 func (n *network) check(c Check) {
 	n.checks++
+	n.checked[c.To]++
 	to, relay := n.host(c.To), n.host(c.Relay)
 	if !n.passes(n.balancer, relay, to) {
 		return
@@ -95,8 +103,13 @@
 func (n *network) run(d time.Duration) {
 	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(50 * time.Millisecond) {
 		i := 0
+		for range n.asks {
+			q := n.planner.order[n.random.IntN(len(n.planner.order))]
+			n.planner.Asked(n.now, q.address)
+			n.ask(q.address)
+		}
 		for _, q := range n.planner.order {
-			if i++; (n.now.UnixMilli()/50+int64(i))%4 == 0 && (!n.onlyDown || n.down[q.address]) {
+			if i++; n.asks == 0 && (n.now.UnixMilli()/50+int64(i))%4 == 0 && (!n.onlyDown || n.down[q.address]) {
 				n.planner.Asked(n.now, q.address)
 				n.ask(q.address)
 			}
@@ -143,6 +156,64 @@
 	return func(f, t host) bool { return f.zone == from && t.zone == to }
 }
 
+// Guards against detours that end a minute after the cut, and against all balancers of a zone checking the same few agents:
+// the checks of a balancer are limited, so a sample of the agents stands for the others. The load is that of one entry
+// host of 2,900, which reaches 8,250 agents and has a datagram for 400 of them a second.
+func TestOneWayOfManyAgents(t *testing.T) {
+	const agents, seconds = 2750, 8
+	checked := make(map[netip.AddrPort]int)
+	for i := range 2 {
+		n := newNetworkOf(agents, fmt.Sprintf("10.0.0.%d:7000", i+1))
+		n.asks = 20
+		n.run(time.Second)
+		n.drops = cut("a", "c")
+		n.run(2 * time.Second)
+		assert.DeepEqual(t, n.links, []Action{LinkDown{From: "a", To: "c"}})
+		n.run((seconds - 2) * time.Second)
+		_, relayed := n.reaches()
+		assert.Assert(t, relayed > agents/4, "%d detours", relayed)
+		assert.Assert(t, n.checks <= (seconds+1)*checksPerSecond, "%d checks", n.checks)
+		for a, count := range n.checked {
+			if count > seconds { // A sample is checked twice a second.
+				checked[a]++
+			}
+		}
+		n.drops = cut("", "")
+		n.run(5 * time.Second)
+		_, relayed = n.reaches()
+		assert.Equal(t, relayed, 0)
+		assert.DeepEqual(t, n.links[1:], []Action{LinkUp{From: "a", To: "c"}})
+	}
+	assert.Assert(t, len(checked) > 3*sampleSize/2, "two balancers have %d agents in their samples", len(checked))
+}
+
+// Guards against agents out of reach because most of the sample passes while a part of their zone is still cut off.
+func TestSampleIsNotTheZone(t *testing.T) {
+	const agents = 400
+	for _, part := range []byte{2, 4} {
+		isCut := func(a netip.AddrPort) bool { return a.Addr().As4()[3]%part == 0 }
+		n := newNetworkOf(agents, "10.0.0.1:7000")
+		n.asks = 100
+		n.run(time.Second)
+		n.drops = cut("a", "c")
+		n.run(5 * time.Second)
+		n.drops = func(f, t host) bool { return cut("a", "c")(f, t) && isCut(t.address) }
+		for range 40 {
+			n.run(500 * time.Millisecond)
+			out := 0
+			for a, zone := range n.zones {
+				if _, relayed := n.table.Relay(n.now, a); zone == "c" && isCut(a) && !relayed {
+					out++
+				}
+			}
+			assert.Assert(t, out <= sampleSize/2, "one of %d is cut off: %d out of reach", part, out)
+		}
+		all, _ := n.reaches()
+		assert.Assert(t, all)
+		assert.Assert(t, n.checks <= 26*checksPerSecond, "%d checks", n.checks)
+	}
+}
+
 // The load is that of one entry host whose kept flows belong to agents in a zone that its packets no longer reach.
 func TestOneWay(t *testing.T) {
 	n := newNetwork()
