fix: a starting balancer waits for its seeds although it can serve

The store's copy of the configuration still filled the link, and whether the state suffices was looked at only after each call to the seeds, which waited for the same link; such a call takes up to a second.

The balancer now looks whenever the state of another process was applied, or the agents were listed. Before the store has listed the agents, the rule for the seeds is the only one, as before.

--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -179,16 +179,26 @@
 			start()
 		}
 	}
+	sufficient := once(func() {
+		b.loadedPrefixes.Add(followedPrefixes)
+		start()
+	})
+	b.fetcher.applied = func() {
+		if b.agents.listedAt.Load() != nil && b.state.completeness() == complete {
+			sufficient()
+		}
+	}
 	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.OperatorPrefix, logger: b.cfg.Logger, apply: b.state.applyOperator, changed: b.refresh, loaded: once(loaded)}
-	b.agents.loaded = once(loaded)
+	firstList := once(loaded)
+	b.agents.loaded = func() {
+		firstList()
+		b.fetcher.applied()
+	}
 	g.Go(operator.run)
 	g.Go(b.agents.run)
 	g.Go(b.fetcher.run)
 	g.Go(func(ctx context.Context) error {
-		return b.fetcher.fetchFromSeeds(ctx, b.cfg.Seeds, listed, once(func() {
-			b.loadedPrefixes.Add(followedPrefixes)
-			start()
-		}))
+		return b.fetcher.fetchFromSeeds(ctx, b.cfg.Seeds, listed, sufficient)
 	})
 	g.Go(func(ctx context.Context) error { return servePeers(ctx, b.link.calls, &b.state) })
 	g.Go(b.http.run)
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -126,6 +126,8 @@
 	metrics *metrics
 	state   *localState
 	agents  bool // fetch agent entries too
+	// applied is called after the state that another process has returned was applied; nil does nothing.
+	applied func()
 	logger  hclog.Logger
 	due     chan netip.AddrPort // the process to fetch from next
 }
@@ -190,6 +192,9 @@
 		}
 	}
 	f.state.changed()
+	if f.applied != nil {
+		f.applied()
+	}
 }
 
 // fetchFromSeeds fetches from the seeds until listed is closed, which means that the store has returned all entries. It
