fix: a link that is down counts as up when agents join or leave

A change of the agents made new records of the zones without their samples, and a link is up when less than half of the sample has lost datagrams; so it came up, and went down some ticks later, at each change, for zones of any size. The samples and releases in progress are now kept, and a sample is refilled before a link is judged.

--- a/pkg/detour/planner.go
+++ b/pkg/detour/planner.go
@@ -100,6 +100,7 @@
 			z = &zoneState{name: zone}
 			if o, ok := old[zone]; ok {
 				z.thereDown, z.backDown, z.sharedAt = o.thereDown, o.backDown, o.sharedAt
+				z.released, z.releasedAt = o.released, o.releasedAt
 			}
 			p.zones[zone] = z
 			p.zoneOrder = append(p.zoneOrder, z)
@@ -110,6 +111,8 @@
 		n := p.seed % uint64(len(z.peers))
 		p.order = append(append(p.order, z.peers[n:]...), z.peers[:n]...)
 		z.peers = p.order[len(p.order)-len(z.peers):]
+		z.keepSample()
+		z.released = slices.DeleteFunc(z.released, func(q *peer) bool { return p.peers[q.address] != q })
 	}
 	p.first = 0
 }
--- a/pkg/detour/planner_test.go
+++ b/pkg/detour/planner_test.go
@@ -187,6 +187,34 @@
 	assert.Assert(t, len(checked) > 3*sampleSize/2, "two balancers have %d agents in their samples", len(checked))
 }
 
+// Guards against a link that counts as up for a moment whenever agents join or leave, also those of the sample.
+func TestPeersChangeWhileLinkIsDown(t *testing.T) {
+	for _, size := range []int{perZone, 100} {
+		n := newNetworkOf(size, "10.0.0.1:7000")
+		n.run(time.Second)
+		n.drops = cut("a", "c")
+		n.run(4 * time.Second)
+		for i := range 3 {
+			joins := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 77, byte(i)}), 7000)
+			n.zones[joins], n.arrivals[joins] = "b", NewArrivals(n.now)
+			leaves := n.planner.zones["c"].sampled[0].address
+			delete(n.zones, leaves)
+			n.planner.SetPeers(n.zones)
+			n.run(500 * time.Millisecond)
+			assert.Equal(t, len(n.planner.zones["c"].sampled), min(sampleSize, len(n.planner.zones["c"].peers)))
+		}
+		assert.DeepEqual(t, n.links, []Action{LinkDown{From: "a", To: "c"}})
+		n.drops = cut("", "")
+		n.run(1200 * time.Millisecond)
+		joins := netip.MustParseAddrPort("10.2.78.1:7000")
+		n.zones[joins], n.arrivals[joins] = "b", NewArrivals(n.now)
+		n.planner.SetPeers(n.zones) // While the others are released.
+		n.run(3 * time.Second)
+		_, relayed := n.reaches()
+		assert.Equal(t, relayed, 0)
+	}
+}
+
 // Guards against agents out of reach because most of the sample passes while a part of their zone is still cut off.
 func TestSampleIsNotTheZone(t *testing.T) {
 	const agents = 400
--- a/pkg/detour/zone.go
+++ b/pkg/detour/zone.go
@@ -78,6 +78,7 @@
 // silent, and none has answered since.
 func (p *Planner) judgeLink(now time.Time, z *zoneState, isDown *bool, of func(*peer) *direction, down LinkDown, up LinkUp) {
 	if *isDown {
+		z.sample()
 		if 2*z.lostSampled(of) < min(sampleSize, len(z.peers)) {
 			*isDown = false
 			p.pending = append(p.pending, up)
@@ -145,14 +146,21 @@
 	p.changed(now, q)
 }
 
-// sample chooses the detours that stand for the others of the zone.
-func (z *zoneState) sample() {
-	z.sampled = z.sampled[:0]
+// keepSample finds the peers of the sample after the peers of the zone have changed.
+func (z *zoneState) keepSample() {
+	z.sampled = nil
 	for _, q := range z.peers {
 		if q.sampled {
 			z.sampled = append(z.sampled, q)
 		}
 	}
+}
+
+// sample chooses the detours that stand for the others of the zone, in place of those of peers that have left.
+func (z *zoneState) sample() {
+	if len(z.sampled) >= sampleSize {
+		return
+	}
 	for _, q := range z.peers {
 		if len(z.sampled) < sampleSize && q.detoured() && !q.sampled {
 			q.sampled = true
