fix: a failing metrics server ends the process

The second server of the metrics ended its process if its listener failed while it ran, although only a port that is taken at the start was to cost nothing else; it now logs that in both cases. A balancer that serves looks no more whether fetched state would suffice, which visits all agents.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -190,9 +190,7 @@
 	g.Go(a.registrar.run)
 	g.Go(func(ctx context.Context) error { return a.announcer.run(ctx, a.registrar.backendSeen) })
 	g.Go(a.http.run)
-	if a.metricsHTTP != nil {
-		g.Go(a.metricsHTTP.run)
-	}
+	g.Go(func(ctx context.Context) error { return a.metricsHTTP.runOptional(ctx, a.cfg.Logger) })
 	g.Go(a.heartbeats.run)
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.link.conn, a.onMessage) })
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.outbound, a.onBackendPacket) })
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -183,8 +183,10 @@
 		b.loadedPrefixes.Add(followedPrefixes)
 		start()
 	})
+	// The process that sent the configuration may be behind, like one that serves already: messages with a higher revision
+	// lead to another fetch, and the store's own list follows.
 	b.fetcher.applied = func() {
-		if b.agents.listedAt.Load() != nil && b.state.completeness() == complete {
+		if !b.hasLoaded() && b.agents.listedAt.Load() != nil && b.state.completeness() == complete {
 			sufficient()
 		}
 	}
@@ -202,9 +204,7 @@
 	})
 	g.Go(func(ctx context.Context) error { return servePeers(ctx, b.link.calls, &b.state) })
 	g.Go(b.http.run)
-	if b.metricsHTTP != nil {
-		g.Go(b.metricsHTTP.run)
-	}
+	g.Go(func(ctx context.Context) error { return b.metricsHTTP.runOptional(ctx, b.cfg.Logger) })
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.link.conn, b.onMessage) })
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.packets, b.receive) })
 	g.Go(func(ctx context.Context) error {
--- a/internal/passthrough/http.go
+++ b/internal/passthrough/http.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 )
 
@@ -45,3 +46,15 @@
 	}
 	return nil
 }
+
+// runOptional serves until the context ends or the listener fails, which the process survives. It does nothing for a nil
+// server.
+func (s *httpServer) runOptional(ctx context.Context, logger hclog.Logger) error {
+	if s == nil {
+		return nil
+	}
+	if err := s.run(ctx); err != nil {
+		logger.Warn("metrics address not available", "address", s.listener.Addr().String(), "error", err)
+	}
+	return nil
+}
