--- a/pkg/detour/planner.go
+++ b/pkg/detour/planner.go
@@ -333,13 +333,7 @@
 		return
 	}
 	if s := p.standIn(q); s != nil {
-		if s.detoured() && s.relay != q.relay && s.relay != q.address {
-			q.relay = s.relay
-			p.changed(now, q)
-		}
-		if now.Sub(q.checkedAt) >= verifyInterval && p.allow(&p.others, now) {
-			p.check(now, q, q.relay)
-		}
+		p.follow(now, q, s)
 		return
 	}
 	r, known := p.peers[q.relay]
@@ -360,3 +354,14 @@
 		p.check(now, q, q.relay)
 	}
 }
+
+// follow uses the relay of the peer that stands for a detour, and checks the detour now and then.
+func (p *Planner) follow(now time.Time, q, standIn *peer) {
+	if standIn.detoured() && standIn.relay != q.relay && standIn.relay != q.address {
+		q.relay = standIn.relay
+		p.changed(now, q)
+	}
+	if now.Sub(q.checkedAt) >= verifyInterval && p.allow(&p.others, now) {
+		p.check(now, q, q.relay)
+	}
+}
