fix: retries of callers who give up early look like new requests

A caller of a route whose requests may be repeated ends an attempt to open a flow after a third of the time that it has left, and retries 20 to 100 ms later (40 to 200 ms after a retry). Balancers expected retries 1.4 s after the attempt only, and agents reported unanswered attempts at an age of 1 s, when the retry had come. So after an outage more than half of the flows that looked new belonged to callers that were late already, and took the capacity of those that could be answered in time.

With request_priorities, an opening packet carries how long its first attempt is expected to last, by its route; agents report it 250 ms before that, and balancers expect its retry then, and at 1.4 s as before. Opening packets stay in the queue for 1.4 s, so a caller that waits for longer loses nothing. A report has one more byte for each attempt, so balancers and agents of different versions misread each other's reports until all are replaced.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -298,7 +298,8 @@
 		a.passOn(now, seg, m, passthrough.ReasonOtherService)
 		return
 	}
-	opening := passthrough.OpeningPacket{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, Priority: a.priority(seg), IsRetry: m.isRetry, Unconfigured: m.revision == 0, Packet: m.packet}
+	r, _ := a.state.Table().Route(seg.Flow().Address())
+	opening := passthrough.OpeningPacket{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, Priority: r.Priority, AttemptTimeout: a.cfg.Features.attemptTimeout(r), IsRetry: m.isRetry, Unconfigured: m.revision == 0, Packet: m.packet}
 	d := a.admitter.OnOpeningPacket(now, opening)
 	switch d.(type) {
 	case passthrough.Deliver:
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -380,7 +380,7 @@
 	case !ok:
 		b.refuse(seg, "no_route", table)
 	case seg.IsOpening():
-		p := passthrough.OpeningPacket{Segment: seg, Delay: delay, Packet: packet}
+		p := passthrough.OpeningPacket{Segment: seg, Delay: delay, AttemptTimeout: b.cfg.Features.attemptTimeout(r), Packet: packet}
 		if p.TimedOut() {
 			b.metrics.count(eventDropped, "expired")
 			return
@@ -468,7 +468,8 @@
 		b.onReport(now, src, &m.report)
 	case *unanswered:
 		for _, attempt := range m.attempts {
-			b.attempts.AddUnanswered(now, attempt)
+			r, _ := b.state.Table().Route(attempt.Flow.Address())
+			b.attempts.AddUnanswered(now, attempt, b.cfg.Features.attemptTimeout(r))
 		}
 	case *unowned:
 		b.onUnowned(now, m)
--- a/internal/passthrough/features.go
+++ b/internal/passthrough/features.go
@@ -3,8 +3,11 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/bramleymast/bramleymast/pkg/route"
 )
 
 // Feature is an optional behavior that a deployment asks for by name.
@@ -53,3 +56,12 @@
 
 // Has reports whether a feature is in the set.
 func (f Features) Has(feature Feature) bool { return slices.Contains(f.enabled, feature) }
+
+// attemptTimeout returns how long callers of a route wait for an answer before they try again; 0 without the feature that
+// orders requests by what callers need.
+func (f Features) attemptTimeout(r route.Route) time.Duration {
+	if !f.Has(RequestPriorities) {
+		return 0
+	}
+	return r.AttemptTimeout()
+}
--- a/internal/passthrough/held_request.go
+++ b/internal/passthrough/held_request.go
@@ -28,12 +28,6 @@
 	}
 }
 
-// priority returns the priority of the route of a packet.
-func (a *Agent) priority(seg passthrough.Segment) int {
-	r, _ := a.state.Table().Route(seg.Flow().Address())
-	return r.Priority
-}
-
 // orderPacket holds a packet of an open flow if its request waits for capacity, and calls decide otherwise.
 func (a *Agent) orderPacket(now time.Time, seg passthrough.Segment, m *forward, decide func()) {
 	if !a.held.enabled {
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -298,6 +298,7 @@
 	for _, a := range attempts {
 		b = a.Flow.Append(b)
 		b = appendUnits(b, a.Age, time.Millisecond)
+		b = appendFlag(b, a.IsRetry)
 	}
 	return b
 }
@@ -404,7 +405,7 @@
 	all := make([]passthrough.UnansweredAttempt, 0, n)
 	for range n {
 		f := passthrough.DecodeFlowID(r.next(passthrough.FlowIDSize))
-		all = append(all, passthrough.UnansweredAttempt{Flow: f, Age: r.milliseconds()})
+		all = append(all, passthrough.UnansweredAttempt{Flow: f, Age: r.milliseconds(), IsRetry: r.next(1)[0] == 1})
 	}
 	return all
 }
--- a/pkg/passthrough/attempts_test.go
+++ b/pkg/passthrough/attempts_test.go
@@ -69,7 +69,7 @@
 
 	var other passthrough.Attempts
 	arrived := reportedAt.Add(10 * time.Millisecond)
-	other.AddUnanswered(arrived, unanswered[0])
+	other.AddUnanswered(arrived, unanswered[0], 0)
 	assert.Equal(t, other.IsRetry(start.Add(1405*time.Millisecond), attemptFlow(5, 1)), false)
 	assert.Equal(t, other.IsRetry(start.Add(1405*time.Millisecond), attemptFlow(6, 1)), true)
 }
--- a/pkg/passthrough/priorities.go
+++ b/pkg/passthrough/priorities.go
@@ -146,6 +146,7 @@
 
 // enqueue queues an opening packet.
 func (r *room) enqueue(now time.Time, p OpeningPacket) Decision {
+	p.IsRetry = p.IsRetry || r.queue.isRetry(p.Segment.Flow())
 	if r.shortage != nil && !r.shortage.enqueueOpening(now, p) {
 		return PassOn{ReasonBusy}
 	}
--- a/pkg/passthrough/simulation_test.go
+++ b/pkg/passthrough/simulation_test.go
@@ -164,23 +164,37 @@
 	// balancers holds the recorded attempts of each balancer; a caller's attempts go through the balancers in turn.
 	balancers []passthrough.Attempts
 	objective time.Duration
-	served    map[passthrough.FlowID]bool
+	// timeout is the time of which callers give a third of what is left to each attempt; 0 if each lasts 1.4 s.
+	timeout time.Duration
+	// expected is how long the balancers and the agent expect a first attempt to last; 0 if they expect 1.4 s.
+	expected time.Duration
+	// outage is when the first packets arrive.
+	outage time.Duration
+	served map[passthrough.FlowID]bool
+	// abandoned holds the flows whose callers have given up.
+	abandoned map[passthrough.FlowID]bool
 	callers   map[passthrough.FlowID]int
 }
 
 // openAttempt makes a caller open a flow at the current time, and again when the attempt times out.
 func (o *overloadSimulation) openAttempt(caller, n int) {
-	const maxAttempts, attemptTimeout = 3, 1400 * time.Millisecond
+	const maxAttempts = 3
+	attemptTimeout, pause := 1400*time.Millisecond, time.Duration(0)
+	if o.timeout > 0 {
+		attemptTimeout = (o.timeout - (o.now - o.startedAt[caller])) / 3
+		pause = time.Duration(20+caller%81) * time.Millisecond << n
+	}
 	f := attemptFlow(caller, n)
 	o.callers[f] = caller
 	startedAt := o.now
 	attempts := o.attempts(f)
 	for retransmissions, age := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		o.schedule(startedAt+age+o.linkDelay, func() {
-			if o.served[f] {
+			if o.served[f] || o.abandoned[f] || o.now < o.outage {
 				return
 			}
 			p := attemptPacket(caller, n, retransmissions)
+			p.AttemptTimeout = o.expected
 			p.Objective = o.objective
 			p.IsRetry = retransmissions == 0 && attempts.IsRetry(o.time(), f)
 			attempts.Add(o.time(), p)
@@ -190,8 +204,9 @@
 		})
 	}
 	o.schedule(startedAt+attemptTimeout, func() {
+		o.abandoned[f] = !o.served[f]
 		if !o.served[f] && n+1 < maxAttempts {
-			o.openAttempt(caller, n+1)
+			o.schedule(o.now+pause, func() { o.openAttempt(caller, n+1) })
 		}
 	})
 }
@@ -205,7 +220,7 @@
 func (o *overloadSimulation) reportUnanswered(interval time.Duration) {
 	for _, a := range o.admitter.UnansweredAttempts(o.time()) {
 		for i := range o.balancers {
-			o.balancers[i].AddUnanswered(o.time(), a)
+			o.balancers[i].AddUnanswered(o.time(), a, o.expected)
 		}
 	}
 	if o.now < 8*time.Second {
@@ -225,6 +240,9 @@
 	}
 	o.admitter.OnServerPacket(o.time(), seg(passthrough.FlagOpen|passthrough.FlagAck, 0), false)
 	o.schedule(o.now+2*o.linkDelay, func() {
+		if o.abandoned[f] {
+			return
+		}
 		o.admitter.OnEstablishedPacket(o.time(), seg(passthrough.FlagAck, 100), true)
 		caller := o.callers[f]
 		o.queue = append(o.queue, caller)
@@ -262,36 +280,27 @@
 	}
 }
 
-// Guards against retries and late callers that take the capacity of callers that can still be answered in time. For 4 s
-// the load is twice what the backend server can process; nine tenths of its capacity must be answered in time.
-func TestOverloadWithRetries(t *testing.T) {
-	for _, balancers := range []int{1, 5} {
-		t.Run(fmt.Sprintf("balancers %d", balancers), func(t *testing.T) {
-			testOverloadWithRetries(t, balancers, newAdmitter(2))
-		})
-		t.Run(fmt.Sprintf("balancers %d, learned limit", balancers), func(t *testing.T) {
-			testOverloadWithRetries(t, balancers, newLearningAdmitter(2))
-		})
-	}
-}
-
-func testOverloadWithRetries(t *testing.T, balancers int, ad *passthrough.Admitter) {
-	t.Helper()
-	const (
-		capacity  = 77 // requests a second: 2 slots with 26 ms of work
-		length    = 4 * time.Second
-		objective = 150 * time.Millisecond
-	)
-	o := &overloadSimulation{
+// newOverload returns a simulation of a backend server that processes 77 requests a second: 2 slots with 26 ms of work.
+func newOverload(balancers int, ad *passthrough.Admitter) *overloadSimulation {
+	return &overloadSimulation{
 		outageSimulation: outageSimulation{
 			admitter: ad, slots: 2, workTime: 26 * time.Millisecond, linkDelay: 4 * time.Millisecond,
 			startedAt: make(map[int]time.Duration), answeredAt: make(map[int]time.Duration),
 		},
-		balancers: make([]passthrough.Attempts, balancers), objective: objective, served: make(map[passthrough.FlowID]bool), callers: make(map[passthrough.FlowID]int),
+		balancers: make([]passthrough.Attempts, balancers), objective: 150 * time.Millisecond,
+		served: make(map[passthrough.FlowID]bool), abandoned: make(map[passthrough.FlowID]bool), callers: make(map[passthrough.FlowID]int),
 	}
+}
+
+// capacity is the number of requests that the backend server processes in a second.
+const capacity = 77
+
+// inTime returns how many of the callers that arrive at a rate until the end, and from a time on, are answered within the
+// objective, and how many there are.
+func (o *overloadSimulation) inTime(perSecond int, from, end time.Duration) (inTime, callers int) {
 	for i := 0; ; i++ {
-		at := time.Duration(i) * time.Second / (2 * capacity)
-		if at >= length {
+		at := time.Duration(i) * time.Second / time.Duration(perSecond)
+		if at >= end {
 			break
 		}
 		o.startedAt[i] = at
@@ -299,12 +308,53 @@
 	}
 	o.reportUnanswered(200 * time.Millisecond)
 	o.run(10 * time.Second)
-	inTime := 0
 	for i, first := range o.startedAt {
-		if d := o.answeredAt[i]; d > 0 && d-first <= objective {
+		if first < from {
+			continue
+		}
+		callers++
+		if d := o.answeredAt[i]; d > 0 && d-first <= o.objective {
 			inTime++
 		}
 	}
-	want := int(length.Seconds()) * capacity * 9 / 10
-	assert.Assert(t, inTime >= want, "%d callers answered within %s, want %d", inTime, objective, want)
+	return inTime, callers
+}
+
+// Guards against retries and late callers that take the capacity of callers that can still be answered in time. For 4 s
+// the load is twice what the backend server can process; nine tenths of its capacity must be answered in time. Callers
+// whose requests may be repeated give up an attempt after a third of the time that they have left, or they do not although
+// that is expected of them.
+func TestOverloadWithRetries(t *testing.T) {
+	const timeout, length = 2500 * time.Millisecond, 4 * time.Second
+	for name, c := range map[string]struct {
+		timeout, expected time.Duration
+		newAdmitter       func(slots int) *passthrough.Admitter
+	}{
+		"whole attempts":             {0, 0, newAdmitter},
+		"learned limit":              {0, 0, newLearningAdmitter},
+		"thirds":                     {timeout, timeout / 3, newAdmitter},
+		"whole attempts, not thirds": {0, timeout / 3, newAdmitter},
+	} {
+		for _, balancers := range []int{1, 5} {
+			t.Run(fmt.Sprintf("%s, balancers %d", name, balancers), func(t *testing.T) {
+				o := newOverload(balancers, c.newAdmitter(2))
+				o.timeout, o.expected = c.timeout, c.expected
+				inTime, _ := o.inTime(2*capacity, 0, length)
+				want := int(length.Seconds()) * capacity * 9 / 10
+				assert.Assert(t, inTime >= want, "%d callers answered within %s, want %d", inTime, o.objective, want)
+			})
+		}
+	}
+}
+
+// Guards against retries of attempts from an outage that take the capacity of callers who arrive after it. The load is
+// eight tenths of the capacity; 1.2 s pass without an answer, then nine tenths of the callers must be answered in time.
+func TestRetriesAfterOutage(t *testing.T) {
+	const outage = 1200 * time.Millisecond
+	for _, balancers := range []int{1, 5} {
+		o := newOverload(balancers, newAdmitter(2))
+		o.timeout, o.expected, o.outage = 2500*time.Millisecond, 2500*time.Millisecond/3, outage
+		inTime, callers := o.inTime(capacity*8/10, outage, outage+2*time.Second)
+		assert.Assert(t, inTime*10 >= callers*9, "%d balancers: %d of %d callers answered within %s", balancers, inTime, callers, o.objective)
+	}
 }
--- a/pkg/passthrough/wait_queue.go
+++ b/pkg/passthrough/wait_queue.go
@@ -23,6 +23,8 @@
 	Objective time.Duration
 	// Priority is the rank of the caller's requests; 0 is the highest.
 	Priority int
+	// AttemptTimeout is how long the caller waits for an answer before it tries again; 0 if that is not known.
+	AttemptTimeout time.Duration
 	// IsRetry means that an earlier attempt of the caller was not answered.
 	IsRetry bool
 	// Unconfigured means that the balancer has no configuration and used an observed route.
@@ -54,6 +56,24 @@
 // TimedOut reports whether the caller has given up the attempt.
 func (p *OpeningPacket) TimedOut() bool { return p.waitTime() >= attemptTimeout }
 
+// attemptTimeout returns the time after which the caller is expected to give up the attempt. It may also wait for longer,
+// so the packet stays in the queue.
+func (p *OpeningPacket) attemptTimeout() time.Duration {
+	return limitAttempt(p.AttemptTimeout, p.IsRetry)
+}
+
+// limitAttempt returns the time after which a caller gives up an attempt, given how long it waits for the answer to its
+// first one; 0 if that is not known. A retry gets the same part of the time that is left then.
+func limitAttempt(first time.Duration, isRetry bool) time.Duration {
+	if isRetry {
+		first -= first / 3
+	}
+	if first <= 0 {
+		return attemptTimeout
+	}
+	return min(first, attemptTimeout)
+}
+
 // maxQueued limits the memory of a wait queue.
 const maxQueued = 512
 
@@ -101,6 +121,12 @@
 	q.packets = append(q.packets, queuedPacket{OpeningPacket: p, startedAt: now.Add(-p.waitTime()), enqueuedAt: now})
 }
 
+// isRetry reports whether a queued packet of a flow opens it for a retry; a retransmission of it doesn't tell.
+func (q *waitQueue) isRetry(f FlowID) bool {
+	i := q.index(f)
+	return i >= 0 && q.packets[i].IsRetry
+}
+
 func (q *waitQueue) remove(f FlowID) {
 	if i := q.index(f); i >= 0 {
 		q.packets = append(q.packets[:i], q.packets[i+1:]...)
@@ -161,18 +187,22 @@
 	q.packets = kept
 }
 
-// unansweredReportAge is the age at which an attempt is reported to the balancers: after the last retransmission of its
-// opening packet, and early enough that the report arrives before the caller retries.
-const unansweredReportAge = time.Second
+const (
+	// unansweredReportAge is the age at which an attempt is reported to the balancers: after the last retransmission of its
+	// opening packet, and early enough that the report arrives before the caller retries.
+	unansweredReportAge = time.Second
+	// unansweredReportLead is how long before the caller retries an attempt is reported at the latest.
+	unansweredReportLead = 250 * time.Millisecond
+)
 
 // unansweredAttempts returns the attempts that have reached unansweredReportAge since the last call.
 func (q *waitQueue) unansweredAttempts(now time.Time) []UnansweredAttempt {
 	var all []UnansweredAttempt
 	for i := range q.packets {
 		p := &q.packets[i]
-		if age := now.Sub(p.startedAt); !p.reported && age >= unansweredReportAge && age < attemptTimeout {
+		if age := now.Sub(p.startedAt); !p.reported && age >= min(unansweredReportAge, p.attemptTimeout()-unansweredReportLead) && age < p.attemptTimeout() {
 			p.reported = true
-			all = append(all, UnansweredAttempt{Flow: p.Segment.Flow(), Age: age})
+			all = append(all, UnansweredAttempt{Flow: p.Segment.Flow(), Age: age, IsRetry: p.IsRetry})
 		}
 	}
 	return all
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -34,6 +34,18 @@
 	TargetLatency time.Duration
 }
 
+// callerAttempts is in how many attempts callers divide the timeout of a request that may be repeated.
+const callerAttempts = 3
+
+// AttemptTimeout returns how long a caller waits for the answer to an attempt before it tries again; 0 if the route does
+// not tell, since a request must not be repeated or the timeout is not known.
+func (r Route) AttemptTimeout() time.Duration {
+	if r.Kind == NonIdempotent {
+		return 0
+	}
+	return r.Timeout / callerAttempts
+}
+
 // Share is the part of a route's new flows that goes to a service.
 type Share struct {
 	Service string
