--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -47,6 +47,8 @@
 	Link netip.AddrPort
 	// HTTP serves readiness and metrics.
 	HTTP netip.AddrPort
+	// Metrics serves the metrics at a second address; the zero value serves them at HTTP only.
+	Metrics netip.AddrPort
 	// Seeds are link addresses of other processes, from which the balancer fetches state while the store is
 	// unavailable.
 	Seeds []netip.AddrPort
@@ -100,6 +102,8 @@
 	leaving        atomic.Bool
 	draining       chan struct{} // closed when the graceful shutdown starts
 	drainPeriod    atomic.Int64  // as time.Duration
+
+	metricsHTTP *httpServer // nil without a second address for the metrics
 }
 
 // NewBalancer returns a balancer with its sockets bound.
@@ -131,7 +135,7 @@
 	}
 	b.link.filter = cfg.LinkFilter
 	if d := newDetours(b.link, cfg.Features, cfg.Logger); d != nil {
-		b.detours = &balancerDetours{detours: d, planner: detour.NewPlanner(cfg.Zone, &d.table), zone: cfg.Zone, setDetoured: b.steerer.SetDetoured, probe: b.probe}
+		b.detours = &balancerDetours{detours: d, planner: detour.NewPlanner(cfg.Link, cfg.Zone, &d.table), zone: cfg.Zone, setDetoured: b.steerer.SetDetoured, probe: b.probe}
 	}
 	b.http, err = newHTTPServer(cfg.HTTP)
 	if err != nil {
@@ -139,6 +143,7 @@
 	}
 	b.http.handleReady(cfg.ReadyPath, b.Ready)
 	b.http.mux.Handle("GET "+metricsPath, b.metrics.handler())
+	b.metricsHTTP = b.metrics.newServer(cfg.Metrics, cfg.Logger)
 	b.http.mux.Handle("GET "+forecast.Path, forecast.Handler(b))
 	return b, nil
 }
@@ -182,20 +187,33 @@
 			start()
 		}
 	}
+	sufficient := once(func() {
+		b.loadedPrefixes.Add(followedPrefixes)
+		start()
+	})
+	// The process that sent the configuration may be behind, like one that serves already: messages with a higher revision
+	// lead to another fetch, and the store's own list follows.
+	b.fetcher.applied = func() {
+		if !b.hasLoaded() && b.agents.listedAt.Load() != nil && b.state.completeness() == complete {
+			sufficient()
+		}
+	}
 	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.OperatorPrefix, logger: b.cfg.Logger, apply: b.state.applyOperator, changed: b.refresh, loaded: once(loaded)}
 	b.duty.follow(operator)
-	b.agents.loaded = once(loaded)
+	firstList := once(loaded)
+	b.agents.loaded = func() {
+		firstList()
+		b.fetcher.applied()
+	}
 	g.Go(operator.run)
 	g.Go(b.agents.run)
 	g.Go(b.fetcher.run)
 	g.Go(func(ctx context.Context) error {
-		return b.fetcher.fetchFromSeeds(ctx, b.cfg.Seeds, listed, once(func() {
-			b.loadedPrefixes.Add(followedPrefixes)
-			start()
-		}))
+		return b.fetcher.fetchFromSeeds(ctx, b.cfg.Seeds, listed, sufficient)
 	})
 	g.Go(func(ctx context.Context) error { return servePeers(ctx, b.link.calls, &b.state) })
 	g.Go(b.http.run)
+	g.Go(func(ctx context.Context) error { return b.metricsHTTP.runOptional(ctx, b.cfg.Logger) })
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.link.conn, b.onMessage) })
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, b.packets, b.receive) })
 	g.Go(func(ctx context.Context) error {
@@ -370,7 +388,7 @@
 	case !ok:
 		b.refuse(seg, "no_route", table)
 	case seg.IsOpening():
-		p := passthrough.OpeningPacket{Segment: seg, Delay: delay, Packet: packet}
+		p := passthrough.OpeningPacket{Segment: seg, Delay: delay, AttemptTimeout: b.cfg.Features.attemptTimeout(r), Packet: packet}
 		if p.TimedOut() {
 			b.metrics.count(eventDropped, "expired")
 			return
@@ -458,7 +476,8 @@
 		b.onReport(now, src, &m.report)
 	case *unanswered:
 		for _, attempt := range m.attempts {
-			b.attempts.AddUnanswered(now, attempt)
+			r, _ := b.state.Table().Route(attempt.Flow.Address())
+			b.attempts.AddUnanswered(now, attempt, b.cfg.Features.attemptTimeout(r))
 		}
 	case *unowned:
 		b.onUnowned(now, m)
--- a/internal/passthrough/held_request.go
+++ b/internal/passthrough/held_request.go
@@ -9,8 +9,12 @@
 	"github.com/bramleymast/bramleymast/pkg/route"
 )
 
-// reasonPriority is the reason for the refusal of a new flow whose priority no agent of the service admits.
-const reasonPriority = "priority"
+const (
+	// reasonPriority is the reason for the refusal of a new flow whose priority no agent of the service admits.
+	reasonPriority = "priority"
+	// reasonSilent means that a flow was accepted although its caller has probably given up.
+	reasonSilent = "silent"
+)
 
 // heldRequests delivers packets in the order of their requests' priorities; the zero value delivers all at once.
 type heldRequests struct {
@@ -28,12 +32,6 @@
 	}
 }
 
-// priority returns the priority of the route of a packet.
-func (a *Agent) priority(seg passthrough.Segment) int {
-	r, _ := a.state.Table().Route(seg.Flow().Address())
-	return r.Priority
-}
-
 // orderPacket holds a packet of an open flow if its request waits for capacity, and calls decide otherwise.
 func (a *Agent) orderPacket(now time.Time, seg passthrough.Segment, m *forward, decide func()) {
 	if !a.held.enabled {
