fix: messages vouch for an answer with the revision from before it

Balancers read the revision before the voucher. If the follower applies a change in between, the message tells weak hosts that the earlier revision is the newest. Forwards and probes now take both from watchDuty.stamp, which reads the voucher first; a revision that is newer than the voucher does no harm.

--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -432,16 +432,18 @@
 	p.IsRetry = seg.Retransmissions() == 0 && b.attempts.IsRetry(now, seg.Flow())
 	b.attempts.Add(now, p)
 	b.detours.asked(now, o.Target)
+	voucher, revision := b.duty.stamp(now, b.state.operatorRevision)
 	b.link.send(o.Target, &forward{
-		origin: b.link.self, service: flow.ServiceIDOf(o.Service), revision: b.state.operatorRevision(),
-		voucher: b.duty.voucher(now), path: o.Alternatives, directory: o.Directory, delay: p.Delay, objective: r.TargetLatency, isRetry: p.IsRetry, packet: p.Packet,
+		origin: b.link.self, service: flow.ServiceIDOf(o.Service), revision: revision,
+		voucher: voucher, path: o.Alternatives, directory: o.Directory, delay: p.Delay, objective: r.TargetLatency, isRetry: p.IsRetry, packet: p.Packet,
 	})
 	b.recordPlacement(p, d, o)
 	return true
 }
 
 func (b *Balancer) forwardEstablished(now time.Time, seg passthrough.Segment, r route.Route, packet []byte) {
-	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.state.operatorRevision(), voucher: b.duty.voucher(now), packet: packet}
+	voucher, revision := b.duty.stamp(now, b.state.operatorRevision)
+	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: revision, voucher: voucher, packet: packet}
 	m.path, m.directory = b.ownerPath(now, seg.Flow(), r)
 	target, known := b.steerer.Owner(now, seg.Flow())
 	m.likelyOwner = known
@@ -510,7 +512,8 @@
 }
 
 func (b *Balancer) probe() *probe {
-	return &probe{origin: b.link.self, revision: b.state.operatorRevision(), newestAgent: b.state.newestAgent.get(), voucher: b.duty.voucher(time.Now())}
+	voucher, revision := b.duty.stamp(time.Now(), b.state.operatorRevision)
+	return &probe{origin: b.link.self, revision: revision, newestAgent: b.state.newestAgent.get(), voucher: voucher}
 }
 
 // tick probes agents, sends early packets by observed routes, and removes idle flows and unresponsive agents.
--- a/internal/passthrough/watch_duty.go
+++ b/internal/passthrough/watch_duty.go
@@ -78,6 +78,13 @@
 	return entryhost.Voucher{Class: d.class, Age: now.Sub(d.started) - time.Duration(at)}
 }
 
+// stamp returns the voucher of this balancer and its operator revision, for a message. The voucher is read first: it
+// must not be younger than the answer that brought the revision. A nil duty vouches for nothing.
+func (d *watchDuty) stamp(now time.Time, revision func() uint64) (entryhost.Voucher, uint64) {
+	v := d.voucher(now)
+	return v, revision()
+}
+
 // reported records the report of an agent.
 func (d *watchDuty) reported(now time.Time, m *report) {
 	if d != nil {
