fix: vouchers are younger than the answer of the store

The follower took the time of an answer after it had applied it. A host that stalls for 1.9 s between the answer and the notice, and then ends, lets weak hosts rest for 3.9 s after the state that it vouches for. The time is now that of the begin of a list, or of the return of a watch.

TestAnswerTime fails before ("list: 1s later") and passes now.

--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -37,8 +37,9 @@
 	pause func() time.Duration
 	// rest waits before a watch for as long as other processes watch in place of this one; nil does not wait.
 	rest func(ctx context.Context)
-	// answered is called after an answer of the store has been applied; nil is allowed.
-	answered func(now time.Time)
+	// answered is called after an answer of the store has been applied, with a time at which the applied changes were all
+	// that the store had told: when a list began or a watch returned. nil is allowed.
+	answered func(at time.Time)
 	// apply handles a changed entry; an entry that is missing from a complete list is passed as deleted.
 	apply func(e store.Entry)
 	// changed is called after the changes of a response have been applied.
@@ -116,6 +117,7 @@
 }
 
 func (f *follower) list(ctx context.Context) (store.Revision, error) {
+	began := time.Now()
 	page, err := f.store.List(ctx, f.prefix)
 	if err != nil {
 		return 0, err
@@ -133,7 +135,7 @@
 	f.at.Store(uint64(page.Revision))
 	now := time.Now()
 	f.listedAt.CompareAndSwap(nil, &now)
-	f.notifyAnswered(now)
+	f.notifyAnswered(began)
 	f.loaded()
 	return page.Revision, nil
 }
@@ -141,6 +143,7 @@
 func (f *follower) watch(ctx context.Context, at store.Revision) (store.Revision, error) {
 	watchCtx, end := f.beginWatch(ctx)
 	page, err := f.store.Watch(watchCtx, f.prefix, at)
+	returned := time.Now()
 	interrupted := watchCtx.Err() != nil && ctx.Err() == nil
 	end()
 	if interrupted {
@@ -159,14 +162,14 @@
 			wait(ctx, f.pause())
 		}
 	}
-	f.notifyAnswered(time.Now())
+	f.notifyAnswered(returned)
 	return max(at, page.Revision), nil
 }
 
-// notifyAnswered notifies that an answer of the store has been applied.
-func (f *follower) notifyAnswered(now time.Time) {
+// notifyAnswered notifies that an answer of the store from a time has been applied.
+func (f *follower) notifyAnswered(at time.Time) {
 	if f.answered != nil {
-		f.answered(now)
+		f.answered(at)
 	}
 }
 
--- a/internal/passthrough/follower_test.go
+++ b/internal/passthrough/follower_test.go
@@ -156,3 +156,25 @@
 		assert.DeepEqual(t, applied, map[string]string{"a": "1"})
 	})
 }
+
+// Guards against vouchers that are younger than the answer of the store, because a slow host takes long to apply it.
+func TestAnswerTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(store.Entry{Key: "a"})
+		var answered time.Time
+		f := &follower{
+			store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, keys: make(map[string]bool),
+			apply: func(store.Entry) { time.Sleep(time.Second) }, answered: func(at time.Time) { answered = at },
+		}
+		begin := time.Now()
+		at, err := f.list(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, answered.Equal(begin), "list: %s later", answered.Sub(begin))
+		s.put(store.Entry{Key: "b"})
+		begin = time.Now()
+		_, err = f.watch(t.Context(), at)
+		assert.NilError(t, err)
+		assert.Assert(t, answered.Equal(begin), "watch: %s later", answered.Sub(begin))
+	})
+}
--- a/internal/passthrough/watch_duty.go
+++ b/internal/passthrough/watch_duty.go
@@ -23,7 +23,7 @@
 	started  time.Time
 	// reconnect makes the next call to the store open a connection, because the previous one may have gone silent.
 	reconnect func()
-	// answeredAt is when the last answer of the store was applied, in nanoseconds since the start; 0 is never.
+	// answeredAt is the time of the last answer of the store that was applied, in nanoseconds since the start; 0 is never.
 	answeredAt atomic.Int64
 	// state is the last entryhost.State.
 	state  atomic.Value
@@ -61,9 +61,9 @@
 	}
 }
 
-func (d *watchDuty) answered(now time.Time) {
-	d.answeredAt.Store(int64(now.Sub(d.started)) + 1)
-	d.reliance.Watched(now)
+func (d *watchDuty) answered(at time.Time) {
+	d.answeredAt.Store(max(int64(at.Sub(d.started)), 1))
+	d.reliance.Watched(at)
 }
 
 // voucher returns the voucher of this balancer. It gets too old while the balancer relies on others.
