docs: what the empty answer of a watch vouches for

A watch can miss a change that happens while it waits, so the empty answer of a watch of up to 15 s does not show that its host had all changes. Vouching only for the begin of the watch would leave next to no valid voucher while nothing changes, which is when the feature saves calls, and hosts with a watch of their own miss the same events. No code changes.

--- a/pkg/entryhost/voucher.go
+++ b/pkg/entryhost/voucher.go
@@ -9,8 +9,13 @@
 // applies a change than one that watches the store: this time and that of one call to the store.
 const VoucherTTL = 2 * time.Second
 
-// Voucher says that a host of a class had an answer of the store some time ago, which means that it had applied all
-// changes until then. The zero value vouches for nothing.
+// Voucher says that a host of a class had an answer of the store some time ago, and has applied it. The zero value vouches
+// for nothing.
+//
+// A watch may miss a change that happens while it waits. The next one, which begins at once, returns it. An empty answer
+// counts from its end all the same: a host that watches itself misses such a change for the rest of its own watch, and
+// one that relies on others hears of it from any host that has it. It is later, by the age limit of vouchers, only if all
+// hosts that it relies on end between the two watches and none of them has told the change.
 type Voucher struct {
 	Class Class
 	Age   time.Duration
