fix: agents without uneven_hosts keep and report vouchers

Every agent took a lock for each forwarded packet and probe and reported what balancers vouch for, also in deployments that do not ask for the feature. This part of the agent is now heardHosts, which is nil without the feature. The messages keep their length, with zeros in these fields.

TestAgentsPassVouchersOnIfAsked fails without the condition (class 7 is reported) and passes now.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -98,10 +98,7 @@
 	// newestAgent is the highest revision that a balancer has sent at which the entry of an agent was created. It is
 	// passed on, so that a balancer finds out that it does not know an agent yet.
 	newestAgent maxRevision
-	// vouchers are those of the balancers, and newest is the highest operator revision that one of them has sent. Both are
-	// passed on, so that weak balancers can rely on strong ones.
-	vouchers    entryhost.Vouchers
-	newest      maxRevision
+	hosts       *heardHosts // nil without the feature
 	metricsHTTP *httpServer // nil without a second address for the metrics
 }
 
@@ -121,7 +118,7 @@
 
 // NewAgent returns an agent with its sockets bound.
 func NewAgent(cfg AgentConfig) (*Agent, error) {
-	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), admitter: passthrough.NewAdmitter(time.Now()), departure: make(chan struct{}, 1), draining: make(chan struct{})}
+	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), admitter: passthrough.NewAdmitter(time.Now()), hosts: newHeardHosts(cfg.Features), departure: make(chan struct{}, 1), draining: make(chan struct{})}
 	a.admitter.SetFlowTTL(cfg.FlowTTL)
 	a.prioritize()
 	a.state = localState{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
@@ -245,9 +242,8 @@
 	switch m := m.(type) {
 	case *forward:
 		a.onBalancerMessage(now, m.origin)
-		a.vouchers.Add(now, m.voucher)
+		a.hosts.add(now, m.voucher, m.revision)
 		m.voucher = entryhost.Voucher{} // It ages while the packet is held.
-		a.newest.add(m.revision)
 		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
 		a.onForward(now, m)
 	case *search:
@@ -260,8 +256,7 @@
 		a.onBalancerMessage(now, m.origin)
 		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
 		a.newestAgent.add(m.newestAgent)
-		a.vouchers.Add(now, m.voucher)
-		a.newest.add(m.revision)
+		a.hosts.add(now, m.voucher, m.revision)
 		a.sendReport(now, m.origin)
 	case *check:
 		a.onBalancerMessage(now, m.origin)
@@ -276,7 +271,7 @@
 func (a *Agent) sendReport(now time.Time, to netip.AddrPort) { a.link.send(to, a.report(now)) }
 
 func (a *Agent) report(now time.Time) *report {
-	return &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get(), hosts: entryhost.Report{Voucher: a.vouchers.Strongest(now), Weakest: a.vouchers.Weakest(now), Newest: a.newest.get()}}
+	return &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get(), hosts: a.hosts.report(now)}
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
--- a/internal/passthrough/watch_duty_test.go
+++ b/internal/passthrough/watch_duty_test.go
@@ -26,3 +26,17 @@
 	})
 	assert.Assert(t, revision == 2 || !voucher.Valid(), "%+v with revision %d", voucher, revision)
 }
+
+// Guards against agents that keep and report what balancers vouch for although their deployment has not asked for it.
+func TestAgentsPassVouchersOnIfAsked(t *testing.T) {
+	now := time.Unix(1000, 0)
+	voucher := entryhost.Voucher{Class: 7, Age: time.Second}
+	for _, tt := range []struct {
+		features Features
+		want     entryhost.Report
+	}{{NewFeatures(Detours), entryhost.Report{}}, {NewFeatures(UnevenHosts), entryhost.Report{Voucher: voucher, Weakest: 7, Newest: 3}}} {
+		h := newHeardHosts(tt.features)
+		h.add(now, voucher, 3)
+		assert.DeepEqual(t, h.report(now), tt.want)
+	}
+}
