fix: weak hosts rest although the bound leaves no time for it

The worst case is the age limit of vouchers (2 s), the wait for a fetch that a message just then begins (0.5 s), a tick, a new connection and a call (0.5 s) and the intake: 4.4 s at 0.144 cores and 10 Mbit/s. With 5 s the weakest hosts may rely on others, with 3 s none does.

--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -60,6 +60,8 @@
 	Features Features
 	// Capacity is what the host offers; the zero value is unknown.
 	Capacity entryhost.Capacity
+	// ConfigurationBound is the time within which a new configuration must be in force; 0 is unknown.
+	ConfigurationBound time.Duration
 	// LinkFilter drops datagrams to other processes in tests; nil sends all.
 	LinkFilter LinkFilter
 	Store      store.Store
--- a/internal/passthrough/watch_duty.go
+++ b/internal/passthrough/watch_duty.go
@@ -38,7 +38,7 @@
 	}
 	now := time.Now()
 	d := &watchDuty{
-		reliance: entryhost.NewReliance(class, now), class: class, revision: revision, logger: cfg.Logger, started: now, reconnect: cfg.CloseIdleConnections, resume: make(chan struct{}, 1),
+		reliance: entryhost.NewReliance(class, cfg.Capacity.Slack(cfg.ConfigurationBound), now), class: class, revision: revision, logger: cfg.Logger, started: now, reconnect: cfg.CloseIdleConnections, resume: make(chan struct{}, 1),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleymast_store_watch_changes_total", Help: "Decisions whether the process watches the operator's entries itself, by reason.",
 		}, []string{"reason"}),
@@ -50,7 +50,7 @@
 		}
 		return 0
 	})
-	d.logger.Info("host class", "class", int(class), "intake_ms", cfg.Capacity.Intake().Milliseconds())
+	d.logger.Info("host class", "class", int(class), "intake_ms", cfg.Capacity.Intake().Milliseconds(), "bound_ms", cfg.ConfigurationBound.Milliseconds())
 	return d
 }
 
--- a/pkg/entryhost/entryhost_test.go
+++ b/pkg/entryhost/entryhost_test.go
@@ -12,6 +12,12 @@
 
 var start = time.Unix(1000, 0)
 
+// bound is the time within which a configuration must be in force, of the deployments with uneven hosts.
+const bound = 5 * time.Second
+
+// weakHost is the weakest host of these deployments.
+var weakHost = entryhost.Capacity{Cores: 0.144, LinkMbps: 10}
+
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 // Guards against a strong host that relies on a weak one, and against hosts that rely on equal ones, or on none although
@@ -26,7 +32,7 @@
 	}
 	for own := range entryhost.MaxClass + 1 {
 		for other := range entryhost.MaxClass + 1 {
-			r := entryhost.NewReliance(own, start)
+			r := entryhost.NewReliance(own, 1, start)
 			r.Reported(start, entryhost.Report{Voucher: entryhost.Voucher{Class: other}, Newest: 0})
 			if relies := r.State(start, 0) == entryhost.Relies; relies != (own > 8 && other > 0 && other <= own-2) {
 				t.Errorf("a host of class %d relies on one of class %d: %t", own, other, relies)
@@ -37,7 +43,7 @@
 
 // Guards against a host that relies on an old answer of the store, on nobody, or on others although it lacks a change.
 func TestReliance(t *testing.T) {
-	r := entryhost.NewReliance(11, start)
+	r := entryhost.NewReliance(11, weakHost.Slack(bound), start)
 	check := func(d time.Duration, revision uint64, want entryhost.State) {
 		t.Helper()
 		assert.Equal(t, r.State(at(d), revision), want, "at %s", d)
@@ -63,6 +69,29 @@
 	check(15*time.Second, 9, entryhost.Relies)
 }
 
+// Guards against a host that relies on others although the stated bound leaves no time for the whole way of a change: the
+// age limit of vouchers (2 s), the wait for a fetch (0.5 s), the call to the store (0.5 s) and the intake.
+func TestSlack(t *testing.T) {
+	const rest, patience = 2 * time.Second, 500 * time.Millisecond
+	worst := rest + patience + callMargin + weakHost.Intake()
+	for _, tt := range []struct {
+		bound time.Duration
+		want  entryhost.State
+	}{{0, entryhost.Bound}, {3 * time.Second, entryhost.Bound}, {worst, entryhost.Bound}, {worst + 1, entryhost.Relies}, {bound, entryhost.Relies}} {
+		r := entryhost.NewReliance(weakHost.Class(), weakHost.Slack(tt.bound), start)
+		// Just before the voucher gets too old, a message shows a change from directly after it.
+		r.Reported(start, entryhost.Report{Voucher: entryhost.Voucher{Class: 7}})
+		assert.Equal(t, r.State(at(rest-1), 0), tt.want, "bound %s", tt.bound)
+		r.Reported(at(rest-1), entryhost.Report{Voucher: entryhost.Voucher{Class: 7}, Newest: 1})
+		now := rest - 1
+		for ; r.State(at(now), 0) == entryhost.Relies; now += replayStep {
+		}
+		if late := now + callMargin + weakHost.Intake(); tt.want == entryhost.Relies && late > tt.bound+replayStep {
+			t.Errorf("bound %s: the change is in force after %s", tt.bound, late)
+		}
+	}
+}
+
 // Guards against vouchers that get younger on their way, and against a state that grows with the number of hosts.
 func TestVouchers(t *testing.T) {
 	var v entryhost.Vouchers
@@ -81,7 +110,7 @@
 
 // Guards against watches that go on in step at hosts that others rely on, and against more calls where nobody does.
 func TestWatchTimeout(t *testing.T) {
-	r := entryhost.NewReliance(7, start)
+	r := entryhost.NewReliance(7, 0, start)
 	r.Reported(start, entryhost.Report{Weakest: 8})
 	assert.Equal(t, r.WatchTimeout(start, time.Second, 0.5), time.Second)
 	r.Reported(start, entryhost.Report{Weakest: 9})
@@ -114,6 +143,8 @@
 
 const (
 	replayStep = 10 * time.Millisecond
+	// callMargin is the time for a new connection and a call to the store, without the intake.
+	callMargin = 500 * time.Millisecond
 	// probeSteps is the interval at which each balancer probes each agent, in steps.
 	probeSteps = 50
 )
@@ -160,14 +191,14 @@
 	}
 }
 
-// Guards against a weak host that applies a change later than VoucherTTL and a call to the store after it, although any
+// Guards against a weak host that has a change in force later than the stated bound, although any
 // part of the strong hosts lose the store, agents hear nothing any more, or fetches fail, all without a sign. Without
 // faults a message brings the change within two intervals of probes and a fetch.
 func TestReplayedCutsOfStrongHosts(t *testing.T) {
 	rested := 0
 	for seed := range uint64(500) {
 		r := rand.New(rand.NewPCG(seed, 1))
-		f := &fleet{changedAt: 5*time.Second + time.Duration(r.IntN(3000))*time.Millisecond, weak: entryhost.NewReliance(11, start), applied: 1}
+		f := &fleet{changedAt: 5*time.Second + time.Duration(r.IntN(3000))*time.Millisecond, weak: entryhost.NewReliance(11, weakHost.Slack(bound), start), applied: 1}
 		f.cutAt = f.changedAt - time.Duration(r.IntN(3000))*time.Millisecond
 		faults := r.IntN(4) != 0
 		for range 1 + r.IntN(6) {
@@ -191,6 +222,9 @@
 			if late := now - f.changedAt; late > entryhost.VoucherTTL+replayStep {
 				t.Fatalf("seed %d: the weak host neither watches nor has the change after %s", seed, late)
 			}
+			if late := now - f.changedAt + callMargin + weakHost.Intake(); late > bound {
+				t.Fatalf("seed %d: the change is in force after %s", seed, late)
+			}
 		}
 		if late := now - f.changedAt; !faults && late > 2*probeSteps*replayStep+100*time.Millisecond {
 			t.Errorf("seed %d: a message brought the change after %s", seed, late)
--- a/pkg/entryhost/reliance.go
+++ b/pkg/entryhost/reliance.go
@@ -9,6 +9,9 @@
 	// fetchPatience is how long a host may lack a revision that others know of before it asks the store itself. A fetch
 	// from another process takes some round trips.
 	fetchPatience = 500 * time.Millisecond
+	// watchMargin is the time from the end of a rest to the answer of the store, without the intake: a tick, a new
+	// connection and a call to a store that answers, on a busy host.
+	watchMargin = 500 * time.Millisecond
 	// maxRest is how long a host relies on others without a call of its own, for changes that no message shows.
 	maxRest = 15 * time.Second
 )
@@ -20,6 +23,9 @@
 const (
 	// Strong means that no other host can be relied on by this one: it is strong enough itself, or its capacity is unknown.
 	Strong State = "strong"
+	// Bound means that the time within which hosts must apply a change is unknown, or too short for this host to rely on
+	// others.
+	Bound State = "bound"
 	// Unvouched means that no stronger host is known to have had an answer of the store within VoucherTTL.
 	Unvouched State = "unvouched"
 	// Behind means that others know of a change that the host still lacks.
@@ -33,6 +39,7 @@
 // Reliance decides whether a host watches the store itself. It is safe for concurrent use.
 type Reliance struct {
 	class Class
+	slack time.Duration
 
 	mu          sync.Mutex
 	vouchers    Vouchers
@@ -42,9 +49,17 @@
 	neededAt    time.Time // when a host that can rely on this one was last reported
 }
 
-// NewReliance returns the reliance of a host of a class that has just had an answer of the store.
-func NewReliance(class Class, now time.Time) *Reliance {
-	return &Reliance{class: class, watchedAt: now}
+// Slack returns by how much a host that relies on others applies a change before the bound, at worst: the last voucher from
+// before the change gets too old, or a message that shows the change arrives just then and all fetches fail; then the host
+// watches the store and takes in the largest configuration. 0 as the bound means that it is unknown, without any slack.
+func (c Capacity) Slack(bound time.Duration) time.Duration {
+	return bound - (VoucherTTL + fetchPatience + watchMargin + c.Intake())
+}
+
+// NewReliance returns the reliance of a host of a class that has just had an answer of the store. It relies on others only
+// with some slack; see Capacity.Slack.
+func NewReliance(class Class, slack time.Duration, now time.Time) *Reliance {
+	return &Reliance{class: class, slack: slack, watchedAt: now}
 }
 
 // Class returns the class of the host.
@@ -87,6 +102,9 @@
 	if r.class <= patientClass {
 		return Strong
 	}
+	if r.slack <= 0 {
+		return Bound
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if revision >= r.expected {
--- a/pkg/entryhost/voucher.go
+++ b/pkg/entryhost/voucher.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// VoucherTTL is how long an answer of the store is relied on. It bounds how much later a host that relies on others
-// applies a change than one that watches the store: this time and that of one call to the store.
+// VoucherTTL is how long an answer of the store is relied on. It is a part of how much later a host that relies on others
+// applies a change than one that watches the store; see Capacity.Slack.
 const VoucherTTL = 2 * time.Second
 
 // Voucher says that a host of a class had an answer of the store some time ago, and has applied it. The zero value vouches
