--- a/pkg/board/view.go
+++ b/pkg/board/view.go
@@ -98,8 +98,9 @@
 // AgentStates returns the agents of a service in any order, with what View decides about new flows.
 func (b *Board) AgentStates(service string) []AgentState {
 	c, _, known := b.Contract(service)
-	var states []AgentState
-	for _, r := range b.agents(service) {
+	agents := b.agents(service)
+	states := make([]AgentState, 0, len(agents))
+	for _, r := range agents {
 		states = append(states, AgentState{
 			ID: r.id, Zone: r.agent.Zone, DataAddress: r.agent.DataAddress, Excluded: b.exclusion(r, known && c.RunsIn(r.agent.Zone)),
 		})
--- a/pkg/dispatch/rank_test.go
+++ b/pkg/dispatch/rank_test.go
@@ -70,6 +70,7 @@
 // compare replays a load with both policies, for flows of one request and for kept flows.
 func compare(t *testing.T, l load, check func(t *testing.T, l load, cost, byTime result)) {
 	t.Helper()
+	t.Parallel()
 	for name, l := range map[string]load{"flow for each request": l, "kept flows": l.kept()} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -317,7 +318,7 @@
 	for _, i := range []int{0, 1, 3, 4, 6, 7} {
 		l.servers[i].restarts = []time.Duration{19 * time.Second}
 	}
-	compare(t, l, func(t *testing.T, l load, cost, expected result) {
+	compare(t, l, func(t *testing.T, _ load, cost, expected result) {
 		t.Helper()
 		assert.Assert(t, expected.inTime >= cost.inTime-noise)
 		assert.Assert(t, expected.p99 < cost.p99)
--- a/pkg/dispatch/replay_test.go
+++ b/pkg/dispatch/replay_test.go
@@ -147,7 +147,9 @@
 	agenda  agenda
 	now     time.Duration
 	servers []testServer
-	views   [][]view // by balancer and server
+	views   [][]view          // by balancer and server
+	known   []dispatch.Server // reused by open, like index
+	index   []int
 	choose  policy
 	times   []time.Duration
 	flows   [][]float64
@@ -274,8 +276,7 @@
 func (r *replay) open(zone int) {
 	b := zone + r.load.zones*r.rng.IntN(r.load.balancers/r.load.zones)
 	views := r.views[b]
-	var known []dispatch.Server
-	var index []int
+	known, index := r.known[:0], r.index[:0]
 	for i := range views {
 		if !views[i].accepts {
 			continue
@@ -284,6 +285,7 @@
 		s.Age, s.Idle = min(r.now-views[i].reportedAt, time.Second), r.now-views[i].placedAt
 		known, index = append(known, s), append(index, i)
 	}
+	r.known, r.index = known, index
 	i := index[r.choose(dispatch.Flow{Hash: r.rng.Uint64(), Zone: strconv.Itoa(zone), Objective: r.load.objective}, known)]
 	views[i].server.Placed++
 	views[i].placedAt = r.now
