--- a/pkg/passthrough/admitter.go
+++ b/pkg/passthrough/admitter.go
@@ -193,14 +193,14 @@
 	return ad.room.reachability.confirmed
 }
 
-// OnOpeningPacket decides on a packet that opens a flow. Retransmissions of a delivered packet are delivered too.
+// OnOpeningPacket decides on a packet that opens a flow. Copies of a delivered packet are delivered too.
 func (ad *Admitter) OnOpeningPacket(now time.Time, p OpeningPacket) Decision {
 	seg := p.Segment
-	if lf, ok := ad.flows.Get(now, seg.Flow()); ok && !lf.notHeld && (seg.Retransmissions() > 0 || lf.hasJustOpened(now)) {
-		return Deliver{} // A copy, which another agent may have held for longer than the first one took.
-	}
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
+	if lf, ok := ad.flows.Get(now, seg.Flow()); ok && lf.expectsCopies(now) {
+		return Deliver{} // A copy, which another agent may have held for longer than the first one took.
+	}
 	d := ad.room.admit(now, p)
 	if _, ok := d.(Deliver); ok {
 		ad.recordDelivery(now, seg)
@@ -208,15 +208,19 @@
 	return d
 }
 
-// recordDelivery records that an opening packet is delivered to the backend server.
+// recordDelivery records that an opening packet is delivered to the backend server. The record of a flow that is open
+// stays until the answer shows whether the packet was a late copy or the caller uses its port again.
 func (ad *Admitter) recordDelivery(now time.Time, seg Segment) {
 	f := seg.Flow()
 	ad.room.onOpening(now, seg)
 	ad.room.forgetWaiting(f)
 	ad.room.reachability.onDelivered(now)
-	ad.flows.Update(now, f, func(before localFlow, _ bool) localFlow {
-		ad.open.change(before, localFlow{})
-		return localFlow{}
+	ad.flows.Update(now, f, func(lf localFlow, _ bool) localFlow {
+		if lf.isNotOpen() {
+			lf = localFlow{}
+		}
+		lf.delivered = now
+		return lf
 	})
 	ad.nextAgents.Delete(f)
 }
@@ -262,9 +266,10 @@
 	return ad.room.queue.unansweredAttempts(now)
 }
 
-// SetNextAgent records the agent to which an opening packet was passed on.
+// SetNextAgent records the agent to which an opening packet was passed on. The packet may be a late copy, so the record of
+// a flow that is open stays.
 func (ad *Admitter) SetNextAgent(now time.Time, f FlowID, agent netip.AddrPort) {
-	ad.flows.Delete(f)
+	ad.flows.DeleteIf(f, localFlow.isNotOpen)
 	ad.nextAgents.Put(now, f, agent)
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
@@ -369,6 +374,12 @@
 	return !ad.noPreExisting.Load() && now.Sub(ad.started) < ad.flowTTL
 }
 
+// mayHaveMissedOpening reports whether an opening packet may be a copy of one that was delivered before the agent started,
+// so that the backend server may have sent packets on the flow that the agent does not know.
+func (ad *Admitter) mayHaveMissedOpening(now time.Time) bool {
+	return !ad.noPreExisting.Load() && now.Sub(ad.started) < retransmissionPeriod
+}
+
 // recordRequest updates the requests in progress when a caller's packet of an open flow is delivered.
 func (ad *Admitter) recordRequest(now time.Time, seg Segment) {
 	if !ad.tracksRequests && seg.Size() == 0 && !seg.Has(FlagReset) {
@@ -410,6 +421,7 @@
 		case seg.Has(FlagOpen | FlagAck):
 			accepted = !lf.accepted
 			lf = lf.reopened(seg.Seq())
+			lf.window.complete = lf.window.complete && !ad.mayHaveMissedOpening(now)
 		case !known || lf.probed:
 			lf = localFlow{window: preExistingWindow(seg.Seq()), accepted: true, established: true}
 		default:
@@ -443,7 +455,7 @@
 	ad.mu.Unlock()
 	switch {
 	case seg.IsOpening():
-		ad.flows.Delete(f)
+		ad.flows.DeleteIf(f, localFlow.isNotOpen)
 		return PassOn{ReasonRejected}
 	case known && lf.established && lf.ownsPacket(seg):
 		ad.flows.Delete(f)
