test: share of a server without recent reports

The new test ranks 19 servers at 80% and a silent one for flows that stay: it gets 2.9 times its share without the bound, less than its share with it.

--- a/pkg/dispatch/rank_test.go
+++ b/pkg/dispatch/rank_test.go
@@ -408,6 +408,27 @@
 	assert.Assert(t, share >= 2 && share <= 4.4, "%.1f times its share", share) // 4, and the noise of 2,000 flows
 }
 
+// Guards against a server without a recent report that looks free among busy ones and attracts the flows of all balancers.
+// Load: flows that stay, 19 servers at 80%, and one of which nothing is known.
+func TestSilentServerGetsLess(t *testing.T) {
+	all := make([]dispatch.Server, 20)
+	for i := range all {
+		all[i] = dispatch.Server{Key: uint64(i + 1), Zone: "a", Slots: 5, InProgress: 4, Flows: 100, MeanBusy: 4, MeanFlows: 100, ServiceTime: 30 * time.Millisecond}
+	}
+	all[0] = dispatch.Server{Key: 1, Zone: "a", Slots: 5, Age: time.Second}
+	var r dispatch.Ranker
+	count := 0
+	const flows = 4000
+	for hash := range uint64(flows) {
+		choices, _ := r.Rank(dispatch.Flow{Hash: hash * 0x9e3779b97f4a7c15, Zone: "a"}, all)
+		if first(choices) == 0 {
+			count++
+		}
+	}
+	share := float64(count) * float64(len(all)) / flows
+	assert.Assert(t, share >= 0.2 && share <= 1, "%.2f times its share", share) // Half of it, and nothing waits there.
+}
+
 // Guards against a result that cannot be ordered, for any state that agents may report.
 func TestRankOrdersAllStates(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
