--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -35,6 +35,8 @@
 	Link netip.AddrPort
 	// HTTP serves readiness and metrics.
 	HTTP netip.AddrPort
+	// Metrics serves the metrics at a second address; the zero value serves them at HTTP only.
+	Metrics netip.AddrPort
 	// Heartbeats receives the heartbeats of the backend server (HTTP).
 	Heartbeats netip.AddrPort
 	// HeartbeatHandler returns the HTTP handler that passes heartbeats to the receiver.
@@ -95,6 +97,7 @@
 	// newestAgent is the highest revision that a balancer has sent at which the entry of an agent was created. It is
 	// passed on, so that a balancer finds out that it does not know an agent yet.
 	newestAgent maxRevision
+	metricsHTTP *httpServer // nil without a second address for the metrics
 }
 
 // returnPath is where the last packet of a flow came from and which agents it may visit if the backend server rejects
@@ -159,6 +162,7 @@
 	}
 	a.heartbeats.mux.Handle("/", cfg.HeartbeatHandler(a))
 	a.http.mux.Handle("GET "+metricsPath, a.metrics.handler())
+	a.metricsHTTP = a.metrics.newServer(cfg.Metrics, cfg.Logger)
 	return a, nil
 }
 
@@ -186,6 +190,7 @@
 	g.Go(a.registrar.run)
 	g.Go(func(ctx context.Context) error { return a.announcer.run(ctx, a.registrar.backendSeen) })
 	g.Go(a.http.run)
+	g.Go(func(ctx context.Context) error { return a.metricsHTTP.runOptional(ctx, a.cfg.Logger) })
 	g.Go(a.heartbeats.run)
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.link.conn, a.onMessage) })
 	g.Go(func(ctx context.Context) error { return readPackets(ctx, a.outbound, a.onBackendPacket) })
@@ -293,7 +298,8 @@
 		a.passOn(now, seg, m, passthrough.ReasonOtherService)
 		return
 	}
-	opening := passthrough.OpeningPacket{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, Priority: a.priority(seg), IsRetry: m.isRetry, Unconfigured: m.revision == 0, Packet: m.packet}
+	r, _ := a.state.Table().Route(seg.Flow().Address())
+	opening := passthrough.OpeningPacket{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, Priority: r.Priority, AttemptTimeout: a.cfg.Features.attemptTimeout(r), IsRetry: m.isRetry, Unconfigured: m.revision == 0, Packet: m.packet}
 	d := a.admitter.OnOpeningPacket(now, opening)
 	switch d.(type) {
 	case passthrough.Deliver:
@@ -343,8 +349,12 @@
 func (a *Agent) logAccepted(now time.Time, seg passthrough.Segment, origin netip.AddrPort, waited time.Duration) {
 	a.metrics.waits.Observe(waited.Seconds())
 	load := a.admitter.Load(now)
-	a.metrics.count(eventAccepted, reasonNone)
-	a.cfg.Logger.Info("flow accepted", "flow", seg.Flow().String(), "copies", seg.Retransmissions(), "in_progress", load.InProgress, "slots", load.Slots, "waited_ms", waited.Milliseconds(), "origin", origin)
+	reason := reasonNone
+	if a.held.enabled && passthrough.IsCallerSilent(seg, waited) {
+		reason = reasonSilent
+	}
+	a.metrics.count(eventAccepted, reason)
+	a.cfg.Logger.Info("flow accepted", "flow", seg.Flow().String(), "copies", seg.Retransmissions(), "in_progress", load.InProgress, "slots", load.Slots, "waited_ms", waited.Milliseconds(), "origin", origin, "caller_silent", reason == reasonSilent)
 }
 
 func (a *Agent) deliver(packet []byte) {
