--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -298,7 +298,8 @@
 		a.passOn(now, seg, m, passthrough.ReasonOtherService)
 		return
 	}
-	opening := passthrough.OpeningPacket{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, Priority: a.priority(seg), IsRetry: m.isRetry, Unconfigured: m.revision == 0, Packet: m.packet}
+	r, _ := a.state.Table().Route(seg.Flow().Address())
+	opening := passthrough.OpeningPacket{Segment: seg, Origin: m.origin, Path: m.path, Directory: m.directory, Hops: m.hops, Delay: m.delay, Objective: m.objective, Priority: r.Priority, AttemptTimeout: a.cfg.Features.attemptTimeout(r), IsRetry: m.isRetry, Unconfigured: m.revision == 0, Packet: m.packet}
 	d := a.admitter.OnOpeningPacket(now, opening)
 	switch d.(type) {
 	case passthrough.Deliver:
@@ -348,8 +349,12 @@
 func (a *Agent) logAccepted(now time.Time, seg passthrough.Segment, origin netip.AddrPort, waited time.Duration) {
 	a.metrics.waits.Observe(waited.Seconds())
 	load := a.admitter.Load(now)
-	a.metrics.count(eventAccepted, reasonNone)
-	a.cfg.Logger.Info("flow accepted", "flow", seg.Flow().String(), "copies", seg.Retransmissions(), "in_progress", load.InProgress, "slots", load.Slots, "waited_ms", waited.Milliseconds(), "origin", origin)
+	reason := reasonNone
+	if a.held.enabled && passthrough.IsCallerSilent(seg, waited) {
+		reason = reasonSilent
+	}
+	a.metrics.count(eventAccepted, reason)
+	a.cfg.Logger.Info("flow accepted", "flow", seg.Flow().String(), "copies", seg.Retransmissions(), "in_progress", load.InProgress, "slots", load.Slots, "waited_ms", waited.Milliseconds(), "origin", origin, "caller_silent", reason == reasonSilent)
 }
 
 func (a *Agent) deliver(packet []byte) {
