fix: openings whose attempt should be over go after callers that still wait

Cause: since retries of callers who give up early are recognised, they count as late, while the opening packet of the attempt that they gave up stays in the queue for up to 1.4 s and is delivered before them: the caller that was heard last goes first among late ones, and all copies of an ended attempt have been seen.

Change: with request_priorities, the caller of an attempt that has lasted for as long as its route lets expect counts as silent. Its packet goes after the others, and is still delivered when there is room, since it may wait for longer. TestOpeningsOfEndedAttemptsGoLast failed before: the ended attempt got the place.

--- a/pkg/passthrough/priorities_test.go
+++ b/pkg/passthrough/priorities_test.go
@@ -229,6 +229,30 @@
 	}
 }
 
+// Guards against a place for a caller that has probably given up its attempt and sent its retry, while one waits that has not.
+// It gets the next place all the same, since it may wait for longer.
+func TestOpeningsOfEndedAttemptsGoLast(t *testing.T) {
+	ad := newPriorityAdmitter(1, 0, 1)
+	now := start.Add(time.Second)
+	for i := range 2 {
+		deliverRequest(ad, now, dataPacket(i, 0, 1))
+	}
+	const ended, waits = 256, 512 // different callers
+	for _, a := range []struct {
+		caller, copies int
+		at             time.Duration
+	}{{ended, 0, 0}, {ended, 1, 200 * time.Millisecond}, {waits, 0, 350 * time.Millisecond}, {waits, 1, 550 * time.Millisecond}, {ended, 2, 600 * time.Millisecond}} {
+		p := openingPacket(a.caller, a.copies)
+		p.Objective, p.Priority, p.IsRetry, p.AttemptTimeout = 300*time.Millisecond, 1, true, 900*time.Millisecond
+		assert.Equal(t, ad.OnOpeningPacket(now.Add(a.at), p), passthrough.Decision(passthrough.Queued{}))
+	}
+	for n, want := range []int{waits, ended} {
+		d := answer(ad, now.Add(time.Duration(900+n)*time.Millisecond), n)
+		assert.Equal(t, len(d.Openings), 1)
+		assert.Equal(t, d.Openings[0].Segment.Flow(), flowOf(want))
+	}
+}
+
 // Guards against a refusal while an agent may have room: one that admits the priority, that knows no priorities, or whose
 // report is old.
 func TestRefusedOnlyWithoutRoom(t *testing.T) {
--- a/pkg/passthrough/shortage.go
+++ b/pkg/passthrough/shortage.go
@@ -154,7 +154,8 @@
 	}
 }
 
-// waitingRequest returns the request for which an opening packet waits. A caller that still waits sends copies of it.
+// waitingRequest returns the request for which an opening packet waits. A caller that still waits sends copies of it, and
+// one whose attempt should be over has probably sent a retry.
 func (p *OpeningPacket) waitingRequest(now time.Time) priority.Request {
 	r := priority.Request{Priority: p.Priority, Caller: p.Segment.Flow().Caller().Addr(), StartedAt: now.Add(-p.waitTime())}
 	r.ExpiresAt = r.StartedAt.Add(attemptTimeout)
@@ -163,6 +164,9 @@
 	if next, ok := nextCopyDue(p.Segment); ok {
 		r.HeardBy = r.HeardAt.Add(next)
 	}
+	if end := p.attemptTimeout(); end < attemptTimeout && (r.HeardBy.IsZero() || r.StartedAt.Add(end).Before(r.HeardBy)) {
+		r.HeardBy = r.StartedAt.Add(end)
+	}
 	if !p.IsRetry {
 		r.StartBy = r.StartedAt.Add(p.freshPeriod())
 	}
@@ -179,7 +183,7 @@
 }
 
 // IsCallerSilent reports whether the next copy of an opening packet, which has waited for some time, is overdue. Its caller
-// has probably given up, because its request went on another flow.
+// has probably given up the attempt.
 func IsCallerSilent(seg Segment, waited time.Duration) bool {
 	next, ok := nextCopyDue(seg)
 	return ok && waited > next
