--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramleymast/bramleymast/internal/rungroup"
 	"github.com/bramleymast/bramleymast/pkg/detour"
+	"github.com/bramleymast/bramleymast/pkg/entryhost"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 	"github.com/bramleymast/bramleymast/pkg/store"
@@ -97,6 +98,7 @@
 	// newestAgent is the highest revision that a balancer has sent at which the entry of an agent was created. It is
 	// passed on, so that a balancer finds out that it does not know an agent yet.
 	newestAgent maxRevision
+	hosts       *heardHosts // nil without the feature
 	metricsHTTP *httpServer // nil without a second address for the metrics
 }
 
@@ -116,7 +118,7 @@
 
 // NewAgent returns an agent with its sockets bound.
 func NewAgent(cfg AgentConfig) (*Agent, error) {
-	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), admitter: passthrough.NewAdmitter(time.Now()), departure: make(chan struct{}, 1), draining: make(chan struct{})}
+	a := &Agent{cfg: cfg, service: flow.ServiceIDOf(cfg.Service), admitter: passthrough.NewAdmitter(time.Now()), hosts: newHeardHosts(cfg.Features), departure: make(chan struct{}, 1), draining: make(chan struct{})}
 	a.admitter.SetFlowTTL(cfg.FlowTTL)
 	a.prioritize()
 	a.state = localState{layout: cfg.Layout, logger: cfg.Logger, changed: a.refresh}
@@ -240,6 +242,8 @@
 	switch m := m.(type) {
 	case *forward:
 		a.onBalancerMessage(now, m.origin)
+		a.hosts.add(now, m.voucher, m.revision)
+		m.voucher = entryhost.Voucher{} // It ages while the packet is held.
 		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
 		a.onForward(now, m)
 	case *search:
@@ -252,6 +256,7 @@
 		a.onBalancerMessage(now, m.origin)
 		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
 		a.newestAgent.add(m.newestAgent)
+		a.hosts.add(now, m.voucher, m.revision)
 		a.sendReport(now, m.origin)
 	case *check:
 		a.onBalancerMessage(now, m.origin)
@@ -266,7 +271,7 @@
 func (a *Agent) sendReport(now time.Time, to netip.AddrPort) { a.link.send(to, a.report(now)) }
 
 func (a *Agent) report(now time.Time) *report {
-	return &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get()}
+	return &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get(), hosts: a.hosts.report(now)}
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -16,6 +16,7 @@
 	"github.com/bramleymast/bramleymast/internal/rungroup"
 	"github.com/bramleymast/bramleymast/pkg/board"
 	"github.com/bramleymast/bramleymast/pkg/detour"
+	"github.com/bramleymast/bramleymast/pkg/entryhost"
 	"github.com/bramleymast/bramleymast/pkg/flow"
 	"github.com/bramleymast/bramleymast/pkg/passthrough"
 	"github.com/bramleymast/bramleymast/pkg/route"
@@ -57,11 +58,17 @@
 	ReadyPath string
 	// Features are those that the deployment asks for.
 	Features Features
+	// Capacity is what the host offers; the zero value is unknown.
+	Capacity entryhost.Capacity
+	// ConfigurationBound is the time within which a new configuration must be in force; 0 is unknown.
+	ConfigurationBound time.Duration
 	// LinkFilter drops datagrams to other processes in tests; nil sends all.
 	LinkFilter LinkFilter
 	Store      store.Store
 	// SetWatchTimeout sets how long watches of Store wait for a change.
 	SetWatchTimeout func(d time.Duration)
+	// CloseIdleConnections makes the next call to Store open a connection; nil is allowed.
+	CloseIdleConnections func()
 	// WatchStore is the same store, with a longer watch timeout.
 	WatchStore store.Store
 	Layout     Layout
@@ -82,7 +89,8 @@
 	packets  *net.UDPConn
 	http     *httpServer
 	fetcher  *stateFetcher
-	agents   *follower // follows the entries of the agents
+	duty     *watchDuty // nil without the feature
+	agents   *follower  // follows the entries of the agents
 	fleet    passthrough.FleetSize
 
 	refreshing sync.Mutex // serializes updates of the views by several followers
@@ -117,6 +125,7 @@
 		agents:   func() float64 { return float64(len(b.state.board.Records(board.KindAgent))) },
 	})
 	b.fetcher.metrics = b.metrics
+	b.duty = newWatchDuty(cfg, b.state.operatorRevision, b.metrics)
 	b.agents = &follower{store: cfg.WatchStore, prefix: agentsPrefix, pause: b.agentsPause, logger: cfg.Logger, apply: b.state.applyAgent, changed: b.refresh}
 	b.SetDrainPeriod(cfg.DrainPeriod)
 	var err error
@@ -192,6 +201,7 @@
 		}
 	}
 	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.OperatorPrefix, logger: b.cfg.Logger, apply: b.state.applyOperator, changed: b.refresh, loaded: once(loaded)}
+	b.duty.follow(operator)
 	firstList := once(loaded)
 	b.agents.loaded = func() {
 		firstList()
@@ -424,16 +434,18 @@
 	p.IsRetry = seg.Retransmissions() == 0 && b.attempts.IsRetry(now, seg.Flow())
 	b.attempts.Add(now, p)
 	b.detours.asked(now, o.Target)
+	voucher, revision := b.duty.stamp(now, b.state.operatorRevision)
 	b.link.send(o.Target, &forward{
-		origin: b.link.self, service: flow.ServiceIDOf(o.Service), revision: b.state.operatorRevision(),
-		path: o.Alternatives, directory: o.Directory, delay: p.Delay, objective: r.TargetLatency, isRetry: p.IsRetry, packet: p.Packet,
+		origin: b.link.self, service: flow.ServiceIDOf(o.Service), revision: revision,
+		voucher: voucher, path: o.Alternatives, directory: o.Directory, delay: p.Delay, objective: r.TargetLatency, isRetry: p.IsRetry, packet: p.Packet,
 	})
 	b.recordPlacement(p, d, o)
 	return true
 }
 
 func (b *Balancer) forwardEstablished(now time.Time, seg passthrough.Segment, r route.Route, packet []byte) {
-	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: b.state.operatorRevision(), packet: packet}
+	voucher, revision := b.duty.stamp(now, b.state.operatorRevision)
+	m := &forward{origin: b.link.self, service: flow.ServiceIDOf(r.Service), revision: revision, voucher: voucher, packet: packet}
 	m.path, m.directory = b.ownerPath(now, seg.Flow(), r)
 	target, known := b.steerer.Owner(now, seg.Flow())
 	m.likelyOwner = known
@@ -487,6 +499,7 @@
 	b.onLoad(now, m.agent, m.service, m.load)
 	b.fleet.Report(now, int(m.balancers))
 	b.agents.expected.add(m.newestAgent)
+	b.duty.reported(now, m)
 	if src.direct() {
 		b.fetcher.onRevision(m.agent, m.revision) // Calls take no detours.
 	}
@@ -501,7 +514,8 @@
 }
 
 func (b *Balancer) probe() *probe {
-	return &probe{origin: b.link.self, revision: b.state.operatorRevision(), newestAgent: b.state.newestAgent.get()}
+	voucher, revision := b.duty.stamp(time.Now(), b.state.operatorRevision)
+	return &probe{origin: b.link.self, revision: revision, newestAgent: b.state.newestAgent.get(), voucher: voucher}
 }
 
 // tick probes agents, sends early packets by observed routes, and removes idle flows and unresponsive agents.
@@ -531,11 +545,12 @@
 			}
 		}
 		b.detours.tick(now)
+		b.duty.tick(now)
 		b.resetDueDenials(now)
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
 			b.attempts.Sweep(now)
-			b.cfg.SetWatchTimeout(passthrough.ConfigurationWatch(b.fleet.Balancers()))
+			b.cfg.SetWatchTimeout(b.duty.watchTimeout(now, passthrough.ConfigurationWatch(b.fleet.Balancers())))
 			b.steerer.Sweep(now, b.state.idleTimeout())
 			b.state.dropUnresponsive(now, func(a netip.AddrPort) bool { return b.steerer.UnansweredFor(now, a) < unresponsiveTimeout })
 		}
--- a/internal/passthrough/follower_test.go
+++ b/internal/passthrough/follower_test.go
@@ -21,10 +21,16 @@
 
 // runFollower is startFollower, and returns the follower too.
 func runFollower(t *testing.T, s *fakeStore) (*follower, map[string]string) {
+	t.Helper()
+	return runRestingFollower(t, s, nil)
+}
+
+// runRestingFollower is runFollower with a rest before each watch.
+func runRestingFollower(t *testing.T, s *fakeStore, rest func(ctx context.Context)) (*follower, map[string]string) {
 	t.Helper()
 	applied := make(map[string]string)
 	f := &follower{
-		store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {},
+		rest: rest, store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {},
 		apply: func(e store.Entry) {
 			if e.Deleted {
 				delete(applied, e.Key)
@@ -132,3 +138,43 @@
 		assert.DeepEqual(t, applied, map[string]string{"a": "2"})
 	})
 }
+
+// Guards against a zone that stays out of service at a weak host: others passed on that it was taken out during a rest,
+// and it is taken back before the host reads the entries again.
+func TestDeletionAfterRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(store.Entry{Key: "a", Value: []byte("1")})
+		resume := make(chan struct{})
+		f, applied := runRestingFollower(t, s, func(context.Context) { <-resume })
+		synctest.Wait()
+		s.set(func() { s.put(store.Entry{Key: "zone", Value: []byte("out")}) })
+		f.apply(store.Entry{Key: "zone", Value: []byte("out"), Revision: 2}) // by a fetch
+		s.set(func() { s.put(store.Entry{Key: "zone", Deleted: true}) })
+		close(resume)
+		synctest.Wait()
+		assert.DeepEqual(t, applied, map[string]string{"a": "1"})
+	})
+}
+
+// Guards against vouchers that are younger than the answer of the store, because a slow host takes long to apply it.
+func TestAnswerTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(store.Entry{Key: "a"})
+		var answered time.Time
+		f := &follower{
+			store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, keys: make(map[string]bool),
+			apply: func(store.Entry) { time.Sleep(time.Second) }, answered: func(at time.Time) { answered = at },
+		}
+		begin := time.Now()
+		at, err := f.list(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, answered.Equal(begin), "list: %s later", answered.Sub(begin))
+		s.put(store.Entry{Key: "b"})
+		begin = time.Now()
+		_, err = f.watch(t.Context(), at)
+		assert.NilError(t, err)
+		assert.Assert(t, answered.Equal(begin), "watch: %s later", answered.Sub(begin))
+	})
+}
