--- a/review/standins-2/backend.go
+++ b/review/standins-2/backend.go
@@ -75,6 +75,22 @@
 	return b.state
 }
 
+// leave makes the backend server drain for some time after the acknowledgement, and then leave and end.
+func (b *backend) leave(drain time.Duration) {
+	b.mu.Lock()
+	b.state = "draining"
+	b.mu.Unlock()
+	for !b.heartbeat() {
+		time.Sleep(200 * time.Millisecond)
+	}
+	b.w.logf("backend server %s drains, acknowledged", b.id)
+	time.Sleep(drain)
+	b.call("Leave", "{}")
+	b.w.logf("backend server %s leaves", b.id)
+	b.stop()
+	time.Sleep(500 * time.Millisecond)
+}
+
 // stop ends the process of the backend server without a word.
 func (b *backend) stop() {
 	close(b.stopped)
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -18,7 +18,9 @@
 
 // cases holds the cases by name; trouble is false for the run without the disruption.
 var cases = map[string]func(w *world, trouble bool){
-	"zone-taken-back": zoneTakenBack,
+	"zone-taken-back":      zoneTakenBack,
+	"flows-and-silence":    flowsAndSilence,
+	"restarts-and-silence": restartsAndSilence,
 }
 
 func main() {
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -4,8 +4,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,6 +31,9 @@
 	leases  map[uint64]*lease
 	nextID  uint64
 	servers []*http.Server
+	// silent means that the store answers nothing, silences counts how often it has fallen silent.
+	silent   bool
+	silences int
 }
 
 type item struct {
@@ -68,12 +73,45 @@
 	mux.HandleFunc("POST /-/kv-lease", s.grant)
 	mux.HandleFunc("POST /-/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.end)
-	h := &http.Server{Handler: mux}
+	h := &http.Server{Handler: s.muted(mux)}
 	s.servers = append(s.servers, h)
 	go func() { _ = h.Serve(l) }()
 	return l.Addr().String()
 }
 
+// setSilent makes the store answer nothing, or answer again. A connection on which an answer is lost returns nothing further.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	if silent {
+		s.silences++
+	}
+}
+
+// muted drops the answers to calls that arrive while the store is silent, or that wait when it falls silent.
+func (s *store) muted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		state := func() (bool, int) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.silent, s.silences
+		}
+		silent, before := state()
+		answer := httptest.NewRecorder()
+		if !silent {
+			next.ServeHTTP(answer, r)
+		}
+		if silent, after := state(); silent || after != before {
+			<-r.Context().Done() // The caller closes the connection.
+			return
+		}
+		maps.Copy(w.Header(), answer.Header())
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
+	})
+}
+
 // put writes a key as the operator does and returns the revision, which acknowledges the write.
 func (s *store) put(key, value string) uint64 {
 	s.mu.Lock()
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -145,6 +146,13 @@
 	w.runs[id] = append(w.runs[id], b.id)
 }
 
+// ranAt returns the backend servers that ran a request.
+func (w *world) ranAt(id string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.runs[id])
+}
+
 // config writes a configuration with a route from each port to a service and returns the revision.
 func (w *world) config(version int, kind string, timeout time.Duration, routes map[int]string) uint64 {
 	type object = map[string]any
@@ -405,7 +413,7 @@
 			for range 3 {
 				var id string
 				o, id = clients[i%len(clients)].once(port, time.Until(end))
-				w.logf("request %s: %s", id, o)
+				w.logf("request %s: %s, run by %v", id, o, w.ranAt(id))
 				if o == served || time.Until(end) <= 0 {
 					break
 				}
--- a/review/standins-2/zone.go
+++ b/review/standins-2/zone.go
@@ -31,21 +31,26 @@
 		b.start()
 		go b.probe()
 	}
+	w.awaitService(clients, orders)
+	time.Sleep(2 * time.Second)
+	return balancers, clients
+}
+
+// awaitService waits until the clients are served.
+func (w *world) awaitService(clients []*client, port uint16) {
 	for range 100 {
 		ok := 0
 		for _, c := range clients {
-			if o, _ := c.once(orders, time.Second); o == served {
+			if o, _ := c.once(port, time.Second); o == served {
 				ok++
 			}
 		}
 		if ok == len(clients) {
-			time.Sleep(2 * time.Second)
-			return balancers, clients
+			return
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	fail("the deployment does not serve")
-	return nil, nil
 }
 
 // zoneTakenBack takes a zone back while all entry hosts are without power, which is the final fault. Ten seconds after the
