--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -13,8 +13,8 @@
 	"time"
 )
 
-// serviceIP is the address of all routes.
-const serviceIP = "198.18.0.1"
+// serviceIP is the address of all routes. It stands in packets only; nothing is sent to it.
+const serviceIP = "127.198.18.1"
 
 // client is a stand-in of a client machine with any number of flows.
 type client struct {
