fix: a zone that was taken back stays out of service for good

The zone gets no new flow any more in any process. Once the other zone is emptied too, every request is reset. Cause: a deletion leaves no trace in the store. It was known only as an event, or as a key that the same follower had received from the store and that a list lacked. A balancer that started later took the zone over from an agent as out of service, since the agent's revision was higher. Without a fetch the agents stayed wrong, and with a configuration written in between both had the same revision and never compared. Ruled out: a lost event, an incomplete list, the order of list and fetch. Change: a complete list is compared with all entries that the process holds. State replies tell up to which revision they are complete. Probes and reports carry a digest of the zones that are out, so that processes with equal revisions find a difference. Why it works: whichever side has passed the revision of an entry that it lacks knows that the key is gone, and says so at a later revision, which the other side fetches. The stored operator version also replaces a scan of all records for each message.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -132,6 +132,12 @@
 
 		refusedPriority: a.refusedPriority,
 	})
+	a.metrics.addGauge("bramleymast_zone_out", "Whether the agent refuses new flows because its availability zone is out of service: 1 if it does.", func() float64 {
+		if out, _ := a.state.board.ZoneOut(cfg.Zone); out {
+			return 1
+		}
+		return 0
+	})
 	a.fetcher.metrics = a.metrics
 	a.observeRequests(cfg.Features)
 	a.admitter.SetAnswerObserver(func(d time.Duration) { a.metrics.answers.Observe(d.Seconds()) })
@@ -244,17 +250,17 @@
 		a.onBalancerMessage(now, m.origin)
 		a.hosts.add(now, m.voucher, m.revision)
 		m.voucher = entryhost.Voucher{} // It ages while the packet is held.
-		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
+		a.fetcher.onVersion(a.link.detours.callable(src, m.origin), operatorVersion{revision: m.revision})
 		a.onForward(now, m)
 	case *search:
 		a.onBalancerMessage(now, m.origin)
-		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
+		a.fetcher.onVersion(a.link.detours.callable(src, m.origin), operatorVersion{revision: m.revision})
 		a.onSearch(now, m)
 	case *owner:
 		a.admitter.SetOwner(now, m.flow, m.agent, m.minAck)
 	case *probe:
 		a.onBalancerMessage(now, m.origin)
-		a.fetcher.onRevision(a.link.detours.callable(src, m.origin), m.revision)
+		a.fetcher.onVersion(a.link.detours.callable(src, m.origin), operatorVersion{revision: m.revision, zonesOut: m.zonesOut})
 		a.newestAgent.add(m.newestAgent)
 		a.hosts.add(now, m.voucher, m.revision)
 		a.sendReport(now, m.origin)
@@ -271,7 +277,8 @@
 func (a *Agent) sendReport(now time.Time, to netip.AddrPort) { a.link.send(to, a.report(now)) }
 
 func (a *Agent) report(now time.Time) *report {
-	return &report{agent: a.link.self, service: a.service, revision: a.state.operatorRevision(), load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get(), hosts: a.hosts.report(now)}
+	v := a.state.operatorVersion()
+	return &report{agent: a.link.self, service: a.service, revision: v.revision, load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get(), hosts: a.hosts.report(now), zonesOut: v.zonesOut}
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -126,7 +126,7 @@
 	})
 	b.fetcher.metrics = b.metrics
 	b.duty = newWatchDuty(cfg, b.state.operatorRevision, b.metrics)
-	b.agents = &follower{store: cfg.WatchStore, prefix: agentsPrefix, pause: b.agentsPause, logger: cfg.Logger, apply: b.state.applyAgent, changed: b.refresh}
+	b.agents = &follower{store: cfg.WatchStore, prefix: agentsPrefix, pause: b.agentsPause, logger: cfg.Logger, apply: b.state.applyAgent, held: b.state.listedAgentKeys, applied: b.state.agentsAt.add, changed: b.refresh}
 	b.SetDrainPeriod(cfg.DrainPeriod)
 	var err error
 	if b.packets, err = listenUDP(cfg.Packets); err != nil {
@@ -200,7 +200,7 @@
 			sufficient()
 		}
 	}
-	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.OperatorPrefix, logger: b.cfg.Logger, apply: b.state.applyOperator, changed: b.refresh, loaded: once(loaded)}
+	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.OperatorPrefix, logger: b.cfg.Logger, apply: b.state.applyOperator, held: b.state.zoneKeysOut, applied: b.state.operatorAt.add, changed: b.refresh, loaded: once(loaded)}
 	b.duty.follow(operator)
 	firstList := once(loaded)
 	b.agents.loaded = func() {
@@ -491,7 +491,7 @@
 		if b.state.applyAnnouncement(m) {
 			b.refresh()
 		}
-		b.fetcher.onRevision(m.agent, m.revision)
+		b.fetcher.onVersion(m.agent, operatorVersion{revision: m.revision})
 	}
 }
 
@@ -501,7 +501,7 @@
 	b.agents.expected.add(m.newestAgent)
 	b.duty.reported(now, m)
 	if src.direct() {
-		b.fetcher.onRevision(m.agent, m.revision) // Calls take no detours.
+		b.fetcher.onVersion(m.agent, operatorVersion{revision: m.revision, zonesOut: m.zonesOut}) // Calls take no detours.
 	}
 }
 
@@ -515,7 +515,7 @@
 
 func (b *Balancer) probe() *probe {
 	voucher, revision := b.duty.stamp(time.Now(), b.state.operatorRevision)
-	return &probe{origin: b.link.self, revision: revision, newestAgent: b.state.newestAgent.get(), voucher: voucher}
+	return &probe{origin: b.link.self, revision: revision, newestAgent: b.state.newestAgent.get(), voucher: voucher, zonesOut: b.state.operatorVersion().zonesOut}
 }
 
 // tick probes agents, sends early packets by observed routes, and removes idle flows and unresponsive agents.
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -42,6 +42,11 @@
 	answered func(at time.Time)
 	// apply handles a changed entry; an entry that is missing from a complete list is passed as deleted.
 	apply func(e store.Entry)
+	// held returns the keys that exist according to the entries in use. These may come from other processes too, which
+	// is why a complete list is compared with them.
+	held func() []string
+	// applied is called with the store revision up to which all changes have been applied; nil is allowed.
+	applied func(revision uint64)
 	// changed is called after the changes of a response have been applied.
 	changed func()
 	// loaded is called after each complete list.
@@ -51,9 +56,6 @@
 	// at is the store revision up to which all changes have been applied.
 	at atomic.Uint64
 
-	// keys are the keys of the entries that exist in the store.
-	keys map[string]bool
-
 	// expected is the highest revision of the prefix that other processes know of.
 	expected maxRevision
 
@@ -64,7 +66,6 @@
 
 // run lists the prefix and watches its changes until the context ends.
 func (f *follower) run(ctx context.Context) error {
-	f.keys = make(map[string]bool)
 	var at store.Revision
 	listed, reachable := false, true
 	delay := retryDelay
@@ -122,17 +123,18 @@
 	if err != nil {
 		return 0, err
 	}
-	missing := f.keys
-	f.keys = make(map[string]bool)
+	listed := make(map[string]bool)
 	for _, e := range page.Entries {
-		delete(missing, e.Key)
-		f.applyEntry(e)
+		listed[e.Key] = true
+		f.apply(e)
 	}
-	for key := range missing {
-		f.applyEntry(store.Entry{Key: key, Revision: page.Revision, Deleted: true})
+	for _, key := range f.held() {
+		if !listed[key] {
+			f.apply(store.Entry{Key: key, Revision: page.Revision, Deleted: true})
+		}
 	}
 	f.changed()
-	f.at.Store(uint64(page.Revision))
+	f.setApplied(page.Revision)
 	now := time.Now()
 	f.listedAt.CompareAndSwap(nil, &now)
 	f.notifyAnswered(began)
@@ -153,9 +155,9 @@
 		return at, err
 	}
 	for _, e := range page.Entries {
-		f.applyEntry(e)
+		f.apply(e)
 	}
-	f.at.Store(uint64(max(at, page.Revision)))
+	f.setApplied(max(at, page.Revision))
 	if len(page.Entries) > 0 {
 		f.changed()
 		if f.pause != nil {
@@ -210,13 +212,12 @@
 	return true
 }
 
-func (f *follower) applyEntry(e store.Entry) {
-	if e.Deleted {
-		delete(f.keys, e.Key)
-	} else {
-		f.keys[e.Key] = true
+// setApplied records the store revision up to which all changes have been applied.
+func (f *follower) setApplied(revision store.Revision) {
+	f.at.Store(uint64(revision))
+	if f.applied != nil {
+		f.applied(uint64(revision))
 	}
-	f.apply(e)
 }
 
 // wait pauses until the duration has passed or the context ends.
--- a/internal/passthrough/follower_test.go
+++ b/internal/passthrough/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +40,7 @@
 				applied[e.Key] = string(e.Value)
 			}
 		},
+		held: func() []string { return slices.Collect(maps.Keys(applied)) },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -52,6 +55,8 @@
 	return f, applied
 }
 
+func noKeys() []string { return nil }
+
 // Guards against a balancer that does not know new agents, as in case 4 of the review: the connection of its watch has
 // gone silent without a reset, and other processes know of the change.
 func TestFollowerInterruptsSilentWatch(t *testing.T) {
@@ -103,7 +108,7 @@
 // one was created since.
 func TestFollowerCovers(t *testing.T) {
 	s := newFakeStore()
-	f := &follower{store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, apply: func(store.Entry) {}, keys: make(map[string]bool)}
+	f := &follower{store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, apply: func(store.Entry) {}, held: noKeys}
 	assert.Assert(t, !f.covers(0), "before the first list")
 	s.put(store.Entry{Key: "a"})
 	at, err := f.list(t.Context())
@@ -164,7 +169,7 @@
 		s.put(store.Entry{Key: "a"})
 		var answered time.Time
 		f := &follower{
-			store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, keys: make(map[string]bool),
+			store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, held: noKeys,
 			apply: func(store.Entry) { time.Sleep(time.Second) }, answered: func(at time.Time) { answered = at },
 		}
 		begin := time.Now()
--- a/internal/passthrough/local_state.go
+++ b/internal/passthrough/local_state.go
@@ -40,6 +40,11 @@
 	lostAt atomic.Pointer[time.Time]
 	// newestAgent is the highest store revision at which the entry of an agent was created.
 	newestAgent maxRevision
+	// operatorAt and agentsAt are the store revisions up to which all changes of the operator's entries and of the agents'
+	// entries are applied, as far as this process or the one that it fetched them from has listed them; 0 if neither has.
+	operatorAt, agentsAt maxRevision
+	// version summarizes the operator's entries, or is nil if there are none.
+	version atomic.Pointer[operatorVersion]
 }
 
 // maxRevision holds the highest revision that it was given; the zero value is ready to use.
@@ -111,9 +116,7 @@
 }
 
 // operatorRevision returns the highest store revision of the operator's entries.
-func (s *localState) operatorRevision() uint64 {
-	return max(s.table.Load().Revision(), s.board.ZoneRevision())
-}
+func (s *localState) operatorRevision() uint64 { return s.operatorVersion().revision }
 
 // apply applies a store entry.
 func (s *localState) apply(e store.Entry) {
@@ -151,6 +154,7 @@
 	}
 	s.config, s.previous = value, old
 	s.table.Store(t)
+	s.updateVersion()
 	s.mu.Unlock()
 	s.logger.Info("configuration in force", "version", t.Version(), "revision", revision, "routes", t.Len())
 }
@@ -161,7 +165,11 @@
 		Version: board.Version{Seq: uint64(revision)},
 		Value:   board.Zone{Availability: contract.NewAvailability(out, "operator", "")},
 	}
-	if merged, err := s.board.Merge(r); err != nil || !merged {
+	s.mu.Lock()
+	merged, err := s.board.Merge(r)
+	s.updateVersion()
+	s.mu.Unlock()
+	if err != nil || !merged {
 		return // Older than the current state; the kind always matches.
 	}
 	s.logger.Info("zone state", "zone", zone, "out", out, "revision", revision)
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -104,6 +104,8 @@
 	// newestAgent is the highest store revision at which an agent entry in the balancer's state was created.
 	newestAgent uint64
 	voucher     entryhost.Voucher
+	// zonesOut is that of the balancer's operatorVersion; 0 in a check.
+	zonesOut uint32
 }
 
 // report notifies a balancer of the load of an agent.
@@ -119,6 +121,8 @@
 	newestAgent uint64
 	// hosts is what the agent has heard of the hosts of balancers.
 	hosts entryhost.Report
+	// zonesOut is that of the agent's operatorVersion; 0 in the answer to a check.
+	zonesOut uint32
 }
 
 // announce notifies a seed of an agent that the store does not list.
@@ -285,7 +289,8 @@
 	b = appendAddress(b, m.origin)
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	b = binary.BigEndian.AppendUint64(b, m.newestAgent)
-	return appendVoucher(b, m.voucher)
+	b = appendVoucher(b, m.voucher)
+	return binary.BigEndian.AppendUint32(b, m.zonesOut)
 }
 
 func (m *report) append(b []byte) []byte {
@@ -298,7 +303,8 @@
 	b = binary.BigEndian.AppendUint64(b, m.newestAgent)
 	b = appendVoucher(b, m.hosts.Voucher)
 	b = append(b, byte(m.hosts.Weakest))
-	return binary.BigEndian.AppendUint64(b, m.hosts.Newest)
+	b = binary.BigEndian.AppendUint64(b, m.hosts.Newest)
+	return binary.BigEndian.AppendUint32(b, m.zonesOut)
 }
 
 func (m *announce) append(b []byte) []byte {
@@ -388,6 +394,8 @@
 
 func (r *reader) uint64() uint64 { return binary.BigEndian.Uint64(r.next(8)) }
 
+func (r *reader) uint32() uint32 { return binary.BigEndian.Uint32(r.next(4)) }
+
 func (r *reader) services() []flow.ServiceID {
 	all := make([]flow.ServiceID, r.next(1)[0])
 	for i := range all {
@@ -468,6 +476,15 @@
 	return m, nil
 }
 
+func (r *reader) report() *report {
+	m := &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
+	m.balancers = binary.BigEndian.Uint16(r.next(2))
+	m.newestAgent = r.uint64()
+	m.hosts = entryhost.Report{Voucher: r.voucher(), Weakest: entryhost.Class(r.next(1)[0]), Newest: r.uint64()}
+	m.zonesOut = r.uint32()
+	return m
+}
+
 func (r *reader) message(k messageKind) message {
 	switch k {
 	case kindForward:
@@ -483,16 +500,12 @@
 		return &placed{flow: passthrough.DecodeFlowID(r.next(passthrough.FlowIDSize)), agent: r.address(), service: flow.ServiceID(r.uint64()), delivered: r.next(1)[0] == 1, load: r.load()}
 	case kindOwner:
 		m := &owner{flow: passthrough.DecodeFlowID(r.next(passthrough.FlowIDSize)), agent: r.address()}
-		m.minAck = binary.BigEndian.Uint32(r.next(4))
+		m.minAck = r.uint32()
 		return m
 	case kindProbe:
-		return &probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64(), voucher: r.voucher()}
+		return &probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64(), voucher: r.voucher(), zonesOut: r.uint32()}
 	case kindReport:
-		m := &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
-		m.balancers = binary.BigEndian.Uint16(r.next(2))
-		m.newestAgent = r.uint64()
-		m.hosts = entryhost.Report{Voucher: r.voucher(), Weakest: entryhost.Class(r.next(1)[0]), Newest: r.uint64()}
-		return m
+		return r.report()
 	case kindAnnounce:
 		return &announce{agent: r.address(), revision: r.uint64(), id: r.text(), service: r.text(), zone: r.text(), addresses: r.addresses()}
 	case kindUnanswered:
@@ -507,7 +520,7 @@
 		return m
 	case kindDenied:
 		m := &denied{flow: passthrough.DecodeFlowID(r.next(passthrough.FlowIDSize)), agent: r.address()}
-		m.ack = binary.BigEndian.Uint32(r.next(4))
+		m.ack = r.uint32()
 		m.restarted = r.next(1)[0] == 1
 		m.newestAgent = r.uint64()
 		return m
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -60,15 +60,24 @@
 // StateReply holds store entries.
 type StateReply struct {
 	Entries []EntryState
+	// OperatorAt is the store revision up to which the process holds all changes of the operator's entries, or 0.
+	OperatorAt uint64
 	// Observed are the observed routes of a process without a configuration.
 	Observed []passthrough.ObservedRoute
 }
 
+// fetchedEntry is an entry that another process has returned; see EntryState.
+type fetchedEntry struct {
+	store.Entry
+	unlisted bool
+}
+
 // peerService serves the calls of other processes.
 type peerService struct{ state *localState }
 
 // State returns the store entries in the local state of the process.
 func (s *peerService) State(args StateArgs, reply *StateReply) error {
+	reply.OperatorAt = s.state.operatorAt.get() // Before the entries, which may be newer.
 	reply.Entries = s.state.entries(args.Agents)
 	for i := range reply.Entries {
 		if e := &reply.Entries[i]; args.Compressed && e.Key == s.state.layout.ConfigKey {
@@ -141,9 +150,10 @@
 	return &stateFetcher{state: s, agents: agents, logger: logger, due: make(chan netip.AddrPort, 1)}
 }
 
-// onRevision makes a fetch from another process due if its operator revision is newer.
-func (f *stateFetcher) onRevision(from netip.AddrPort, revision uint64) {
-	if revision <= f.state.operatorRevision() {
+// onVersion makes a fetch from another process due if its version shows that it may hold a change that this one lacks.
+func (f *stateFetcher) onVersion(from netip.AddrPort, v operatorVersion) {
+	own := f.state.operatorVersion()
+	if v.revision < own.revision || v.revision == own.revision && (v.zonesOut == 0 || v.zonesOut == own.zonesOut) {
 		return
 	}
 	select {
@@ -183,6 +193,7 @@
 	for _, r := range reply.Observed {
 		f.state.addObservedRoute(r, from)
 	}
+	entries := make([]fetchedEntry, 0, len(reply.Entries))
 	for _, e := range reply.Entries {
 		value, err := e.decompress()
 		if err != nil {
@@ -190,12 +201,9 @@
 			continue
 		}
 		entry := store.Entry{Key: e.Key, Value: value, Revision: store.Revision(e.Revision), Deleted: e.Deleted}
-		if e.Unlisted {
-			f.state.applyUnlistedAgent(entry)
-		} else {
-			f.state.apply(entry)
-		}
+		entries = append(entries, fetchedEntry{Entry: entry, unlisted: e.Unlisted})
 	}
+	f.state.applyFetched(entries, reply.OperatorAt)
 	f.state.changed()
 	if f.applied != nil {
 		f.applied()
