fix: flows are reset after the store was silent

Cause: a watch that waits when the store falls silent is never answered. Only its time-out of 25.7 s ended it, since it was compared with what other balancers know, and their watches hung as well. A balancer did not know the new agents, and all that it knew denied the flow. Ruled out: lost directory messages, the settling time after a list. Change: a call without an answer marks the waiting watches of the process; they are interrupted as soon as the store answers another call, which a failed follower now checks with a call that is answered at once. Agents report the revisions at which their entries were created and written, and all processes pass on the highest ones. Until the new watch had time to answer, no flow is reset on denials. Why it works: neither way needs a watch that is sound.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -95,9 +95,8 @@
 	draining    chan struct{} // closed when the graceful shutdown starts
 	drainPeriod atomic.Int64  // as time.Duration
 	capacityLog capacityLog
-	// newestAgent is the highest revision that a balancer has sent at which the entry of an agent was created. It is
-	// passed on, so that a balancer finds out that it does not know an agent yet.
-	newestAgent maxRevision
+	// newest are the newest entries of agents: its own and those that balancers know of.
+	newest      newestEntries
 	hosts       *heardHosts // nil without the feature
 	metricsHTTP *httpServer // nil without a second address for the metrics
 }
@@ -125,6 +124,7 @@
 	a.fetcher = newStateFetcher(&a.state, false, cfg.Logger)
 	a.registrar = newRegistrar(cfg.Store, cfg.ID, agentEntry{Service: cfg.Service, Zone: cfg.Zone, Address: cfg.Link}, cfg.Logger)
 	a.registrar.onFirstWrite = a.onFirstEntry
+	a.registrar.onWrite = a.newest.add
 	a.metrics = newMetrics("agent", gauges{
 		revision: func() float64 { return float64(a.state.operatorRevision()) },
 		flows:    func() float64 { return float64(a.admitter.Flows()) },
@@ -261,12 +261,12 @@
 	case *probe:
 		a.onBalancerMessage(now, m.origin)
 		a.fetcher.onVersion(a.link.detours.callable(src, m.origin), operatorVersion{revision: m.revision, zonesOut: m.zonesOut})
-		a.newestAgent.add(m.newestAgent)
+		a.newest.add(m.newest)
 		a.hosts.add(now, m.voucher, m.revision)
 		a.sendReport(now, m.origin)
 	case *check:
 		a.onBalancerMessage(now, m.origin)
-		a.newestAgent.add(m.newestAgent)
+		a.newest.add(m.newest)
 		a.detours.answer(now, src, m, a.report(now))
 		a.detours.reportOutsideCheck(now, m)
 	case *share:
@@ -278,7 +278,7 @@
 
 func (a *Agent) report(now time.Time) *report {
 	v := a.state.operatorVersion()
-	return &report{agent: a.link.self, service: a.service, revision: v.revision, load: a.admitter.Load(now), balancers: a.balancers.count(now), newestAgent: a.newestAgent.get(), hosts: a.hosts.report(now), zonesOut: v.zonesOut}
+	return &report{agent: a.link.self, service: a.service, revision: v.revision, load: a.admitter.Load(now), balancers: a.balancers.count(now), newest: a.newest.get(), hosts: a.hosts.report(now), zonesOut: v.zonesOut}
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -91,6 +91,8 @@
 	fetcher  *stateFetcher
 	duty     *watchDuty // nil without the feature
 	agents   *follower  // follows the entries of the agents
+	operator *follower  // follows the entries of the operator
+	contact  storeContact
 	fleet    passthrough.FleetSize
 
 	refreshing sync.Mutex // serializes updates of the views by several followers
@@ -126,7 +128,9 @@
 	})
 	b.fetcher.metrics = b.metrics
 	b.duty = newWatchDuty(cfg, b.state.operatorRevision, b.metrics)
-	b.agents = &follower{store: cfg.WatchStore, prefix: agentsPrefix, pause: b.agentsPause, logger: cfg.Logger, apply: b.state.applyAgent, held: b.state.listedAgentKeys, applied: b.state.agentsAt.add, changed: b.refresh}
+	b.operator = &follower{store: cfg.Store, prefix: cfg.Layout.OperatorPrefix, contact: &b.contact, logger: cfg.Logger, apply: b.state.applyOperator, held: b.state.zoneKeysOut, applied: b.state.operatorAt.add, changed: b.refresh}
+	b.duty.follow(b.operator)
+	b.agents = &follower{store: cfg.WatchStore, contact: &b.contact, prefix: agentsPrefix, pause: b.agentsPause, logger: cfg.Logger, apply: b.state.applyAgent, held: b.state.listedAgentKeys, applied: b.state.agentsAt.add, changed: b.refresh}
 	b.SetDrainPeriod(cfg.DrainPeriod)
 	var err error
 	if b.packets, err = listenUDP(cfg.Packets); err != nil {
@@ -200,14 +204,13 @@
 			sufficient()
 		}
 	}
-	operator := &follower{store: b.cfg.Store, prefix: b.cfg.Layout.OperatorPrefix, logger: b.cfg.Logger, apply: b.state.applyOperator, held: b.state.zoneKeysOut, applied: b.state.operatorAt.add, changed: b.refresh, loaded: once(loaded)}
-	b.duty.follow(operator)
+	b.operator.loaded = once(loaded)
 	firstList := once(loaded)
 	b.agents.loaded = func() {
 		firstList()
 		b.fetcher.applied()
 	}
-	g.Go(operator.run)
+	g.Go(b.operator.run)
 	g.Go(b.agents.run)
 	g.Go(b.fetcher.run)
 	g.Go(func(ctx context.Context) error {
@@ -498,13 +501,19 @@
 func (b *Balancer) onReport(now time.Time, src source, m *report) {
 	b.onLoad(now, m.agent, m.service, m.load)
 	b.fleet.Report(now, int(m.balancers))
-	b.agents.expected.add(m.newestAgent)
+	b.learnEntries(m.newest)
 	b.duty.reported(now, m)
 	if src.direct() {
 		b.fetcher.onVersion(m.agent, operatorVersion{revision: m.revision, zonesOut: m.zonesOut}) // Calls take no detours.
 	}
 }
 
+// learnEntries records the newest entries of agents that another process knows of.
+func (b *Balancer) learnEntries(r entryRevisions) {
+	b.state.newest.add(r)
+	b.agents.expected.add(r.written)
+}
+
 // onLoad records the load that an agent has reported. If the agent belongs to another service than the one recorded at
 // its address, the recorded agent no longer exists there and is dropped.
 func (b *Balancer) onLoad(now time.Time, agent netip.AddrPort, service flow.ServiceID, l passthrough.Load) {
@@ -515,7 +524,7 @@
 
 func (b *Balancer) probe() *probe {
 	voucher, revision := b.duty.stamp(time.Now(), b.state.operatorRevision)
-	return &probe{origin: b.link.self, revision: revision, newestAgent: b.state.newestAgent.get(), voucher: voucher, zonesOut: b.state.operatorVersion().zonesOut}
+	return &probe{origin: b.link.self, revision: revision, newest: b.state.newest.get(), voucher: voucher, zonesOut: b.state.operatorVersion().zonesOut}
 }
 
 // tick probes agents, sends early packets by observed routes, and removes idle flows and unresponsive agents.
@@ -533,8 +542,10 @@
 			b.replayObserved()
 		}
 		now := time.Now()
-		if b.agents.interruptStaleWatch(now) {
-			b.metrics.staleWatches.Inc()
+		for _, f := range []*follower{b.operator, b.agents} {
+			if reason := f.interruptStaleWatch(now); reason != "" {
+				b.metrics.staleWatches.WithLabelValues(reason).Inc()
+			}
 		}
 		due := b.steerer.DueProbes(now)
 		if len(due) > 0 {
--- a/internal/passthrough/detour_message.go
+++ b/internal/passthrough/detour_message.go
@@ -66,7 +66,7 @@
 	b = header(b, kindCheck)
 	b = appendAddress(b, m.origin)
 	b = binary.BigEndian.AppendUint64(b, m.revision)
-	b = binary.BigEndian.AppendUint64(b, m.newestAgent)
+	b = appendEntryRevisions(b, m.newest)
 	b = appendFlag(b, m.answerByRelay)
 	return appendText(b, m.zone)
 }
@@ -118,7 +118,7 @@
 }
 
 func (r *reader) check() *check {
-	m := &check{probe: probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64()}}
+	m := &check{probe: probe{origin: r.address(), revision: r.uint64(), newest: r.entryRevisions()}}
 	m.answerByRelay = r.next(1)[0] == 1
 	m.zone = r.text()
 	return m
--- a/internal/passthrough/detours_test.go
+++ b/internal/passthrough/detours_test.go
@@ -18,7 +18,7 @@
 	r := report{agent: a, service: 7, revision: 8, load: passthrough.Load{InProgress: 1, Slots: 2, AcceptsFlows: true}, balancers: 3}
 	for _, want := range []message{
 		&relay{to: a, from: b, forwarded: true, datagram: (&probe{origin: b}).append(nil)},
-		&check{probe: probe{origin: a, revision: 1, newestAgent: 2}, zone: "zone-a", answerByRelay: true},
+		&check{probe: probe{origin: a, revision: 1, newest: entryRevisions{created: 2}}, zone: "zone-a", answerByRelay: true},
 		&checked{report: r, age: 123 * time.Millisecond},
 		&checkedFromOutside{agent: a},
 		&share{detours: []detour.Detour{{To: a, Relay: b}, {To: c, Relay: b}}},
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -58,10 +58,14 @@
 
 	// expected is the highest revision of the prefix that other processes know of.
 	expected maxRevision
+	// contact is shared by the followers of a process.
+	contact *storeContact
 
-	mu          sync.Mutex
-	cancelWatch context.CancelFunc // ends the waiting watch; nil if there is none
-	behindSince time.Time          // since when the waiting watch lacks the expected revision; zero if it does not
+	mu            sync.Mutex
+	cancelWatch   context.CancelFunc // ends the waiting watch; nil if there is none
+	beganAt       time.Time          // when the last watch began
+	interruptedAt time.Time          // when a watch was last interrupted
+	behindSince   time.Time          // since when the waiting watch lacks the expected revision; zero if it does not
 }
 
 // run lists the prefix and watches its changes until the context ends.
@@ -71,14 +75,17 @@
 	delay := retryDelay
 	for ctx.Err() == nil {
 		var err error
-		if listed {
+		switch {
+		case !listed:
+			at, err = f.list(ctx)
+			listed = err == nil
+		case !reachable:
+			err = f.checkStore(ctx)
+		default:
 			if f.rest != nil {
 				f.rest(ctx)
 			}
 			at, err = f.watch(ctx, at)
-		} else {
-			at, err = f.list(ctx)
-			listed = err == nil
 		}
 		if errors.Is(err, store.ErrCompacted) {
 			f.logger.Info("store history compacted, listing again", "prefix", f.prefix, "revision", at)
@@ -105,6 +112,17 @@
 	return nil
 }
 
+// checkStore makes a call that the store answers at once. A watch would show only at its end that the store is silent, or
+// that it answers again.
+func (f *follower) checkStore(ctx context.Context) error {
+	_, err := f.store.Get(ctx, f.prefix)
+	if errors.Is(err, store.ErrNotFound) { // No entry has the key.
+		err = nil
+	}
+	f.recordOutcome(err)
+	return err
+}
+
 // listedFor reports whether the first complete list was applied a period ago or earlier.
 func (f *follower) listedFor(now time.Time, period time.Duration) bool {
 	at := f.listedAt.Load()
@@ -120,6 +138,7 @@
 func (f *follower) list(ctx context.Context) (store.Revision, error) {
 	began := time.Now()
 	page, err := f.store.List(ctx, f.prefix)
+	f.recordOutcome(err)
 	if err != nil {
 		return 0, err
 	}
@@ -151,6 +170,7 @@
 	if interrupted {
 		return at, nil
 	}
+	f.recordOutcome(err)
 	if err != nil {
 		return at, err
 	}
@@ -175,13 +195,23 @@
 	}
 }
 
+// recordOutcome records whether the store has answered a call. A rejection is an answer.
+func (f *follower) recordOutcome(err error) {
+	switch {
+	case errors.Is(err, store.ErrUnknownOutcome):
+		f.contact.unanswered(time.Now())
+	case !errors.Is(err, store.ErrUnavailable):
+		f.contact.answered(time.Now())
+	}
+}
+
 // beginWatch returns the context of a watch that interruptStaleWatch can end, and a function that must be called after
 // the watch.
 func (f *follower) beginWatch(ctx context.Context) (watchCtx context.Context, end func()) {
 	watchCtx, cancel := context.WithCancel(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancelWatch, f.behindSince = cancel, time.Time{}
+	f.cancelWatch, f.behindSince, f.beganAt = cancel, time.Time{}, time.Now()
 	return watchCtx, func() {
 		f.mu.Lock()
 		f.cancelWatch = nil
@@ -190,26 +220,51 @@
 	}
 }
 
-// interruptStaleWatch ends a waiting watch that has lacked the expected revision for staleWatchTimeout, and reports
-// whether it did. A connection may go silent without a reset, and the next watch opens another one.
-func (f *follower) interruptStaleWatch(now time.Time) bool {
-	expected := f.expected.get()
+// Reasons for interrupting a watch.
+const (
+	reasonKnownChange = "lacks_known_change"
+	reasonStoreSilent = "store_was_silent"
+)
+
+// interruptStaleWatch ends a waiting watch that may never be answered, and returns the reason or "". The next watch opens
+// another connection.
+func (f *follower) interruptStaleWatch(now time.Time) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	reason := f.staleReason(now)
+	if reason == "" {
+		return ""
+	}
+	f.cancelWatch()
+	f.cancelWatch, f.interruptedAt = nil, now
+	f.logger.Warn("watch interrupted", "prefix", f.prefix, "reason", reason, "revision", f.at.Load(), "expected", f.expected.get())
+	return reason
+}
+
+// staleReason returns why the waiting watch may never be answered, or "". It lacks a change that other processes have known
+// of for staleWatchTimeout, or the store has been silent since it began.
+func (f *follower) staleReason(now time.Time) string {
 	switch {
-	case f.cancelWatch == nil || f.covers(expected):
+	case f.cancelWatch == nil:
+		f.behindSince = time.Time{}
+	case f.contact.silentSince(f.beganAt) && f.contact.recovered():
+		return reasonStoreSilent
+	case f.covers(f.expected.get()):
 		f.behindSince = time.Time{}
-		return false
 	case f.behindSince.IsZero():
 		f.behindSince = now
-		return false
-	case now.Sub(f.behindSince) < staleWatchTimeout:
-		return false
+	case now.Sub(f.behindSince) >= staleWatchTimeout:
+		return reasonKnownChange
 	}
-	f.cancelWatch()
-	f.cancelWatch = nil
-	f.logger.Warn("watch interrupted, it lacks a known change", "prefix", f.prefix, "revision", f.at.Load(), "expected", expected)
-	return true
+	return ""
+}
+
+// mayLackChanges reports whether the store has been silent since the last watch began, or the watch has just replaced an
+// interrupted one.
+func (f *follower) mayLackChanges(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact.silentSince(f.beganAt) || now.Sub(f.interruptedAt) < staleWatchTimeout
 }
 
 // setApplied records the store revision up to which all changes have been applied.
--- a/internal/passthrough/follower_test.go
+++ b/internal/passthrough/follower_test.go
@@ -32,7 +32,7 @@
 	t.Helper()
 	applied := make(map[string]string)
 	f := &follower{
-		rest: rest, store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {},
+		rest: rest, contact: &storeContact{}, store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {},
 		apply: func(e store.Entry) {
 			if e.Deleted {
 				delete(applied, e.Key)
@@ -67,18 +67,62 @@
 		f, applied := runFollower(t, s)
 		synctest.Wait()
 		f.expected.add(f.at.Load())
-		assert.Assert(t, !f.interruptStaleWatch(time.Now()))
+		assert.Equal(t, f.interruptStaleWatch(time.Now()), "")
 		s.set(func() {
 			s.put(store.Entry{Key: "b", Value: []byte("1")})
 			s.silent = false
 		})
 		f.expected.add(uint64(s.revision))
-		assert.Assert(t, !f.interruptStaleWatch(time.Now()), "the change may be on its way")
+		assert.Equal(t, f.interruptStaleWatch(time.Now()), "", "the change may be on its way")
 		time.Sleep(staleWatchTimeout)
-		assert.Assert(t, f.interruptStaleWatch(time.Now()))
+		assert.Equal(t, f.interruptStaleWatch(time.Now()), reasonKnownChange)
 		synctest.Wait()
 		assert.DeepEqual(t, applied, map[string]string{"a": "1", "b": "1"})
-		assert.Assert(t, !f.interruptStaleWatch(time.Now().Add(time.Hour)), "the new watch has the change")
+		assert.Equal(t, f.interruptStaleWatch(time.Now().Add(time.Hour)), "", "the new watch has the change")
+	})
+}
+
+// Guards against a balancer that does not know new agents, as in cases 7 and 8 of the review: the store was silent while the
+// watch waited, and no other process has a sound watch either. Only another call of the process has noticed.
+func TestFollowerInterruptsWatchAfterSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put(store.Entry{Key: "a", Value: []byte("1")})
+		s.silent = true
+		f, applied := runFollower(t, s)
+		synctest.Wait()
+		assert.Assert(t, !f.mayLackChanges(time.Now()))
+		time.Sleep(time.Second)
+		f.contact.unanswered(time.Now())
+		assert.Equal(t, f.interruptStaleWatch(time.Now()), "", "the store is still silent")
+		assert.Assert(t, f.mayLackChanges(time.Now()))
+		s.set(func() {
+			s.put(store.Entry{Key: "b", Value: []byte("1")})
+			s.silent = false
+		})
+		time.Sleep(time.Second)
+		f.contact.answered(time.Now())
+		assert.Equal(t, f.interruptStaleWatch(time.Now()), reasonStoreSilent)
+		synctest.Wait()
+		assert.DeepEqual(t, applied, map[string]string{"a": "1", "b": "1"})
+		assert.Equal(t, f.interruptStaleWatch(time.Now()), "", "the new watch began after the silence")
+		assert.Assert(t, f.mayLackChanges(time.Now()), "its answer may be on its way")
+		assert.Assert(t, !f.mayLackChanges(time.Now().Add(staleWatchTimeout)))
+	})
+}
+
+// Guards against a silence that followers of one process do not tell each other about, and against a rejection that counts
+// as silence, so that each one interrupts all watches.
+func TestStoreContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		for err, silent := range map[error]bool{nil: false, store.ErrUnavailable: false, store.ErrCompacted: false, store.ErrUnknownOutcome: true} {
+			s := newFakeStore()
+			s.err = err
+			f := &follower{store: s, contact: &storeContact{}, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, apply: func(store.Entry) {}, held: noKeys}
+			_, _ = f.list(t.Context())
+			assert.Equal(t, f.contact.silentSince(begin), silent, "%v", err)
+		}
 	})
 }
 
@@ -108,7 +152,7 @@
 // one was created since.
 func TestFollowerCovers(t *testing.T) {
 	s := newFakeStore()
-	f := &follower{store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, apply: func(store.Entry) {}, held: noKeys}
+	f := &follower{store: s, contact: &storeContact{}, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, apply: func(store.Entry) {}, held: noKeys}
 	assert.Assert(t, !f.covers(0), "before the first list")
 	s.put(store.Entry{Key: "a"})
 	at, err := f.list(t.Context())
@@ -169,7 +213,7 @@
 		s.put(store.Entry{Key: "a"})
 		var answered time.Time
 		f := &follower{
-			store: s, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, held: noKeys,
+			store: s, contact: &storeContact{}, logger: hclog.NewNullLogger(), changed: func() {}, loaded: func() {}, held: noKeys,
 			apply: func(store.Entry) { time.Sleep(time.Second) }, answered: func(at time.Time) { answered = at },
 		}
 		begin := time.Now()
--- a/internal/passthrough/local_state.go
+++ b/internal/passthrough/local_state.go
@@ -38,8 +38,8 @@
 	changed func()
 	// lostAt is when an agent that had not announced its departure was last dropped, or nil.
 	lostAt atomic.Pointer[time.Time]
-	// newestAgent is the highest store revision at which the entry of an agent was created.
-	newestAgent maxRevision
+	// newest are the newest entries of agents that the process knows of, even if it does not have them.
+	newest newestEntries
 	// operatorAt and agentsAt are the store revisions up to which all changes of the operator's entries and of the agents'
 	// entries are applied, as far as this process or the one that it fetched them from has listed them; 0 if neither has.
 	operatorAt, agentsAt maxRevision
@@ -61,6 +61,22 @@
 
 func (m *maxRevision) get() uint64 { return m.v.Load() }
 
+// entryRevisions are the highest store revisions at which an agent's entry was created and at which one was written.
+// Processes pass them on, so that a balancer finds out that its watch lacks an entry.
+type entryRevisions struct{ created, written uint64 }
+
+// newestEntries holds the highest revisions that it was given; the zero value is ready to use.
+type newestEntries struct{ created, written maxRevision }
+
+func (n *newestEntries) add(r entryRevisions) {
+	n.created.add(r.created)
+	n.written.add(r.written)
+}
+
+func (n *newestEntries) get() entryRevisions {
+	return entryRevisions{created: n.created.get(), written: n.written.get()}
+}
+
 // Table returns the current configuration, or nil if there is none yet.
 func (s *localState) Table() *route.Table { return s.table.Load() }
 
@@ -190,7 +206,7 @@
 		}
 		return
 	}
-	s.newestAgent.add(uint64(e.Created))
+	s.newest.add(entryRevisions{created: uint64(e.Created), written: uint64(e.Revision)})
 	s.decodeAndMerge(e, board.Record{ID: id, Version: v})
 }
 
--- a/internal/passthrough/local_state_test.go
+++ b/internal/passthrough/local_state_test.go
@@ -107,7 +107,7 @@
 // newOperatorState returns a state, a follower of the operator's entries in a store and a fetcher.
 func newOperatorState(s store.Store) (*localState, *follower, *stateFetcher) {
 	state := &localState{layout: testLayout(), logger: hclog.NewNullLogger(), changed: func() {}}
-	f := &follower{store: s, logger: hclog.NewNullLogger(), apply: state.applyOperator, held: state.zoneKeysOut, applied: state.operatorAt.add, changed: func() {}, loaded: func() {}}
+	f := &follower{store: s, contact: &storeContact{}, logger: hclog.NewNullLogger(), apply: state.applyOperator, held: state.zoneKeysOut, applied: state.operatorAt.add, changed: func() {}, loaded: func() {}}
 	return state, f, newStateFetcher(state, true, hclog.NewNullLogger())
 }
 
@@ -218,7 +218,7 @@
 		s.put(store.Entry{Key: agentsPrefix + "agent-1", Deleted: true})
 
 		started, _, fetcher := newOperatorState(s)
-		f := &follower{store: s, logger: hclog.NewNullLogger(), apply: started.applyAgent, held: started.listedAgentKeys, applied: started.agentsAt.add, changed: func() {}, loaded: func() {}}
+		f := &follower{store: s, contact: &storeContact{}, logger: hclog.NewNullLogger(), apply: started.applyAgent, held: started.listedAgentKeys, applied: started.agentsAt.add, changed: func() {}, loaded: func() {}}
 		fetch := func() { fetcher.applyReply(StateReply{Entries: other.entries(true)}, netip.AddrPort{}) }
 		if fetchFirst {
 			fetch()
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -101,9 +101,8 @@
 type probe struct {
 	origin   netip.AddrPort
 	revision uint64
-	// newestAgent is the highest store revision at which an agent entry in the balancer's state was created.
-	newestAgent uint64
-	voucher     entryhost.Voucher
+	newest   entryRevisions
+	voucher  entryhost.Voucher
 	// zonesOut is that of the balancer's operatorVersion; 0 in a check.
 	zonesOut uint32
 }
@@ -117,8 +116,7 @@
 	load     passthrough.Load
 	// balancers is the number of balancers that the agent has received messages from.
 	balancers uint16
-	// newestAgent is the highest one that the agent has received from a balancer; see probe.
-	newestAgent uint64
+	newest    entryRevisions
 	// hosts is what the agent has heard of the hosts of balancers.
 	hosts entryhost.Report
 	// zonesOut is that of the agent's operatorVersion; 0 in the answer to a check.
@@ -170,8 +168,7 @@
 	ack uint32
 	// restarted means that the agent and its backend server have just started.
 	restarted bool
-	// newestAgent is the highest one that the agent has received from a balancer; see probe.
-	newestAgent uint64
+	newest    entryRevisions
 }
 
 // maxUnanswered limits the attempts in one message.
@@ -288,7 +285,7 @@
 	b = header(b, kindProbe)
 	b = appendAddress(b, m.origin)
 	b = binary.BigEndian.AppendUint64(b, m.revision)
-	b = binary.BigEndian.AppendUint64(b, m.newestAgent)
+	b = appendEntryRevisions(b, m.newest)
 	b = appendVoucher(b, m.voucher)
 	return binary.BigEndian.AppendUint32(b, m.zonesOut)
 }
@@ -300,7 +297,7 @@
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	b = appendLoad(b, m.load)
 	b = binary.BigEndian.AppendUint16(b, m.balancers)
-	b = binary.BigEndian.AppendUint64(b, m.newestAgent)
+	b = appendEntryRevisions(b, m.newest)
 	b = appendVoucher(b, m.hosts.Voucher)
 	b = append(b, byte(m.hosts.Weakest))
 	b = binary.BigEndian.AppendUint64(b, m.hosts.Newest)
@@ -354,7 +351,12 @@
 	b = appendAddress(b, m.agent)
 	b = binary.BigEndian.AppendUint32(b, m.ack)
 	b = appendFlag(b, m.restarted)
-	return binary.BigEndian.AppendUint64(b, m.newestAgent)
+	return appendEntryRevisions(b, m.newest)
+}
+
+func appendEntryRevisions(b []byte, r entryRevisions) []byte {
+	b = binary.BigEndian.AppendUint64(b, r.created)
+	return binary.BigEndian.AppendUint64(b, r.written)
 }
 
 // appendAddresses appends a list of at most 255 addresses; the rest is left out.
@@ -396,6 +398,10 @@
 
 func (r *reader) uint32() uint32 { return binary.BigEndian.Uint32(r.next(4)) }
 
+func (r *reader) entryRevisions() entryRevisions {
+	return entryRevisions{created: r.uint64(), written: r.uint64()}
+}
+
 func (r *reader) services() []flow.ServiceID {
 	all := make([]flow.ServiceID, r.next(1)[0])
 	for i := range all {
@@ -479,7 +485,7 @@
 func (r *reader) report() *report {
 	m := &report{agent: r.address(), service: flow.ServiceID(r.uint64()), revision: r.uint64(), load: r.load()}
 	m.balancers = binary.BigEndian.Uint16(r.next(2))
-	m.newestAgent = r.uint64()
+	m.newest = r.entryRevisions()
 	m.hosts = entryhost.Report{Voucher: r.voucher(), Weakest: entryhost.Class(r.next(1)[0]), Newest: r.uint64()}
 	m.zonesOut = r.uint32()
 	return m
@@ -503,7 +509,7 @@
 		m.minAck = r.uint32()
 		return m
 	case kindProbe:
-		return &probe{origin: r.address(), revision: r.uint64(), newestAgent: r.uint64(), voucher: r.voucher(), zonesOut: r.uint32()}
+		return &probe{origin: r.address(), revision: r.uint64(), newest: r.entryRevisions(), voucher: r.voucher(), zonesOut: r.uint32()}
 	case kindReport:
 		return r.report()
 	case kindAnnounce:
@@ -522,7 +528,7 @@
 		m := &denied{flow: passthrough.DecodeFlowID(r.next(passthrough.FlowIDSize)), agent: r.address()}
 		m.ack = r.uint32()
 		m.restarted = r.next(1)[0] == 1
-		m.newestAgent = r.uint64()
+		m.newest = r.entryRevisions()
 		return m
 	case kindRelay, kindCheck, kindChecked, kindShare, kindCheckedFromOutside:
 		return r.detourMessage(k)
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -43,6 +43,10 @@
 	return entryhost.Voucher{Class: entryhost.Class(rapid.Byte().Draw(t, "class")), Age: age}
 }
 
+func drawEntryRevisions(t *rapid.T) entryRevisions {
+	return entryRevisions{created: rapid.Uint64().Draw(t, "created"), written: rapid.Uint64().Draw(t, "written")}
+}
+
 func drawMessage(t *rapid.T) message {
 	f := passthrough.NewFlowID(drawAddress(t, "caller"), drawAddress(t, "service"))
 	switch rapid.IntRange(1, 10).Draw(t, "kind") {
@@ -61,7 +65,7 @@
 	case 3:
 		return &owner{flow: f, agent: drawAddress(t, "agent"), minAck: rapid.Uint32().Draw(t, "min ack")}
 	case 4:
-		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision"), newestAgent: rapid.Uint64().Draw(t, "agents revision"), voucher: drawVoucher(t), zonesOut: rapid.Uint32().Draw(t, "zones out")}
+		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision"), newest: drawEntryRevisions(t), voucher: drawVoucher(t), zonesOut: rapid.Uint32().Draw(t, "zones out")}
 	case 5:
 		m := &announce{agent: drawAddress(t, "agent"), revision: rapid.Uint64().Draw(t, "revision"), id: rapid.StringN(0, -1, maxText).Draw(t, "id"), service: rapid.StringN(0, -1, maxText).Draw(t, "name"), zone: rapid.StringN(0, -1, maxText).Draw(t, "zone")}
 		for range rapid.IntRange(0, maxAnnouncedAddresses).Draw(t, "addresses") {
@@ -87,14 +91,14 @@
 		}
 		return m
 	case 9:
-		return &denied{flow: f, agent: drawAddress(t, "agent"), ack: rapid.Uint32().Draw(t, "ack"), restarted: rapid.Bool().Draw(t, "restarted"), newestAgent: rapid.Uint64().Draw(t, "agents revision")}
+		return &denied{flow: f, agent: drawAddress(t, "agent"), ack: rapid.Uint32().Draw(t, "ack"), restarted: rapid.Bool().Draw(t, "restarted"), newest: drawEntryRevisions(t)}
 	default:
-		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t), balancers: rapid.Uint16().Draw(t, "balancers"), newestAgent: rapid.Uint64().Draw(t, "newest agent"), hosts: entryhost.Report{Voucher: drawVoucher(t), Weakest: entryhost.Class(rapid.Byte().Draw(t, "weakest")), Newest: rapid.Uint64().Draw(t, "newest")}, zonesOut: rapid.Uint32().Draw(t, "zones out")}
+		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t), balancers: rapid.Uint16().Draw(t, "balancers"), newest: drawEntryRevisions(t), hosts: entryhost.Report{Voucher: drawVoucher(t), Weakest: entryhost.Class(rapid.Byte().Draw(t, "weakest")), Newest: rapid.Uint64().Draw(t, "newest")}, zonesOut: rapid.Uint32().Draw(t, "zones out")}
 	}
 }
 
 var cmpMessages = cmp.Options{
-	cmp.AllowUnexported(forward{}, placed{}, owner{}, probe{}, report{}, announce{}, unanswered{}, unowned{}, search{}, denied{}),
+	cmp.AllowUnexported(entryRevisions{}, forward{}, placed{}, owner{}, probe{}, report{}, announce{}, unanswered{}, unowned{}, search{}, denied{}),
 	cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
 	cmp.Comparer(func(a, b passthrough.Path) bool { return a == b }),
 	cmp.Comparer(func(a, b passthrough.FlowID) bool { return a == b }),
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -59,10 +59,13 @@
 	answers  prometheus.Histogram
 	waits    prometheus.Histogram
 	// staleWatches counts watches of the store that were interrupted.
-	staleWatches prometheus.Counter
+	staleWatches *prometheus.CounterVec
 	holds        prometheus.Histogram
 }
 
+// reasonLabel is the label of the reason for a decision.
+const reasonLabel = "reason"
+
 // latencyBuckets are upper bounds in seconds, from a round trip within a zone to the longest deadline of a caller.
 var latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10}
 
@@ -80,7 +83,7 @@
 		registry: prometheus.NewRegistry(),
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleymast_flow_events_total", Help: "Decisions on flows and packets.",
-		}, []string{"event", "reason"}),
+		}, []string{"event", reasonLabel}),
 		packets: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "bramleymast_packets_total", Help: "Packets of callers.",
 		}),
@@ -93,16 +96,16 @@
 	})
 	m.shares = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "bramleymast_split_flows_total", Help: "New flows of routes with several services, by the service that got them.",
-	}, []string{"service", "reason"})
+	}, []string{"service", reasonLabel})
 	m.answers = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_answer_seconds", Help: "Time from a request to the first packet of its answer.", Buckets: latencyBuckets,
 	})
 	m.waits = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_wait_seconds", Help: "Time that an opening packet waited within the system before it was delivered.", Buckets: latencyBuckets,
 	})
-	m.staleWatches = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "bramleymast_stale_watches_total", Help: "Watches of the store that lacked a change that other processes knew.",
-	})
+	m.staleWatches = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bramleymast_stale_watches_total", Help: "Watches of the store that were interrupted, since they lacked a change that other processes knew or the store was silent.",
+	}, []string{reasonLabel})
 	m.holds = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_hold_seconds", Help: "Time that a request on an open flow waited at its agent for capacity.", Buckets: latencyBuckets,
 	})
--- a/internal/passthrough/owner_search.go
+++ b/internal/passthrough/owner_search.go
@@ -53,9 +53,10 @@
 // A balancer that has not listed the agents, or not up to the newest one that others know, does not reset flows, because
 // an agent that it does not know may own them. Neither does one that has dropped a silent agent, which may be paused or
 // cut off while a request of the flow runs, until the callers of such requests have given up. And neither does one that
-// has just listed the agents, since the leases of some may have expired before, unless all hosts have restarted.
+// has just listed the agents, since the leases of some may have expired before, unless all hosts have restarted. And
+// neither does one whose watch of the agents has not been answered since the store was silent.
 func (b *Balancer) onDenied(now time.Time, m *denied) {
-	b.agents.expected.add(m.newestAgent)
+	b.learnEntries(m.newest)
 	b.steerer.SetDeniedAck(now, m.flow, m.ack)
 	if outcome := b.steerer.Deny(now, m.flow, m.agent, m.restarted); outcome != passthrough.SomeDeny {
 		b.resetDenied(now, m.flow, m.ack, outcome)
@@ -75,14 +76,16 @@
 	switch {
 	case outcome != passthrough.AllRestarted && !b.agents.listedFor(now, settlingPeriod):
 		reason = "agents_unsettled"
-	case !b.agents.covers(b.agents.expected.get()):
+	case b.agents.mayLackChanges(now):
+		reason = "store_was_silent"
+	case !b.agents.covers(b.state.newest.created.get()):
 		reason = "agents_outdated"
 	case b.state.lostAgent(now, b.answerTimeout(f)):
 		reason = "agent_lost"
 	}
 	if reason != reasonNone {
 		b.metrics.count(eventDropped, reason)
-		b.cfg.Logger.Warn("flow not reset", "flow", f.String(), "reason", reason, "newest_agent", b.agents.expected.get())
+		b.cfg.Logger.Warn("flow not reset", "flow", f.String(), "reason", reason, "newest_agent", b.state.newest.created.get())
 		return
 	}
 	b.refuse(passthrough.NewSegment(f, passthrough.FlagAck, 0, ack, 0), "no_owner", b.state.Table())
--- a/internal/passthrough/ownership.go
+++ b/internal/passthrough/ownership.go
@@ -123,5 +123,5 @@
 // deny notifies a balancer that the backend server does not hold a flow.
 func (a *Agent) deny(now time.Time, seg passthrough.Segment, balancer netip.AddrPort) {
 	a.metrics.count(eventDenied, reasonNone)
-	a.link.send(balancer, &denied{flow: seg.Flow(), agent: a.link.self, ack: seg.Ack(), restarted: a.admitter.Restarted(now), newestAgent: a.newestAgent.get()})
+	a.link.send(balancer, &denied{flow: seg.Flow(), agent: a.link.self, ack: seg.Ack(), restarted: a.admitter.Restarted(now), newest: a.newest.get()})
 }
--- a/internal/passthrough/registrar.go
+++ b/internal/passthrough/registrar.go
@@ -43,9 +43,13 @@
 	// there was one, and the entry that has replaced it. It must be set before run.
 	onFirstWrite func(previous *agentEntry, e agentEntry)
 
+	// onWrite is called after each write with the revisions of the entry. It must be set before run.
+	onWrite func(r entryRevisions)
+
 	calls    sync.Mutex // locked during a call, and guards the fields below
 	lease    store.LeaseID
 	revision store.Revision
+	created  store.Revision // of the key; 0 if it is not known
 	removed  bool
 	previous *agentEntry // the entry of an earlier process, once it is known
 }
@@ -154,6 +158,9 @@
 	}
 	value := entry.encode()
 	revision, err := r.store.CompareAndSwap(ctx, r.key, value, r.revision, r.lease)
+	if err == nil && r.revision == 0 {
+		r.created = revision
+	}
 	if errors.Is(err, store.ErrConflict) {
 		revision, err = r.replace(ctx, entry.Process, value)
 	}
@@ -164,6 +171,9 @@
 		return err
 	}
 	r.revision = revision
+	if r.onWrite != nil {
+		r.onWrite(entryRevisions{created: uint64(r.created), written: uint64(revision)})
+	}
 	if !r.written.Swap(true) && r.onFirstWrite != nil {
 		r.onFirstWrite(r.previous, entry)
 	}
@@ -181,7 +191,14 @@
 	if err == nil && json.Unmarshal(old.Value, &e) == nil && e.Process != process {
 		r.previous = &e
 	}
-	return r.store.CompareAndSwap(ctx, r.key, value, old.Revision, r.lease)
+	revision, err := r.store.CompareAndSwap(ctx, r.key, value, old.Revision, r.lease)
+	if err == nil {
+		r.created = old.Created
+		if old.Revision == 0 {
+			r.created = revision
+		}
+	}
+	return revision, err
 }
 
 // draining reports whether the entry marks the agent as draining.
--- a/internal/passthrough/registrar_test.go
+++ b/internal/passthrough/registrar_test.go
@@ -92,7 +92,10 @@
 
 func (s *fakeStore) put(e store.Entry) {
 	s.revision++
-	e.Revision = s.revision
+	e.Revision, e.Created = s.revision, s.revision
+	if old, ok := s.entries[e.Key]; ok {
+		e.Created = old.Created
+	}
 	if e.Deleted {
 		delete(s.entries, e.Key)
 	} else {
@@ -324,6 +327,35 @@
 	})
 }
 
+// Guards against balancers that don't learn that their watch lacks an entry, because the agent does not know at which
+// revisions its entry was created and written.
+func TestRegistrarReportsRevisions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		r := newTestRegistrar(s)
+		var last entryRevisions
+		r.onWrite = func(e entryRevisions) { last = e }
+		runRegistrarUntilEnd(t, r)
+		r.onBackendSeen()
+		synctest.Wait()
+		assert.Equal(t, last, entryRevisions{created: 11, written: 11})
+		r.setDraining(true)
+		synctest.Wait()
+		assert.Equal(t, last, entryRevisions{created: 11, written: 12})
+
+		successor := newTestRegistrar(s)
+		successor.onWrite = r.onWrite
+		runRegistrarUntilEnd(t, successor)
+		successor.onBackendSeen()
+		synctest.Wait()
+		assert.Equal(t, last, entryRevisions{created: 11, written: 13}, "the entry of an earlier process is replaced")
+		s.set(func() { s.put(store.Entry{Key: agentsPrefix + "agent-1", Deleted: true}) })
+		successor.setDraining(true)
+		synctest.Wait()
+		assert.Equal(t, last, entryRevisions{created: 15, written: 15}, "the entry had expired")
+	})
+}
+
 // Guards against too many store calls while the store is unavailable or nothing changes.
 func TestRegistrarLimitsCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/passthrough/watch_duty.go
+++ b/internal/passthrough/watch_duty.go
@@ -41,7 +41,7 @@
 		reliance: entryhost.NewReliance(class, cfg.Capacity.Slack(cfg.ConfigurationBound), now), class: class, revision: revision, logger: cfg.Logger, started: now, reconnect: cfg.CloseIdleConnections, resume: make(chan struct{}, 1),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleymast_store_watch_changes_total", Help: "Decisions whether the process watches the operator's entries itself, by reason.",
-		}, []string{"reason"}),
+		}, []string{reasonLabel}),
 	}
 	m.registry.MustRegister(d.changes)
 	m.addGauge("bramleymast_relies_on_others", "Whether stronger balancers watch the operator's entries in place of this one: 1 if they do.", func() float64 {
