feat: a store that comes back from an older copy (Store-Era)

All that is ordered by revisions took every later change for an older one: a new configuration, an evacuation or an agent's entry was dropped by each running process, and a process that started meanwhile believed the copy. Change: revisions and leases hold the era in their upper bits, so that they rise; platform reads it from each answer and keeps earlier eras out of calls. A newer configuration stays in force, a zone that was out stays out for 10 s unless it is written again, and agents write their entries again when a balancer tells them of the era. Revisions are logged as 2/990 once the store has eras.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -126,7 +126,7 @@
 	a.registrar.onFirstWrite = a.onFirstEntry
 	a.registrar.onWrite = a.newest.add
 	a.metrics = newMetrics("agent", gauges{
-		revision: func() float64 { return float64(a.state.operatorRevision()) },
+		revision: func() float64 { return float64(store.Revision(a.state.operatorRevision()).Number()) },
 		flows:    func() float64 { return float64(a.admitter.Flows()) },
 		agents:   func() float64 { return 1 },
 
@@ -138,6 +138,9 @@
 		}
 		return 0
 	})
+	a.metrics.addGauge("bramleymast_store_era", "Era of the store in which the agent's entry was written, or that balancers have told of; 0 if the store does not have eras.", func() float64 {
+		return float64(a.registrar.era.get())
+	})
 	a.fetcher.metrics = a.metrics
 	a.observeRequests(cfg.Features)
 	a.admitter.SetAnswerObserver(func(d time.Duration) { a.metrics.answers.Observe(d.Seconds()) })
@@ -248,6 +251,7 @@
 	switch m := m.(type) {
 	case *forward:
 		a.onBalancerMessage(now, m.origin)
+		a.registrar.noticeEra(m.revision)
 		a.hosts.add(now, m.voucher, m.revision)
 		m.voucher = entryhost.Voucher{} // It ages while the packet is held.
 		a.fetcher.onVersion(a.link.detours.callable(src, m.origin), operatorVersion{revision: m.revision})
@@ -260,8 +264,9 @@
 		a.admitter.SetOwner(now, m.flow, m.agent, m.minAck)
 	case *probe:
 		a.onBalancerMessage(now, m.origin)
-		a.fetcher.onVersion(a.link.detours.callable(src, m.origin), operatorVersion{revision: m.revision, zonesOut: m.zonesOut})
+		a.fetcher.onVersion(a.link.detours.callable(src, m.origin), operatorVersion{revision: m.revision, digest: m.digest})
 		a.newest.add(m.newest)
+		a.registrar.noticeEra(max(m.newest.written, m.revision))
 		a.hosts.add(now, m.voucher, m.revision)
 		a.sendReport(now, m.origin)
 	case *check:
@@ -278,7 +283,7 @@
 
 func (a *Agent) report(now time.Time) *report {
 	v := a.state.operatorVersion()
-	return &report{agent: a.link.self, service: a.service, revision: v.revision, load: a.admitter.Load(now), balancers: a.balancers.count(now), newest: a.newest.get(), hosts: a.hosts.report(now), zonesOut: v.zonesOut}
+	return &report{agent: a.link.self, service: a.service, revision: v.revision, load: a.admitter.Load(now), balancers: a.balancers.count(now), newest: a.newest.get(), hosts: a.hosts.report(now), digest: v.digest}
 }
 
 func (a *Agent) onForward(now time.Time, m *forward) {
--- a/internal/passthrough/announcer.go
+++ b/internal/passthrough/announcer.go
@@ -69,7 +69,7 @@
 		listed, unprobed := n.listed(), n.unprobed(now)
 		if !listed || unprobed {
 			if now.After(until) {
-				n.logger.Warn("announcing to the seeds", "listed", listed, "no_balancer_heard", unprobed, "revision", n.revision(), "seeds", len(n.seeds))
+				n.logger.Warn("announcing to the seeds", "listed", listed, "no_balancer_heard", unprobed, "revision", loggedRevision(n.revision()), "seeds", len(n.seeds))
 			}
 			until = now.Add(announcePeriod)
 		}
--- a/internal/passthrough/balancer.go
+++ b/internal/passthrough/balancer.go
@@ -31,6 +31,9 @@
 	// unresponsiveTimeout is how long an agent without an entry may leave messages unanswered; an agent restores its
 	// entry within 2 s.
 	unresponsiveTimeout = 3 * time.Second
+	// eraSettlingPeriod is how long the operator may take to write again what a store has lost that has come back from a
+	// copy. A zone that was out of service stays out for so long.
+	eraSettlingPeriod = 10 * time.Second
 	// defaultIdleTimeout is how long a flow without packets is kept if the configuration has no idle timeout.
 	defaultIdleTimeout = 15 * time.Second
 )
@@ -122,13 +125,16 @@
 	b.state = localState{layout: cfg.Layout, logger: cfg.Logger, changed: b.refresh}
 	b.fetcher = newStateFetcher(&b.state, true, cfg.Logger)
 	b.metrics = newMetrics("balancer", gauges{
-		revision: func() float64 { return float64(b.state.operatorRevision()) },
+		revision: func() float64 { return float64(store.Revision(b.state.operatorRevision()).Number()) },
 		flows:    func() float64 { return float64(b.steerer.Flows()) },
 		agents:   func() float64 { return float64(len(b.state.board.Records(board.KindAgent))) },
 	})
+	b.metrics.addGauge("bramleymast_store_era", "Era of the store in which the agents' entries were last listed; 0 if the store does not have eras.", func() float64 {
+		return float64(store.Revision(b.agents.at.Load()).Era())
+	})
 	b.fetcher.metrics = b.metrics
 	b.duty = newWatchDuty(cfg, b.state.operatorRevision, b.metrics)
-	b.operator = &follower{store: cfg.Store, prefix: cfg.Layout.OperatorPrefix, contact: &b.contact, logger: cfg.Logger, apply: b.state.applyOperator, held: b.state.zoneKeysOut, applied: b.state.operatorAt.add, changed: b.refresh}
+	b.operator = &follower{store: cfg.Store, prefix: cfg.Layout.OperatorPrefix, contact: &b.contact, logger: cfg.Logger, apply: b.state.applyOperator, held: b.state.zoneKeysOut, applied: b.state.operatorAt.add, settlingPeriod: eraSettlingPeriod, settled: b.state.operatorSettled.add, eraChanged: b.metrics.storeReturns.Inc, changed: b.refresh}
 	b.duty.follow(b.operator)
 	b.agents = &follower{store: cfg.WatchStore, contact: &b.contact, prefix: agentsPrefix, pause: b.agentsPause, logger: cfg.Logger, apply: b.state.applyAgent, held: b.state.listedAgentKeys, applied: b.state.agentsAt.add, changed: b.refresh}
 	b.SetDrainPeriod(cfg.DrainPeriod)
@@ -416,7 +422,7 @@
 		return
 	}
 	b.metrics.count(eventRefused, reason)
-	b.cfg.Logger.Warn("flow refused", "flow", seg.Flow().String(), "reason", reason, "opens", seg.IsOpening(), "copies", seg.Retransmissions(), "revision", table.Revision())
+	b.cfg.Logger.Warn("flow refused", "flow", seg.Flow().String(), "reason", reason, "opens", seg.IsOpening(), "copies", seg.Retransmissions(), "revision", loggedRevision(table.Revision()))
 	var buf [64]byte
 	seq := seg.Ack()
 	if seg.IsOpening() {
@@ -504,7 +510,7 @@
 	b.learnEntries(m.newest)
 	b.duty.reported(now, m)
 	if src.direct() {
-		b.fetcher.onVersion(m.agent, operatorVersion{revision: m.revision, zonesOut: m.zonesOut}) // Calls take no detours.
+		b.fetcher.onVersion(m.agent, operatorVersion{revision: m.revision, digest: m.digest}) // Calls take no detours.
 	}
 }
 
@@ -524,7 +530,7 @@
 
 func (b *Balancer) probe() *probe {
 	voucher, revision := b.duty.stamp(time.Now(), b.state.operatorRevision)
-	return &probe{origin: b.link.self, revision: revision, newest: b.state.newest.get(), voucher: voucher, zonesOut: b.state.operatorVersion().zonesOut}
+	return &probe{origin: b.link.self, revision: revision, newest: b.state.newest.get(), voucher: voucher, digest: b.state.operatorVersion().digest}
 }
 
 // tick probes agents, sends early packets by observed routes, and removes idle flows and unresponsive agents.
@@ -560,6 +566,7 @@
 		b.resetDueDenials(now)
 		if now.Sub(swept) >= sweepInterval {
 			swept = now
+			b.operator.listIfSettled(now)
 			b.attempts.Sweep(now)
 			b.cfg.SetWatchTimeout(b.duty.watchTimeout(now, passthrough.ConfigurationWatch(b.fleet.Balancers())))
 			b.steerer.Sweep(now, b.state.idleTimeout())
--- a/internal/passthrough/flow_records.go
+++ b/internal/passthrough/flow_records.go
@@ -173,9 +173,9 @@
 		fr.a.cfg.Logger.Warn("flow record not written", "key", fr.key, "flows", len(flows), "error", err, "next_ms", fr.policy.Interval().Milliseconds())
 		return
 	}
-	fr.policy.OnWritten(time.Now(), flows, uint64(fr.revision))
+	fr.policy.OnWritten(time.Now(), flows, fr.revision.Number())
 	fr.a.metrics.count(eventRecorded, reasonNone)
-	fr.a.cfg.Logger.Info("flow record written", "key", fr.key, "flows", len(flows), "bytes", len(value), "revision", fr.revision, "next_ms", fr.policy.Interval().Milliseconds())
+	fr.a.cfg.Logger.Info("flow record written", "key", fr.key, "flows", len(flows), "bytes", len(value), "revision", loggedRevision(fr.revision), "next_ms", fr.policy.Interval().Milliseconds())
 }
 
 // current returns the flows to record. An agent that has restarted beside the same run has not seen a packet of each yet.
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -42,9 +42,16 @@
 	answered func(at time.Time)
 	// apply handles a changed entry; an entry that is missing from a complete list is passed as deleted.
 	apply func(e store.Entry)
-	// held returns the keys that exist according to the entries in use. These may come from other processes too, which
-	// is why a complete list is compared with them.
-	held func() []string
+	// held returns the keys that exist according to the entries in use, with their revisions. These may come from other
+	// processes too, which is why a complete list is compared with them.
+	held func() map[string]store.Revision
+	// settlingPeriod is how long after the first list of an era an entry of an earlier era stays in use although its key is
+	// missing: its writer writes it again.
+	settlingPeriod time.Duration
+	// settled is called after a list that shows which entries of earlier eras are gone; nil is allowed.
+	settled func(era uint64)
+	// eraChanged is called after the first list in another era than the one before; nil is allowed.
+	eraChanged func()
 	// applied is called with the store revision up to which all changes have been applied; nil is allowed.
 	applied func(revision uint64)
 	// changed is called after the changes of a response have been applied.
@@ -65,6 +72,8 @@
 	cancelWatch   context.CancelFunc // ends the waiting watch; nil if there is none
 	beganAt       time.Time          // when the last watch began
 	interruptedAt time.Time          // when a watch was last interrupted
+	eraListedAt   time.Time          // when the prefix was first listed in the era
+	listDue       bool               // entries of earlier eras have settled, so the next call is a list
 	behindSince   time.Time          // since when the waiting watch lacks the expected revision; zero if it does not
 }
 
@@ -87,20 +96,24 @@
 			}
 			at, err = f.watch(ctx, at)
 		}
+		if f.takeListDue() {
+			listed = false
+			continue
+		}
 		if errors.Is(err, store.ErrCompacted) {
-			f.logger.Info("store history compacted, listing again", "prefix", f.prefix, "revision", at)
+			f.logger.Info("store history compacted, listing again", "prefix", f.prefix, "revision", loggedRevision(at))
 			listed = false
 			continue
 		}
 		if err == nil {
 			if !reachable {
-				f.logger.Info("store answers again", "prefix", f.prefix, "revision", at)
+				f.logger.Info("store answers again", "prefix", f.prefix, "revision", loggedRevision(at))
 			}
 			reachable, delay = true, retryDelay
 			continue
 		}
 		if reachable && ctx.Err() == nil {
-			f.logger.Warn("store does not answer", "prefix", f.prefix, "revision", at, "error", err)
+			f.logger.Warn("store does not answer", "prefix", f.prefix, "revision", loggedRevision(at), "error", err)
 		}
 		reachable = false
 		if !listed {
@@ -137,6 +150,7 @@
 
 func (f *follower) list(ctx context.Context) (store.Revision, error) {
 	began := time.Now()
+	before := store.Revision(f.at.Load())
 	page, err := f.store.List(ctx, f.prefix)
 	f.recordOutcome(err)
 	if err != nil {
@@ -147,11 +161,26 @@
 		listed[e.Key] = true
 		f.apply(e)
 	}
-	for _, key := range f.held() {
-		if !listed[key] {
+	settled := f.enterEra(before, page.Revision, began)
+	kept := 0
+	for key, at := range f.held() {
+		switch {
+		case listed[key]:
+		case at.Era() < page.Revision.Era() && !settled:
+			kept++
+		default:
 			f.apply(store.Entry{Key: key, Revision: page.Revision, Deleted: true})
 		}
 	}
+	if settled && f.settled != nil {
+		f.settled(page.Revision.Era())
+	}
+	if before != 0 && before.Era() != page.Revision.Era() {
+		if f.eraChanged != nil {
+			f.eraChanged()
+		}
+		f.logger.Warn("listed in a new era of the store", "prefix", f.prefix, "era", page.Revision.Era(), "before", loggedRevision(before), "revision", loggedRevision(page.Revision), "entries", len(page.Entries), "kept", kept)
+	}
 	f.changed()
 	f.setApplied(page.Revision)
 	now := time.Now()
@@ -161,6 +190,43 @@
 	return page.Revision, nil
 }
 
+// enterEra records a list that began at a time, and reports whether the entries of earlier eras have settled.
+func (f *follower) enterEra(before, now store.Revision, began time.Time) (settled bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.eraListedAt.IsZero() || before.Era() != now.Era() {
+		f.eraListedAt = began
+	}
+	return began.Sub(f.eraListedAt) >= f.settlingPeriod
+}
+
+// listIfSettled ends the waiting watch and makes a list due if entries of earlier eras are in use and have settled.
+func (f *follower) listIfSettled(now time.Time) {
+	era := store.Revision(f.at.Load()).Era()
+	earlier := false
+	for _, at := range f.held() {
+		earlier = earlier || at.Era() < era
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !earlier || f.cancelWatch == nil || now.Sub(f.eraListedAt) < f.settlingPeriod {
+		return
+	}
+	f.listDue = true
+	f.cancelWatch()
+	f.cancelWatch = nil
+	f.logger.Info("entries of an earlier era have settled, listing again", "prefix", f.prefix, "era", era)
+}
+
+// takeListDue reports whether a list is due, once.
+func (f *follower) takeListDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	due := f.listDue
+	f.listDue = false
+	return due
+}
+
 func (f *follower) watch(ctx context.Context, at store.Revision) (store.Revision, error) {
 	watchCtx, end := f.beginWatch(ctx)
 	page, err := f.store.Watch(watchCtx, f.prefix, at)
@@ -237,7 +303,7 @@
 	}
 	f.cancelWatch()
 	f.cancelWatch, f.interruptedAt = nil, now
-	f.logger.Warn("watch interrupted", "prefix", f.prefix, "reason", reason, "revision", f.at.Load(), "expected", f.expected.get())
+	f.logger.Warn("watch interrupted", "prefix", f.prefix, "reason", reason, "revision", loggedRevision(f.at.Load()), "expected", loggedRevision(f.expected.get()))
 	return reason
 }
 
--- a/internal/passthrough/follower_test.go
+++ b/internal/passthrough/follower_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,7 +38,13 @@
 				applied[e.Key] = string(e.Value)
 			}
 		},
-		held: func() []string { return slices.Collect(maps.Keys(applied)) },
+		held: func() map[string]store.Revision {
+			keys := make(map[string]store.Revision)
+			for key := range applied {
+				keys[key] = 0
+			}
+			return keys
+		},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -55,7 +59,7 @@
 	return f, applied
 }
 
-func noKeys() []string { return nil }
+func noKeys() map[string]store.Revision { return nil }
 
 // Guards against a balancer that does not know new agents, as in case 4 of the review: the connection of its watch has
 // gone silent without a reset, and other processes know of the change.
--- a/internal/passthrough/local_state.go
+++ b/internal/passthrough/local_state.go
@@ -43,6 +43,9 @@
 	// operatorAt and agentsAt are the store revisions up to which all changes of the operator's entries and of the agents'
 	// entries are applied, as far as this process or the one that it fetched them from has listed them; 0 if neither has.
 	operatorAt, agentsAt maxRevision
+	// operatorSettled is the last era of the store in which it is known which of the operator's entries of earlier eras are
+	// gone.
+	operatorSettled maxRevision
 	// version summarizes the operator's entries, or is nil if there are none.
 	version atomic.Pointer[operatorVersion]
 }
@@ -65,6 +68,14 @@
 // Processes pass them on, so that a balancer finds out that its watch lacks an entry.
 type entryRevisions struct{ created, written uint64 }
 
+// loggedRevision returns a revision for a log line: its number, or text with the era of the store if there is one.
+func loggedRevision[R ~uint64](revision R) any {
+	if r := store.Revision(revision); r.Era() != 0 {
+		return r.String()
+	}
+	return uint64(revision)
+}
+
 // newestEntries holds the highest revisions that it was given; the zero value is ready to use.
 type newestEntries struct{ created, written maxRevision }
 
@@ -158,21 +169,68 @@
 func (s *localState) applyConfig(value []byte, revision store.Revision) {
 	s.mu.Lock()
 	old := s.table.Load()
-	if old.Revision() >= uint64(revision) {
+	if at := store.Revision(old.Revision()); at > revision && at.Era() == revision.Era() || at >= revision && len(value) == 0 {
 		s.mu.Unlock()
-		return
+		return // Older, or left out because this process has it.
 	}
 	t, err := s.layout.DecodeConfig(value, revision)
 	if err != nil {
 		s.mu.Unlock()
-		s.logger.Error("cannot decode configuration, keeping the current one", "revision", revision, "error", err)
+		s.logger.Error("cannot decode configuration, keeping the current one", "revision", loggedRevision(revision), "error", err)
+		return
+	}
+	switch compareConfigs(t, old) {
+	case configOlder:
+		s.mu.Unlock()
+		return
+	case configReverted:
+		s.table.Store(old.WithRevision(uint64(revision)))
+		s.updateVersion()
+		s.mu.Unlock()
+		s.logger.Warn("configuration of the store is older than the current one, keeping that", "version", t.Version(), "current", old.Version(), "revision", loggedRevision(revision))
 		return
+	case configNewer:
 	}
 	s.config, s.previous = value, old
 	s.table.Store(t)
 	s.updateVersion()
 	s.mu.Unlock()
-	s.logger.Info("configuration in force", "version", t.Version(), "revision", revision, "routes", t.Len())
+	s.logger.Info("configuration in force", "version", t.Version(), "revision", loggedRevision(revision), "routes", t.Len())
+}
+
+// configOrder is how a configuration relates to the current one.
+type configOrder int
+
+const (
+	configNewer configOrder = iota
+	configOlder
+	// configReverted means that it is older although the store has it at a later revision: the store has come back from a
+	// copy.
+	configReverted
+)
+
+// compareConfigs compares a configuration with the current one, which may be nil. Within an era of the store the revision
+// decides. Between two eras the version does, since the operator writes again what the store has lost.
+func compareConfigs(t, current *route.Table) configOrder {
+	if current == nil {
+		return configNewer
+	}
+	at, currentAt := store.Revision(t.Revision()), store.Revision(current.Revision())
+	sameOrLater := t.Version() >= current.Version()
+	switch {
+	case at.Era() == currentAt.Era() && at != currentAt:
+		if at > currentAt {
+			return configNewer
+		}
+		return configOlder
+	case at.Era() > currentAt.Era() && sameOrLater:
+		return configNewer
+	case at.Era() > currentAt.Era():
+		return configReverted
+	case t.Version() > current.Version():
+		return configNewer // The current one was read in a store that has come back from a copy.
+	}
+	return configOlder
 }
 
 func (s *localState) applyZone(zone string, out bool, revision store.Revision) {
@@ -188,7 +246,7 @@
 	if err != nil || !merged {
 		return // Older than the current state; the kind always matches.
 	}
-	s.logger.Info("zone state", "zone", zone, "out", out, "revision", revision)
+	s.logger.Info("zone state", "zone", zone, "out", out, "revision", loggedRevision(revision))
 }
 
 // applyAgent applies an agent's store entry.
@@ -222,7 +280,7 @@
 func (s *localState) decodeAndMerge(e store.Entry, r board.Record) {
 	a, err := decodeAgent(e.Value)
 	if err != nil {
-		s.logger.Warn("agent entry skipped", "key", e.Key, "revision", e.Revision, "error", err)
+		s.logger.Warn("agent entry skipped", "key", e.Key, "revision", loggedRevision(e.Revision), "error", err)
 		return
 	}
 	r.Value = a
@@ -236,7 +294,7 @@
 	if err != nil || !merged || !ok {
 		return false // Older than the current state; the kind always matches.
 	}
-	s.logger.Info("agent state", "agent", r.ID.Key, "service", a.Service, "zone", a.Zone, "address", a.DataAddress, "phase", a.Phase.String(), "listed", r.Version.Liveness == board.Alive, "revision", r.Version.Seq)
+	s.logger.Info("agent state", "agent", r.ID.Key, "service", a.Service, "zone", a.Zone, "address", a.DataAddress, "phase", a.Phase.String(), "listed", r.Version.Liveness == board.Alive, "revision", loggedRevision(r.Version.Seq))
 	return true
 }
 
@@ -290,7 +348,7 @@
 		s.logger.Error("agent not dropped", "agent", r.ID.Key, "error", err)
 		return
 	}
-	s.logger.Info("agent dropped", "agent", r.ID.Key, "address", a.DataAddress, "reason", reason, "revision", r.Version.Seq)
+	s.logger.Info("agent dropped", "agent", r.ID.Key, "address", a.DataAddress, "reason", reason, "revision", loggedRevision(r.Version.Seq))
 }
 
 // idleTimeout returns the time without packets after which a flow may be removed.
--- a/internal/passthrough/local_state_test.go
+++ b/internal/passthrough/local_state_test.go
@@ -118,7 +118,7 @@
 	select {
 	case <-f.due:
 		var reply StateReply
-		assert.NilError(t, (&peerService{from}).State(StateArgs{Agents: true}, &reply))
+		assert.NilError(t, (&peerService{from}).State(f.args(), &reply))
 		f.applyReply(reply, netip.AddrPort{})
 	default:
 	}
--- a/internal/passthrough/message.go
+++ b/internal/passthrough/message.go
@@ -103,8 +103,8 @@
 	revision uint64
 	newest   entryRevisions
 	voucher  entryhost.Voucher
-	// zonesOut is that of the balancer's operatorVersion; 0 in a check.
-	zonesOut uint32
+	// digest is that of the balancer's operatorVersion; 0 in a check.
+	digest uint32
 }
 
 // report notifies a balancer of the load of an agent.
@@ -119,8 +119,8 @@
 	newest    entryRevisions
 	// hosts is what the agent has heard of the hosts of balancers.
 	hosts entryhost.Report
-	// zonesOut is that of the agent's operatorVersion; 0 in the answer to a check.
-	zonesOut uint32
+	// digest is that of the agent's operatorVersion; 0 in the answer to a check.
+	digest uint32
 }
 
 // announce notifies a seed of an agent that the store does not list.
@@ -287,7 +287,7 @@
 	b = binary.BigEndian.AppendUint64(b, m.revision)
 	b = appendEntryRevisions(b, m.newest)
 	b = appendVoucher(b, m.voucher)
-	return binary.BigEndian.AppendUint32(b, m.zonesOut)
+	return binary.BigEndian.AppendUint32(b, m.digest)
 }
 
 func (m *report) append(b []byte) []byte {
@@ -301,7 +301,7 @@
 	b = appendVoucher(b, m.hosts.Voucher)
 	b = append(b, byte(m.hosts.Weakest))
 	b = binary.BigEndian.AppendUint64(b, m.hosts.Newest)
-	return binary.BigEndian.AppendUint32(b, m.zonesOut)
+	return binary.BigEndian.AppendUint32(b, m.digest)
 }
 
 func (m *announce) append(b []byte) []byte {
@@ -487,7 +487,7 @@
 	m.balancers = binary.BigEndian.Uint16(r.next(2))
 	m.newest = r.entryRevisions()
 	m.hosts = entryhost.Report{Voucher: r.voucher(), Weakest: entryhost.Class(r.next(1)[0]), Newest: r.uint64()}
-	m.zonesOut = r.uint32()
+	m.digest = r.uint32()
 	return m
 }
 
@@ -509,7 +509,7 @@
 		m.minAck = r.uint32()
 		return m
 	case kindProbe:
-		return &probe{origin: r.address(), revision: r.uint64(), newest: r.entryRevisions(), voucher: r.voucher(), zonesOut: r.uint32()}
+		return &probe{origin: r.address(), revision: r.uint64(), newest: r.entryRevisions(), voucher: r.voucher(), digest: r.uint32()}
 	case kindReport:
 		return r.report()
 	case kindAnnounce:
--- a/internal/passthrough/message_test.go
+++ b/internal/passthrough/message_test.go
@@ -65,7 +65,7 @@
 	case 3:
 		return &owner{flow: f, agent: drawAddress(t, "agent"), minAck: rapid.Uint32().Draw(t, "min ack")}
 	case 4:
-		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision"), newest: drawEntryRevisions(t), voucher: drawVoucher(t), zonesOut: rapid.Uint32().Draw(t, "zones out")}
+		return &probe{origin: drawAddress(t, "origin"), revision: rapid.Uint64().Draw(t, "revision"), newest: drawEntryRevisions(t), voucher: drawVoucher(t), digest: rapid.Uint32().Draw(t, "digest")}
 	case 5:
 		m := &announce{agent: drawAddress(t, "agent"), revision: rapid.Uint64().Draw(t, "revision"), id: rapid.StringN(0, -1, maxText).Draw(t, "id"), service: rapid.StringN(0, -1, maxText).Draw(t, "name"), zone: rapid.StringN(0, -1, maxText).Draw(t, "zone")}
 		for range rapid.IntRange(0, maxAnnouncedAddresses).Draw(t, "addresses") {
@@ -93,7 +93,7 @@
 	case 9:
 		return &denied{flow: f, agent: drawAddress(t, "agent"), ack: rapid.Uint32().Draw(t, "ack"), restarted: rapid.Bool().Draw(t, "restarted"), newest: drawEntryRevisions(t)}
 	default:
-		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t), balancers: rapid.Uint16().Draw(t, "balancers"), newest: drawEntryRevisions(t), hosts: entryhost.Report{Voucher: drawVoucher(t), Weakest: entryhost.Class(rapid.Byte().Draw(t, "weakest")), Newest: rapid.Uint64().Draw(t, "newest")}, zonesOut: rapid.Uint32().Draw(t, "zones out")}
+		return &report{agent: drawAddress(t, "agent"), service: flow.ServiceID(rapid.Uint64().Draw(t, "service")), revision: rapid.Uint64().Draw(t, "revision"), load: drawLoad(t), balancers: rapid.Uint16().Draw(t, "balancers"), newest: drawEntryRevisions(t), hosts: entryhost.Report{Voucher: drawVoucher(t), Weakest: entryhost.Class(rapid.Byte().Draw(t, "weakest")), Newest: rapid.Uint64().Draw(t, "newest")}, digest: rapid.Uint32().Draw(t, "digest")}
 	}
 }
 
--- a/internal/passthrough/metrics.go
+++ b/internal/passthrough/metrics.go
@@ -60,6 +60,8 @@
 	waits    prometheus.Histogram
 	// staleWatches counts watches of the store that were interrupted.
 	staleWatches *prometheus.CounterVec
+	// storeReturns counts the returns of the store from an older copy.
+	storeReturns prometheus.Counter
 	holds        prometheus.Histogram
 }
 
@@ -106,6 +108,9 @@
 	m.staleWatches = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "bramleymast_stale_watches_total", Help: "Watches of the store that were interrupted, since they lacked a change that other processes knew or the store was silent.",
 	}, []string{reasonLabel})
+	m.storeReturns = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "bramleymast_store_returns_total", Help: "Returns of the store from an older copy that a balancer has noticed while it ran.",
+	})
 	m.holds = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "bramleymast_hold_seconds", Help: "Time that a request on an open flow waited at its agent for capacity.", Buckets: latencyBuckets,
 	})
@@ -113,7 +118,7 @@
 	gauge := func(name, help string, f func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels}, f)
 	}
-	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.shares, m.answers, m.waits, m.staleWatches, m.holds,
+	m.registry.MustRegister(m.events, m.packets, m.fetches, m.unsent, m.shares, m.answers, m.waits, m.staleWatches, m.storeReturns, m.holds,
 		gauge("bramleymast_operator_revision", "Store revision of the newest configuration or zone state.", g.revision),
 		gauge("bramleymast_flows", "Flows that the process remembers.", g.flows),
 		gauge("bramleymast_agents", "Agents that the process knows.", g.agents),
--- a/internal/passthrough/operator_version.go
+++ b/internal/passthrough/operator_version.go
@@ -1,18 +1,20 @@
 package passthrough
 
 import (
+	"encoding/binary"
 	"hash/fnv"
 
 	"github.com/bramleymast/bramleymast/pkg/board"
 )
 
 // operatorVersion summarizes the operator's entries of a process. Processes whose versions differ do not hold the same
-// entries: one with the lower revision lacks a change, and with equal revisions one lacks the end of an evacuation.
+// entries: one with the lower revision lacks a change. With equal revisions one lacks the end of an evacuation, or has read
+// an older configuration in a store that has come back from a copy.
 type operatorVersion struct {
 	// revision is the highest store revision of the entries.
 	revision uint64
-	// zonesOut is a digest of the zones that are out of service; 0 if it is not known.
-	zonesOut uint32
+	// digest is one of the configuration's version and the zones that are out of service; 0 if it is not known.
+	digest uint32
 }
 
 // operatorVersion returns the version of the operator's entries.
@@ -20,14 +22,13 @@
 	if v := s.version.Load(); v != nil {
 		return *v
 	}
-	return operatorVersion{zonesOut: digestOfZones(nil)}
+	return operatorVersion{digest: operatorDigest(0, nil)}
 }
 
 // updateVersion computes the version after a change. The caller must hold s.mu, so that the newest one is stored last.
 func (s *localState) updateVersion() {
-	v := operatorVersion{revision: s.table.Load().Revision(), zonesOut: digestOfZones(s.zonesOut())}
-	v.revision = max(v.revision, s.board.ZoneRevision())
-	s.version.Store(&v)
+	t := s.table.Load()
+	s.version.Store(&operatorVersion{revision: max(t.Revision(), s.board.ZoneRevision()), digest: operatorDigest(t.Version(), s.zonesOut())})
 }
 
 // zonesOut returns the zones that are out of service, in order.
@@ -41,11 +42,12 @@
 	return out
 }
 
-// digestOfZones returns a digest of zone names that is not 0.
-func digestOfZones(zones []string) uint32 {
+// operatorDigest returns a digest that is not 0.
+func operatorDigest(configuration uint64, zonesOut []string) uint32 {
 	h := fnv.New32a()
-	for _, z := range zones {
-		_, _ = h.Write(append([]byte(z), 0)) // Never fails.
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, configuration)) // Never fails.
+	for _, z := range zonesOut {
+		_, _ = h.Write(append([]byte(z), 0))
 	}
 	return max(h.Sum32(), 1)
 }
--- a/internal/passthrough/owner_search.go
+++ b/internal/passthrough/owner_search.go
@@ -85,7 +85,7 @@
 	}
 	if reason != reasonNone {
 		b.metrics.count(eventDropped, reason)
-		b.cfg.Logger.Warn("flow not reset", "flow", f.String(), "reason", reason, "newest_agent", b.state.newest.created.get())
+		b.cfg.Logger.Warn("flow not reset", "flow", f.String(), "reason", reason, "newest_agent", loggedRevision(b.state.newest.created.get()))
 		return
 	}
 	b.refuse(passthrough.NewSegment(f, passthrough.FlagAck, 0, ack, 0), "no_owner", b.state.Table())
--- a/internal/passthrough/peer.go
+++ b/internal/passthrough/peer.go
@@ -45,6 +45,8 @@
 	Unlisted bool
 	// Compressed means that Value is compressed with gzip.
 	Compressed bool
+	// version is that of a configuration. It is not sent.
+	version uint64
 }
 
 // StateArgs requests the store entries in the local state of a process. Types of net/rpc must be exported.
@@ -52,9 +54,10 @@
 	// Agents requests the agent entries too.
 	Agents bool
 	// Compressed means that the caller decompresses entries, and Known is the revision of its configuration, which is not
-	// sent again.
-	Compressed bool
-	Known      uint64
+	// sent again if its version is KnownVersion.
+	Compressed   bool
+	Known        uint64
+	KnownVersion uint64
 }
 
 // StateReply holds store entries.
@@ -62,6 +65,8 @@
 	Entries []EntryState
 	// OperatorAt is the store revision up to which the process holds all changes of the operator's entries, or 0.
 	OperatorAt uint64
+	// SettledEra is the last era of the store in which the process knows which entries of earlier eras are gone.
+	SettledEra uint64
 	// Observed are the observed routes of a process without a configuration.
 	Observed []passthrough.ObservedRoute
 }
@@ -77,11 +82,12 @@
 
 // State returns the store entries in the local state of the process.
 func (s *peerService) State(args StateArgs, reply *StateReply) error {
-	reply.OperatorAt = s.state.operatorAt.get() // Before the entries, which may be newer.
+	c := s.state.operatorCoverage() // Before the entries, which may be newer.
+	reply.OperatorAt, reply.SettledEra = c.at, c.settledEra
 	reply.Entries = s.state.entries(args.Agents)
 	for i := range reply.Entries {
 		if e := &reply.Entries[i]; args.Compressed && e.Key == s.state.layout.ConfigKey {
-			s.state.compressed.shrink(e, args.Known)
+			s.state.compressed.shrink(e, args)
 		}
 	}
 	if s.state.Table() == nil {
@@ -153,7 +159,7 @@
 // onVersion makes a fetch from another process due if its version shows that it may hold a change that this one lacks.
 func (f *stateFetcher) onVersion(from netip.AddrPort, v operatorVersion) {
 	own := f.state.operatorVersion()
-	if v.revision < own.revision || v.revision == own.revision && (v.zonesOut == 0 || v.zonesOut == own.zonesOut) {
+	if v.revision < own.revision || v.revision == own.revision && (v.digest == 0 || v.digest == own.digest) {
 		return
 	}
 	select {
@@ -175,8 +181,13 @@
 	}
 }
 
+func (f *stateFetcher) args() StateArgs {
+	t := f.state.Table()
+	return StateArgs{Agents: f.agents, Compressed: true, Known: t.Revision(), KnownVersion: t.Version()}
+}
+
 func (f *stateFetcher) fetch(ctx context.Context, from netip.AddrPort) bool {
-	reply, err := fetchState(ctx, from, StateArgs{Agents: f.agents, Compressed: true, Known: f.state.Table().Revision()})
+	reply, err := fetchState(ctx, from, f.args())
 	if err != nil {
 		f.metrics.fetches.WithLabelValues("failed").Inc()
 		f.logger.Warn("state not fetched", "from", from, "error", err)
@@ -203,7 +214,7 @@
 		entry := store.Entry{Key: e.Key, Value: value, Revision: store.Revision(e.Revision), Deleted: e.Deleted}
 		entries = append(entries, fetchedEntry{Entry: entry, unlisted: e.Unlisted})
 	}
-	f.state.applyFetched(entries, reply.OperatorAt)
+	f.state.applyFetched(entries, coverage{at: reply.OperatorAt, settledEra: reply.SettledEra})
 	f.state.changed()
 	if f.applied != nil {
 		f.applied()
@@ -254,7 +265,7 @@
 	var all []EntryState
 	s.mu.Lock()
 	if t := s.table.Load(); t != nil {
-		all = append(all, EntryState{Key: s.layout.ConfigKey, Value: s.config, Revision: t.Revision()})
+		all = append(all, EntryState{Key: s.layout.ConfigKey, Value: s.config, Revision: t.Revision(), version: t.Version()})
 	}
 	s.mu.Unlock()
 	for _, r := range s.board.Records(board.KindZone) {
--- a/internal/passthrough/placement.go
+++ b/internal/passthrough/placement.go
@@ -74,7 +74,7 @@
 func (b *Balancer) recordPlacement(p passthrough.OpeningPacket, d passthrough.Destination, o passthrough.Placement) {
 	b.metrics.count(eventPlaced, string(o.Kind))
 	seg := p.Segment
-	args := []any{"flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Retransmissions(), "returning", p.IsRetry, "revision", b.state.Table().Revision()}
+	args := []any{"flow", seg.Flow().String(), "agent", o.Target, "copies", seg.Retransmissions(), "returning", p.IsRetry, "revision", loggedRevision(b.state.Table().Revision())}
 	if o.Kind != "" {
 		args = append(args, "chosen", string(o.Kind), "expected_ms", o.Expected.Milliseconds())
 	}
--- a/internal/passthrough/registrar.go
+++ b/internal/passthrough/registrar.go
@@ -21,6 +21,8 @@
 	maxEntryDelay = 800 * time.Millisecond
 	// renewInterval leaves time for two failed renewals.
 	renewInterval = leaseTTL / 4
+	// eraSpread is the time over which agents write their entries again in a new era of the store.
+	eraSpread = time.Second
 )
 
 // registrar keeps the agent's entry in the store.
@@ -29,6 +31,10 @@
 	key    string
 	logger hclog.Logger
 	wake   chan struct{}
+	// newEra has a value if the store has begun an era that the entry was not written in.
+	newEra chan struct{}
+	// era is the newest era that is known.
+	era maxRevision
 	// backendSeen is closed after the first heartbeat of the backend server.
 	backendSeen chan struct{}
 	seenOnce    sync.Once
@@ -56,7 +62,7 @@
 
 func newRegistrar(s store.Store, id string, e agentEntry, logger hclog.Logger) *registrar {
 	e.Process = rand.Uint64()
-	return &registrar{store: s, key: agentsPrefix + id, entry: e, dirty: true, logger: logger, wake: make(chan struct{}, 1), backendSeen: make(chan struct{})}
+	return &registrar{store: s, key: agentsPrefix + id, entry: e, dirty: true, logger: logger, wake: make(chan struct{}, 1), newEra: make(chan struct{}, 1), backendSeen: make(chan struct{})}
 }
 
 // setDraining changes the draining state of the entry.
@@ -118,6 +124,22 @@
 	case <-ctx.Done():
 	case <-t.C:
 	case <-r.wake:
+	case <-r.newEra:
+		wait(ctx, rand.N(eraSpread)) //nolint:gosec // no secret
+	}
+}
+
+// noticeEra has the entry written again if a revision that another process knows of shows that the store has begun a new
+// era: the store may have lost the entry and its lease. The next renewal would notice it later.
+func (r *registrar) noticeEra(revision uint64) {
+	era := store.Revision(revision).Era()
+	if era == 0 || era <= r.era.get() {
+		return
+	}
+	r.era.add(era)
+	select {
+	case r.newEra <- struct{}{}:
+	default: // A wake-up is already due.
 	}
 }
 
@@ -171,13 +193,14 @@
 		return err
 	}
 	r.revision = revision
+	r.era.add(revision.Era())
 	if r.onWrite != nil {
 		r.onWrite(entryRevisions{created: uint64(r.created), written: uint64(revision)})
 	}
 	if !r.written.Swap(true) && r.onFirstWrite != nil {
 		r.onFirstWrite(r.previous, entry)
 	}
-	r.logger.Info("entry written", "key", r.key, "revision", revision, "draining", entry.Draining)
+	r.logger.Info("entry written", "key", r.key, "revision", loggedRevision(revision), "draining", entry.Draining)
 	return nil
 }
 
--- a/internal/passthrough/transfer.go
+++ b/internal/passthrough/transfer.go
@@ -47,8 +47,8 @@
 }
 
 // shrink leaves out the configuration of an entry if the receiver has it already, and otherwise compresses it.
-func (c *compressedConfig) shrink(e *EntryState, known uint64) {
-	if e.Revision <= known {
+func (c *compressedConfig) shrink(e *EntryState, args StateArgs) {
+	if e.Revision <= args.Known && e.version <= args.KnownVersion {
 		e.Value = nil // An entry that is not newer is ignored.
 		return
 	}
--- a/internal/passthrough/transfer_test.go
+++ b/internal/passthrough/transfer_test.go
@@ -53,7 +53,7 @@
 	assert.Assert(t, f.fetch(t.Context(), from))
 	assert.Assert(t, bytes.Equal(decoded, config))
 
-	again, err := fetchState(t.Context(), from, StateArgs{Compressed: true, Known: started.Table().Revision()})
+	again, err := fetchState(t.Context(), from, StateArgs{Compressed: true, Known: started.Table().Revision(), KnownVersion: started.Table().Version()})
 	assert.NilError(t, err)
 	assert.Equal(t, len(again.Entries[0].Value), 0)
 	f.applyReply(again, from)
--- a/internal/passthrough/watch_duty.go
+++ b/internal/passthrough/watch_duty.go
@@ -99,7 +99,7 @@
 	s := d.reliance.State(now, d.revision())
 	if old := d.state.Swap(s); old != s {
 		d.changes.WithLabelValues(string(s)).Inc()
-		d.logger.Info("store watch", "relies_on_others", s == entryhost.Relies, "reason", string(s), "revision", d.revision())
+		d.logger.Info("store watch", "relies_on_others", s == entryhost.Relies, "reason", string(s), "revision", loggedRevision(d.revision()))
 	}
 	return s
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -86,7 +86,19 @@
 }
 
 // Version returns the version number that the operator has given the configuration.
-func (t *Table) Version() uint64 { return t.version }
+func (t *Table) Version() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.version
+}
+
+// WithRevision returns the table at another store revision.
+func (t *Table) WithRevision(revision uint64) *Table {
+	at := *t
+	at.revision = revision
+	return &at
+}
 
 // IdleTimeout returns the time without packets after which a flow may be removed.
 func (t *Table) IdleTimeout() time.Duration { return t.idleTimeout }
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,7 +20,8 @@
 	ErrUnavailable = errors.ConstError("the store cannot be reached")
 	// ErrUnknownOutcome means that the request may have been sent but got no valid answer, so it may have taken effect.
 	ErrUnknownOutcome = errors.ConstError("the store did not answer, the outcome is unknown")
-	// ErrCompacted means that the history since the requested revision was compacted, so the caller must list again.
+	// ErrCompacted means that the history since the requested revision was compacted or belongs to an earlier era, so the
+	// caller must list again.
 	ErrCompacted = errors.ConstError("the revision is no longer kept")
 	// ErrTooLarge means that the value is larger than MaxValueBytes.
 	ErrTooLarge = errors.ConstError("the value is over the size limit")
@@ -29,11 +32,48 @@
 
 // Revision numbers the changes of the whole store. The revision of a key is that of its last change; 0 means that the key
 // does not exist.
+//
+// A store that comes back from an older copy gives numbers out again. Each return begins a new era, which a revision holds
+// in its upper bits, so that revisions rise all the same.
 type Revision uint64
 
-// LeaseID identifies a lease; 0 means no lease.
+// LeaseID identifies a lease; 0 means no lease. It holds the era in which the lease was granted, as revisions do.
 type LeaseID uint64
 
+// numberBits is the size of the number in a revision or lease; the era is above it.
+const numberBits = 48
+
+// MaxEra is the highest era that a revision can hold.
+const MaxEra = 1<<(64-numberBits) - 1
+
+// NewRevision returns the revision with a number of an era, which may not exceed MaxEra.
+func NewRevision(era, number uint64) Revision {
+	return Revision(era<<numberBits | number&(1<<numberBits-1))
+}
+
+// Era returns the era; 0 if the store does not have eras.
+func (r Revision) Era() uint64 { return uint64(r) >> numberBits }
+
+// Number returns the number within the era.
+func (r Revision) Number() uint64 { return uint64(r) & (1<<numberBits - 1) }
+
+// String returns the number, after the era and a slash if there is one.
+func (r Revision) String() string {
+	if r.Era() == 0 {
+		return strconv.FormatUint(r.Number(), 10)
+	}
+	return fmt.Sprintf("%d/%d", r.Era(), r.Number())
+}
+
+// NewLeaseID returns the ID of a lease with a number of an era.
+func NewLeaseID(era, number uint64) LeaseID { return LeaseID(NewRevision(era, number)) }
+
+// Era returns the era in which the lease was granted.
+func (id LeaseID) Era() uint64 { return Revision(id).Era() }
+
+// Number returns the number within the era.
+func (id LeaseID) Number() uint64 { return Revision(id).Number() }
+
 // Entry is a key with its value. For a deleted key, Deleted is true and there is no value.
 type Entry struct {
 	Key      string
