fix: a configuration that is written again leaves open flows their previous table

Cause: after a return of the store the operator writes the same configuration again, at a new revision. It replaced the current table by an equal one, so the table before, which open flows may still follow, was forgotten. Change: an equal value only raises the revision of the current table, and is not decoded again. The order of configurations and the revision types move to files of their own.

--- a/internal/passthrough/era_test.go
+++ b/internal/passthrough/era_test.go
@@ -44,6 +44,7 @@
 		{"older", table(1, 5, 1), table(1, 6, 2), configOlder},
 		{"the same", table(1, 5, 1), table(1, 5, 1), configOlder},
 		{"written again", table(2, 4, 2), table(1, 5, 2), configNewer},
+		{"a newer one in a later era", table(2, 4, 3), table(1, 5, 2), configNewer},
 		{"of the copy", table(2, 4, 1), table(1, 5, 2), configReverted},
 		{"lost by the store, from a process in the earlier era", table(1, 5, 2), table(2, 4, 1), configNewer},
 		{"lost by the store, from a process in the new era", table(2, 4, 2), table(2, 4, 1), configNewer},
@@ -124,9 +125,11 @@
 	s := newFakeStore()
 	running, f, runningFetcher := newOperatorState(s)
 	s.put(store.Entry{Key: "op/config", Value: []byte{1}})
+	_, err := f.list(t.Context())
+	assert.NilError(t, err)
 	copied, copiedAt := maps.Clone(s.entries), s.revision
 	s.put(store.Entry{Key: "op/config", Value: []byte{2}})
-	_, err := f.list(t.Context())
+	_, err = f.list(t.Context())
 	assert.NilError(t, err)
 	s.comeBack(copied, copiedAt)
 	started, startedFollower, startedFetcher := newOperatorState(s)
@@ -138,6 +141,13 @@
 	fetchFrom(t, startedFetcher, running)
 	assert.Equal(t, running.Table().Version(), uint64(2))
 	assert.Equal(t, started.Table().Version(), uint64(2))
+	assert.Assert(t, running.previousTable() != nil)
+	previous := running.previousTable()
+	s.put(store.Entry{Key: "op/config", Value: []byte{2}}) // again
+	_, err = f.list(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, running.Table().Revision(), uint64(s.revision))
+	assert.Equal(t, running.previousTable(), previous, "open flows may follow the table before")
 }
 
 // Guards against states that differ for good after returns of the store, in any order of changes, lists, fetches and
--- a/internal/passthrough/local_state.go
+++ b/internal/passthrough/local_state.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"bytes"
 	"net/netip"
 	"slices"
 	"strings"
@@ -50,44 +51,6 @@
 	version atomic.Pointer[operatorVersion]
 }
 
-// maxRevision holds the highest revision that it was given; the zero value is ready to use.
-type maxRevision struct{ v atomic.Uint64 }
-
-func (m *maxRevision) add(revision uint64) {
-	for {
-		old := m.v.Load()
-		if revision <= old || m.v.CompareAndSwap(old, revision) {
-			return
-		}
-	}
-}
-
-func (m *maxRevision) get() uint64 { return m.v.Load() }
-
-// entryRevisions are the highest store revisions at which an agent's entry was created and at which one was written.
-// Processes pass them on, so that a balancer finds out that its watch lacks an entry.
-type entryRevisions struct{ created, written uint64 }
-
-// loggedRevision returns a revision for a log line: its number, or text with the era of the store if there is one.
-func loggedRevision[R ~uint64](revision R) any {
-	if r := store.Revision(revision); r.Era() != 0 {
-		return r.String()
-	}
-	return uint64(revision)
-}
-
-// newestEntries holds the highest revisions that it was given; the zero value is ready to use.
-type newestEntries struct{ created, written maxRevision }
-
-func (n *newestEntries) add(r entryRevisions) {
-	n.created.add(r.created)
-	n.written.add(r.written)
-}
-
-func (n *newestEntries) get() entryRevisions {
-	return entryRevisions{created: n.created.get(), written: n.written.get()}
-}
-
 // Table returns the current configuration, or nil if there is none yet.
 func (s *localState) Table() *route.Table { return s.table.Load() }
 
@@ -173,64 +136,37 @@
 		s.mu.Unlock()
 		return // Older, or left out because this process has it.
 	}
+	if old != nil && store.Revision(old.Revision()) < revision && bytes.Equal(value, s.config) {
+		s.table.Store(old.WithRevision(uint64(revision)))
+		s.updateVersion()
+		s.mu.Unlock()
+		s.logger.Info("configuration written again", "version", old.Version(), "revision", loggedRevision(revision))
+		return
+	}
 	t, err := s.layout.DecodeConfig(value, revision)
 	if err != nil {
 		s.mu.Unlock()
 		s.logger.Error("cannot decode configuration, keeping the current one", "revision", loggedRevision(revision), "error", err)
 		return
 	}
-	switch compareConfigs(t, old) {
-	case configOlder:
-		s.mu.Unlock()
-		return
+	order := compareConfigs(t, old)
+	switch order {
+	case configNewer:
+		s.config, s.previous = value, old
+		s.table.Store(t)
 	case configReverted:
 		s.table.Store(old.WithRevision(uint64(revision)))
-		s.updateVersion()
-		s.mu.Unlock()
-		s.logger.Warn("configuration of the store is older than the current one, keeping that", "version", t.Version(), "current", old.Version(), "revision", loggedRevision(revision))
-		return
-	case configNewer:
+	case configOlder:
 	}
-	s.config, s.previous = value, old
-	s.table.Store(t)
 	s.updateVersion()
 	s.mu.Unlock()
-	s.logger.Info("configuration in force", "version", t.Version(), "revision", loggedRevision(revision), "routes", t.Len())
-}
-
-// configOrder is how a configuration relates to the current one.
-type configOrder int
-
-const (
-	configNewer configOrder = iota
-	configOlder
-	// configReverted means that it is older although the store has it at a later revision: the store has come back from a
-	// copy.
-	configReverted
-)
-
-// compareConfigs compares a configuration with the current one, which may be nil. Within an era of the store the revision
-// decides. Between two eras the version does, since the operator writes again what the store has lost.
-func compareConfigs(t, current *route.Table) configOrder {
-	if current == nil {
-		return configNewer
-	}
-	at, currentAt := store.Revision(t.Revision()), store.Revision(current.Revision())
-	sameOrLater := t.Version() >= current.Version()
-	switch {
-	case at.Era() == currentAt.Era() && at != currentAt:
-		if at > currentAt {
-			return configNewer
-		}
-		return configOlder
-	case at.Era() > currentAt.Era() && sameOrLater:
-		return configNewer
-	case at.Era() > currentAt.Era():
-		return configReverted
-	case t.Version() > current.Version():
-		return configNewer // The current one was read in a store that has come back from a copy.
+	switch order {
+	case configNewer:
+		s.logger.Info("configuration in force", "version", t.Version(), "revision", loggedRevision(revision), "routes", t.Len())
+	case configReverted:
+		s.logger.Warn("configuration of the store is older than the current one, keeping that", "version", t.Version(), "current", old.Version(), "revision", loggedRevision(revision))
+	case configOlder:
 	}
-	return configOlder
 }
 
 func (s *localState) applyZone(zone string, out bool, revision store.Revision) {
