fix: a new era reaches all balancers at once; the older of two configurations at one revision is passed on

(2) The compressed configuration was kept by its revision. After a return of the store two versions may have one revision, and others got the older one. Change: a known revision of a later era ends the watch at once, and a list follows, since another watch might wait for as long. The compressed configuration is kept by revision and version. Measured: TestFollowerListsInNewEra and TestCompressedConfigOfEachVersion; the package passes with -race.

--- a/internal/passthrough/era_test.go
+++ b/internal/passthrough/era_test.go
@@ -1,9 +1,11 @@
 package passthrough
 
 import (
+	"bytes"
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -150,6 +152,40 @@
 	assert.Equal(t, running.previousTable(), previous, "open flows may follow the table before")
 }
 
+// Guards against a balancer that learns of a new era late, although other processes know of it: its watch waits for a change
+// after a number that the store has not reached again.
+func TestFollowerListsInNewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.revision = store.NewRevision(1, 10)
+		s.put(store.Entry{Key: "a", Value: []byte("1")})
+		s.silent = true
+		f, applied := runFollower(t, s)
+		synctest.Wait()
+		s.comeBack(nil, 5)
+		s.set(func() { s.put(store.Entry{Key: "b", Value: []byte("1")}) })
+		f.expected.add(uint64(store.NewRevision(2, 6)))
+		assert.Equal(t, f.interruptStaleWatch(time.Now()), reasonNewEra)
+		synctest.Wait()
+		assert.DeepEqual(t, applied, map[string]string{"b": "1"})
+		assert.Equal(t, f.interruptStaleWatch(time.Now()), "", "listed in the new era")
+	})
+}
+
+// Guards against the older of two configurations at one revision, which was compressed before the newer one arrived.
+func TestCompressedConfigOfEachVersion(t *testing.T) {
+	var c compressedConfig
+	for version, text := range []string{"older", "newer"} {
+		e := EntryState{Value: []byte(strings.Repeat(text, minCompressed)), Revision: 7, version: uint64(version)}
+		want := e.Value
+		c.shrink(&e, StateArgs{Compressed: true})
+		assert.Assert(t, e.Compressed)
+		got, err := e.decompress()
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, want), "%s", text)
+	}
+}
+
 // Guards against states that differ for good after returns of the store, in any order of changes, lists, fetches and
 // restarts, and against a configuration that reverts in a running process.
 func TestStatesConvergeOverEras(t *testing.T) {
--- a/internal/passthrough/follower.go
+++ b/internal/passthrough/follower.go
@@ -290,6 +290,7 @@
 const (
 	reasonKnownChange = "lacks_known_change"
 	reasonStoreSilent = "store_was_silent"
+	reasonNewEra      = "new_era"
 )
 
 // interruptStaleWatch ends a waiting watch that may never be answered, and returns the reason or "". The next watch opens
@@ -303,12 +304,13 @@
 	}
 	f.cancelWatch()
 	f.cancelWatch, f.interruptedAt = nil, now
+	f.listDue = reason == reasonNewEra // Another watch might wait for as long.
 	f.logger.Warn("watch interrupted", "prefix", f.prefix, "reason", reason, "revision", loggedRevision(f.at.Load()), "expected", loggedRevision(f.expected.get()))
 	return reason
 }
 
 // staleReason returns why the waiting watch may never be answered, or "". It lacks a change that other processes have known
-// of for staleWatchTimeout, or the store has been silent since it began.
+// of for staleWatchTimeout, or the store has been silent since it began, or has begun a new era.
 func (f *follower) staleReason(now time.Time) string {
 	switch {
 	case f.cancelWatch == nil:
@@ -317,6 +319,8 @@
 		return reasonStoreSilent
 	case f.covers(f.expected.get()):
 		f.behindSince = time.Time{}
+	case store.Revision(f.expected.get()).Era() > store.Revision(f.at.Load()).Era():
+		return reasonNewEra
 	case f.behindSince.IsZero():
 		f.behindSince = now
 	case now.Sub(f.behindSince) >= staleWatchTimeout:
--- a/internal/passthrough/transfer.go
+++ b/internal/passthrough/transfer.go
@@ -21,14 +21,16 @@
 type compressedConfig struct {
 	mu       sync.Mutex
 	revision uint64
+	version  uint64
 	value    []byte
 }
 
-// get returns the compressed value of the configuration at a revision.
-func (c *compressedConfig) get(revision uint64, config []byte) ([]byte, error) {
+// get returns the compressed value of the configuration in an entry. Two versions may have one revision, if the store has
+// come back from a copy with the older one.
+func (c *compressedConfig) get(e *EntryState) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision == revision {
+	if c.value != nil && c.revision == e.Revision && c.version == e.version {
 		return c.value, nil
 	}
 	var b bytes.Buffer
@@ -36,13 +38,13 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	if _, err := w.Write(config); err != nil {
+	if _, err := w.Write(e.Value); err != nil {
 		return nil, errors.Trace(err)
 	}
 	if err := w.Close(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	c.revision, c.value = revision, b.Bytes()
+	c.revision, c.version, c.value = e.Revision, e.version, b.Bytes()
 	return c.value, nil
 }
 
@@ -55,7 +57,7 @@
 	if len(e.Value) < minCompressed {
 		return
 	}
-	if v, err := c.get(e.Revision, e.Value); err == nil {
+	if v, err := c.get(e); err == nil {
 		e.Value, e.Compressed = v, true
 	}
 }
