--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -109,8 +109,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := c.rotation
-	if len(all) == 0 {
-		all = c.d.balancers()
+	if nodes := c.d.balancers(); 2*len(all) < len(nodes) {
+		all = nodes // As the platform does for a zone.
 	}
 	return all[int(key[0].Port())%len(all)]
 }
--- a/review/standins-3/deployment.go
+++ b/review/standins-3/deployment.go
@@ -229,15 +229,21 @@
 	return slices.DeleteFunc(slices.Clone(d.processes), func(p *process) bool { return p.role != "balancer" })
 }
 
-// addFront starts a balancer, which is a seed of the processes that start later.
-func (d *deployment) addFront(zone string) (*process, error) {
-	ip := d.newIP()
-	d.mu.Lock()
-	if len(d.seeds) < 3 {
-		d.seeds = append(d.seeds, d.at(ip, portControl).String())
+// addFronts starts a balancer in each of the zones. The first three are the seeds of all processes.
+func (d *deployment) addFronts(zones ...string) error {
+	ips := make([]string, len(zones))
+	for i := range zones {
+		ips[i] = d.newIP()
+		if len(d.seeds) < 3 {
+			d.seeds = append(d.seeds, d.at(ips[i], portControl).String())
+		}
 	}
-	d.mu.Unlock()
-	return d.addProcess("balancer", fmt.Sprintf("front-%s-%d", zone, d.hosts), zone, ip, "")
+	for i, z := range zones {
+		if _, err := d.addProcess("balancer", fmt.Sprintf("front-%s-%d", z, i+1), z, ips[i], ""); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // addSide starts a server and the agent beside it.
--- a/review/standins-3/failback.go
+++ b/review/standins-3/failback.go
@@ -23,10 +23,8 @@
 	d.putConfig(fmt.Appendf(nil, `{"version":7,"routes":[{"name":"r-1","host":%q,"prefix":"/%d/","kind":"safe","timeout-ms":1500,"target-latency-ms":120,"priority":2,"service":"orders","max-attempts":2}],`+
 		`"services":[{"name":"orders","health-path":"/health","max-conns":2000,"protocol":"h1","tls":false,"warmup-s":%.1f,"warmup-per-s":%d.0}],"limits":{"idle-timeout-ms":15000}}`,
 		route.Addr(), route.Port(), warmup.Seconds(), warmupPerSecond), 7)
-	for _, z := range d.zones {
-		if _, err := d.addFront(z); err != nil {
-			return false, err
-		}
+	if err := d.addFronts(d.zones...); err != nil {
+		return false, err
 	}
 	var servers []*server
 	for i, z := range d.zones {
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -29,6 +29,7 @@
 	"failback":   {[]string{"heredia-a", "heredia-b", "cartago-a"}, failback},
 	"regression": {[]string{"heredia-a", "heredia-b"}, regression},
 	"moved":      {[]string{"heredia-a", "heredia-b", "cartago-a"}, moved},
+	"gap":        {[]string{"heredia-a", "heredia-b", "cartago-a"}, gap},
 }
 
 func main() { os.Exit(play()) }
--- a/review/standins-3/moved.go
+++ b/review/standins-3/moved.go
@@ -26,10 +26,8 @@
 func moved(d *deployment, trouble bool) (broken bool, err error) {
 	route := d.route(8443)
 	d.putConfig(movedConfiguration(1, route, "orders"), 1)
-	for _, z := range d.zones {
-		if _, err := d.addFront(z); err != nil {
-			return false, err
-		}
+	if err := d.addFronts(d.zones...); err != nil {
+		return false, err
 	}
 	for i, service := range []string{"orders", "orders", "orders", "orders-next", "orders-next", "orders-next", "orders-next"} {
 		if _, _, err := d.addSide(d.zones[i%len(d.zones)], service, 0); err != nil {
--- a/review/standins-3/regression.go
+++ b/review/standins-3/regression.go
@@ -35,10 +35,8 @@
 	for v := first + 1; v <= last; v++ {
 		changes = append(changes, change{version: v, at: time.Second + time.Duration(v-first-1)*3*time.Second, text: d.configuration(v)})
 	}
-	for _, z := range append(d.zones, d.zones[0]) {
-		if _, err := d.addFront(z); err != nil {
-			return false, err
-		}
+	if err := d.addFronts(d.zones[0], d.zones[1], d.zones[0]); err != nil {
+		return false, err
 	}
 	for _, z := range d.zones {
 		for range 2 {
